--- /dev/null
+++ b/crates/coriandertack-core/src/lib.rs
@@ -0,0 +1,18 @@
+//! State and decisions of the coriandertack scheduler.
+//!
+//! This package holds plain types and functions: no message encoding and no I/O. The packages for
+//! the peers convert at their borders and call what is here, so that another front end can use the
+//! same decisions. Start with [`state::State::apply`], which replays the log, and with
+//! docs/design.md.
+
+pub mod cell;
+pub mod code;
+pub mod home;
+pub mod keys;
+pub mod link;
+pub mod message;
+pub mod node;
+pub mod record;
+pub mod resources;
+pub mod state;
+pub mod validity;
--- /dev/null
+++ b/crates/coriandertack-core/src/link.rs
@@ -0,0 +1,69 @@
+//! What is known of another entry VM through the link to it.
+//!
+//! Silence makes a VM *suspected*, which changes routing at once and allows a fence. It never moves
+//! ownership by itself; only a record does. See docs/design.md, section 3.1.
+
+use std::time::Duration;
+
+use tokio::{sync::mpsc, time::Instant};
+
+use crate::{
+    keys::Offset,
+    message::{Heartbeat, Instance, Outgoing, Summary},
+};
+
+/// Silence after which a VM is suspected.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(2_000);
+
+/// A link to another VM.
+#[derive(Debug)]
+pub struct Link {
+    /// Requests for the task of the link.
+    pub queue: mpsc::Sender<Outgoing>,
+    /// When the VM becomes suspected unless it is heard before.
+    pub suspect_at: Instant,
+    /// Last offset that it has applied.
+    pub offset: Offset,
+    /// Highest membership offset whose shares it keeps to.
+    pub settled: Offset,
+    /// Its free capacity.
+    pub summary: Summary,
+    /// Services on its workers.
+    pub instances: Vec<Instance>,
+}
+
+impl Link {
+    /// Returns a link that has just been opened and counts as heard.
+    #[must_use]
+    pub fn new(queue: mpsc::Sender<Outgoing>, now: Instant) -> Self {
+        Self {
+            queue,
+            suspect_at: now + SUSPECT_AFTER,
+            offset: Offset(0),
+            settled: Offset(0),
+            summary: Summary::default(),
+            instances: Vec::new(),
+        }
+    }
+
+    /// Notes a heartbeat. Returns whether the services changed.
+    pub fn heard(&mut self, heartbeat: Heartbeat, now: Instant) -> bool {
+        self.suspect_at = now + SUSPECT_AFTER;
+        self.offset = self.offset.max(heartbeat.offset);
+        self.settled = self.settled.max(heartbeat.settled);
+        self.summary = heartbeat.summary;
+        match heartbeat.instances {
+            Some(instances) if instances != self.instances => {
+                self.instances = instances;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Tells whether the VM has been silent for too long.
+    #[must_use]
+    pub fn is_suspected(&self, now: Instant) -> bool {
+        now >= self.suspect_at
+    }
+}
--- /dev/null
+++ b/crates/coriandertack-core/src/node.rs
@@ -0,0 +1,260 @@
+//! One entry VM: its copy of the state, its permission to act and the channels to its peers' tasks.
+//!
+//! [`Node`] is shared by all tasks of a process. What several of them need is behind one mutex,
+//! which is held for one decision at a time and never across an await. One lock keeps decisions simple;
+//! the longest one, a placement over 1,000 workers, is bounded at 1 ms.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use {
+    slotmap::SecondaryMap,
+    tokio::{
+        sync::{Notify, mpsc, oneshot, watch},
+        time::Instant,
+    },
+};
+
+use crate::{
+    cell::Cell,
+    code::Code,
+    home::Homes,
+    keys::{Incarnation, Offset, VmKey, WorkerKey},
+    link::Link,
+    message::{Instance, Outgoing, PeerReply, PeerRequest, Submission, WorkerCommand},
+    record::{Batch, Entry, Join, Record},
+    state::{State, Verdict},
+    validity::Validity,
+};
+
+/// Records waiting for the log task.
+const LOG_QUEUE: usize = 4_096;
+
+/// What a process is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Stage {
+    /// Reads the log up to its tail and joins; serves nothing.
+    #[display("starting")]
+    Starting,
+    /// Serves.
+    #[display("serving")]
+    Serving,
+    /// Finishes what is in flight and accepts nothing new.
+    #[display("draining")]
+    Draining,
+    /// Has stopped: it has left, lost its session, or met a record that it cannot read.
+    #[display("stopped")]
+    Stopped,
+}
+
+/// What the tasks of a process share.
+#[derive(Debug)]
+pub struct Inner {
+    /// Copy of the replicated state.
+    pub state: State,
+    /// Permission to act on it.
+    pub validity: Validity,
+    /// Capacity of the workers owned here.
+    pub cell: Cell,
+    /// Queues of the teams homed here.
+    pub homes: Homes,
+    /// Links to the other VMs.
+    pub links: SecondaryMap<VmKey, Link>,
+    /// Command queues of the tasks of the workers owned here.
+    pub posts: SecondaryMap<WorkerKey, mpsc::UnboundedSender<WorkerCommand>>,
+    /// Batches sent whose outcome is not applied yet.
+    pub commits: Commits,
+}
+
+/// Ways back for the verdicts of batches in flight.
+#[derive(Debug, Default)]
+pub struct Commits {
+    /// Last sequence number given to a batch.
+    pub seq: u64,
+    /// Replies due when the batch `seq` is applied.
+    pub waiting: Vec<Waiting>,
+}
+
+/// The replies that one batch owes.
+#[derive(Debug)]
+pub struct Waiting {
+    /// Number of the batch.
+    pub seq: u64,
+    /// One reply for each submission, with its number of entries.
+    pub replies: Vec<Due>,
+}
+
+/// A reply that a submission waits for.
+#[derive(Debug)]
+pub struct Due {
+    /// Entries of the submission.
+    pub entries: usize,
+    /// The way back.
+    pub reply: oneshot::Sender<Result<Vec<Verdict>, Code>>,
+}
+
+/// An entry VM.
+#[derive(Debug)]
+pub struct Node {
+    /// Name, zone and addresses.
+    pub info: Join,
+    /// This run of the process.
+    pub author: Incarnation,
+    inner: Mutex<Inner>,
+    log: mpsc::Sender<Submission>,
+    /// Last offset applied; tasks that follow the state wait on it.
+    pub applied: watch::Sender<Offset>,
+    /// What the process is doing.
+    pub stage: watch::Sender<Stage>,
+    /// Services that can answer callers, of all owners.
+    pub routes: watch::Sender<Arc<Vec<Instance>>>,
+    /// Signals that tasks may have become placeable.
+    pub work: Notify,
+}
+
+impl Node {
+    /// Returns a node that has read nothing yet, and the queue for its log task.
+    #[must_use]
+    pub fn new(info: Join, author: Incarnation) -> (Arc<Self>, mpsc::Receiver<Submission>) {
+        let (log, submissions) = mpsc::channel(LOG_QUEUE);
+        let inner = Inner {
+            state: State::default(),
+            validity: Validity::lapsed(Instant::now()),
+            cell: Cell::default(),
+            homes: Homes::default(),
+            links: SecondaryMap::new(),
+            posts: SecondaryMap::new(),
+            commits: Commits::default(),
+        };
+        let node = Self {
+            info,
+            author,
+            inner: Mutex::new(inner),
+            log,
+            applied: watch::Sender::new(Offset(0)),
+            stage: watch::Sender::new(Stage::Starting),
+            routes: watch::Sender::default(),
+            work: Notify::new(),
+        };
+        (Arc::new(node), submissions)
+    }
+
+    /// Runs one decision on what the tasks share.
+    ///
+    /// A decision must be short, because all tasks of the process wait for it.
+    pub fn with<R>(&self, decide: impl FnOnce(&mut Inner) -> R) -> R {
+        decide(&mut self.lock())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        // A panic in a decision aborts the request that made it; the rest of the state stays usable.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns this VM's key, if it is a member.
+    #[must_use]
+    pub fn me(&self) -> Option<VmKey> {
+        self.with(|inner| inner.state.vm_of(self.author))
+    }
+
+    /// Tells whether the VM may act on its copy of the state now.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let now = Instant::now();
+        self.with(|inner| inner.validity.holds(now) && inner.state.vm_of(self.author).is_some())
+    }
+
+    /// Returns the end of the permission to act.
+    #[must_use]
+    pub fn valid_until(&self) -> Instant {
+        self.with(|inner| inner.validity.until())
+    }
+
+    /// Appends records and waits until they are applied.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Code::LogUnavailable`] if the records were never sent, and with
+    /// [`Code::OutcomeUnknown`] if they may have been.
+    pub async fn submit(&self, entries: Vec<Entry>) -> Result<Vec<Verdict>, Code> {
+        let (reply, verdicts) = oneshot::channel();
+        let submission = Submission { entries, reply };
+        self.log.send(submission).await.map_err(|_| Code::Stopping)?;
+        verdicts.await.unwrap_or(Err(Code::OutcomeUnknown))
+    }
+
+    /// Appends one record and waits for its verdict.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Node::submit`] does, and with the code of a void record.
+    pub async fn submit_one(&self, actor: &str, record: Record) -> Verdict {
+        let entry = Entry { actor: actor.to_owned(), at_ms: now_ms(), record };
+        let verdicts = self.submit(vec![entry]).await?;
+        verdicts.into_iter().next().unwrap_or(Err(Code::Fenced))
+    }
+
+    /// Applies a batch read from the log and resolves those who wait for it.
+    pub fn apply(&self, offset: Offset, batch: &Batch) {
+        let now = Instant::now();
+        self.with(|inner| {
+            let verdicts = inner.state.apply(offset, batch, now);
+            if batch.author == self.author {
+                inner.commits.resolve(batch.seq, verdicts);
+            }
+        });
+        self.applied.send_replace(offset);
+    }
+
+    /// Extends the permission to act after a read of the tail that began at `began`.
+    pub fn extend(&self, began: Instant) {
+        self.with(|inner| inner.validity.extend(began));
+    }
+
+    /// Sends a request to another VM and waits for the answer until `until`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Code::NotReady`] if nothing was sent, and with [`Code::OutcomeUnknown`] if no
+    /// answer came.
+    pub async fn ask(
+        &self,
+        vm: VmKey,
+        request: PeerRequest,
+        until: Instant,
+    ) -> Result<PeerReply, Code> {
+        let (reply, answer) = oneshot::channel();
+        let outgoing = Outgoing { request, until, reply };
+        let queue = self.with(|inner| inner.links.get(vm).map(|link| link.queue.clone()));
+        let queue = queue.ok_or(Code::NotReady)?;
+        queue.try_send(outgoing).map_err(|_| Code::NotReady)?;
+        match tokio::time::timeout_at(until, answer).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) | Err(_) => Err(Code::OutcomeUnknown),
+        }
+    }
+}
+
+impl Commits {
+    /// Delivers the verdicts of the batch `seq`. A batch that was void as a whole has no verdicts.
+    pub fn resolve(&mut self, seq: u64, verdicts: Vec<Verdict>) {
+        let Some(at) = self.waiting.iter().position(|waiting| waiting.seq == seq) else {
+            return;
+        };
+        let mut verdicts = verdicts.into_iter();
+        for due in self.waiting.swap_remove(at).replies {
+            let own: Vec<Verdict> = verdicts.by_ref().take(due.entries).collect();
+            let answer = if own.is_empty() { Err(Code::Fenced) } else { Ok(own) };
+            // The submitter may have gone; then nobody needs the verdict.
+            let _ = due.reply.send(answer);
+        }
+    }
+}
+
+/// Returns the wall-clock time in milliseconds since the Unix epoch.
+///
+/// It is used for records that people read, never to decide who may act.
+#[must_use]
+pub fn now_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/coriandertack-core/src/state/apply.rs
@@ -0,0 +1,161 @@
+//! Applying a batch of records.
+
+use {derive_more::Display, tokio::time::Instant};
+
+use crate::{
+    code::Code,
+    keys::{Incarnation, JobId, Offset, Session, Version},
+    record::{Batch, Cordon, Entry, Record, SettingChange, TeamChange},
+    state::{Author, Holding, Setting, State, Team},
+    validity::HOLD_OFF,
+};
+
+/// Effect of a record that was not void.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Applied {
+    /// The change is made.
+    #[display("done")]
+    Done,
+    /// There was nothing to change.
+    #[display("unchanged")]
+    Unchanged,
+    /// The author is a member with this session.
+    #[display("session {_0}")]
+    Session(Session),
+    /// The object has this version.
+    #[display("version {_0}")]
+    Version(Version),
+    /// The job has this identifier.
+    #[display("job {_0}")]
+    Job(JobId),
+}
+
+/// Outcome of a record: its effect, or the reason why it is void.
+pub type Verdict = Result<Applied, Code>;
+
+impl State {
+    /// Applies the batch at `offset`, read at the local time `now`.
+    ///
+    /// Returns one verdict for each entry, or none if the batch is a duplicate or of a session that
+    /// has ended.
+    pub fn apply(&mut self, offset: Offset, batch: &Batch, now: Instant) -> Vec<Verdict> {
+        self.offset = offset;
+        if !self.admit(batch) {
+            return Vec::new();
+        }
+        let entries = batch.entries.iter().enumerate();
+        entries
+            .map(|(index, entry)| self.apply_entry(offset, index, batch.author, entry, now))
+            .collect()
+    }
+
+    /// Tells whether the batch counts, and notes its sequence number.
+    fn admit(&mut self, batch: &Batch) -> bool {
+        let fresh = Author { seq: 0, session: None, ended: false };
+        let author = self.authors.entry(batch.author).or_insert(fresh);
+        if author.ended || batch.seq <= author.seq {
+            return false;
+        }
+        let joins = matches!(batch.entries.first(), Some(Entry { record: Record::Join(_), .. }));
+        if author.session.is_none() != joins {
+            return false;
+        }
+        author.seq = batch.seq;
+        true
+    }
+
+    fn apply_entry(
+        &mut self,
+        offset: Offset,
+        index: usize,
+        author: Incarnation,
+        entry: &Entry,
+        now: Instant,
+    ) -> Verdict {
+        let before = self.audit_before(&entry.record);
+        let verdict = match &entry.record {
+            _ if self.authors[&author].ended => Err(Code::Fenced),
+            Record::Join(join) => self.join(author, join, offset, now),
+            Record::Leave => self.leave(author, offset, now),
+            Record::Fence(session) => self.fence(*session, offset, now),
+            Record::Workers(infos) => self.observe_workers(infos, offset, now),
+            Record::WorkersGone(names) => self.remove_workers(names, offset, now),
+            Record::Cordon(cordon) => self.cordon(cordon),
+            Record::Team(change) => self.change_team(change, offset, now),
+            Record::Setting(change) => self.change_setting(change),
+            Record::Accept(spec) => self.accept(JobId::new(offset, index), spec, entry.at_ms),
+            Record::Cancel(job) => self.cancel(*job),
+            Record::Ended(ends) => self.end_tasks(ends),
+            Record::Usage(spans) => self.charge(spans),
+            Record::Refused(refusal) => Err(refusal.code),
+            Record::Snapshot(_) => Ok(Applied::Done),
+        };
+        self.audit_after(offset, index, entry, before, verdict);
+        verdict
+    }
+
+    fn cordon(&mut self, cordon: &Cordon) -> Verdict {
+        let key = *self.worker_names.get(&cordon.worker).ok_or(Code::NotFound)?;
+        let worker = &mut self.workers[key];
+        if worker.cordoned == cordon.cordoned {
+            return Ok(Applied::Unchanged);
+        }
+        worker.cordoned = cordon.cordoned;
+        Ok(Applied::Done)
+    }
+
+    fn change_team(&mut self, change: &TeamChange, offset: Offset, now: Instant) -> Verdict {
+        let known = self.team_names.get(&change.name).copied();
+        let version = match known {
+            Some(key) => self.teams[key].version,
+            None => Version(0),
+        };
+        if version != change.expect {
+            return Err(Code::Conflict);
+        }
+        let last = self.removed_teams.get(&change.name).copied().unwrap_or(version);
+        let version = last.max(version).next();
+        match (known, &change.spec) {
+            (None, None) => return Err(Code::NotFound),
+            (Some(key), None) => self.remove_team(key, version)?,
+            (Some(key), Some(spec)) => {
+                self.teams[key].spec = spec.clone();
+                self.teams[key].version = version;
+            }
+            (None, Some(spec)) => {
+                self.removed_teams.remove(&change.name);
+                let home = Holding::vacant(now);
+                let name = change.name.clone();
+                let team = Team { name: name.clone(), version, spec: spec.clone(), home };
+                let key = self.teams.insert(team);
+                self.team_names.insert(name, key);
+                self.rebalance(offset, now + HOLD_OFF);
+            }
+        }
+        Ok(Applied::Version(version))
+    }
+
+    /// Removes a team without live jobs; a team with live jobs stays, since they would have no home.
+    fn remove_team(&mut self, key: crate::keys::TeamKey, version: Version) -> Result<(), Code> {
+        let name = self.teams[key].name.clone();
+        if self.jobs.live_of(&name).next().is_some() {
+            return Err(Code::Conflict);
+        }
+        self.teams.remove(key);
+        self.team_names.remove(&name);
+        self.removed_teams.insert(name, version);
+        Ok(())
+    }
+
+    fn change_setting(&mut self, change: &SettingChange) -> Verdict {
+        let old = self.settings.get(&change.name);
+        let version = old.map_or(Version(0), |setting| setting.version);
+        if version != change.expect {
+            return Err(Code::Conflict);
+        }
+        let version = version.next();
+        let setting = Setting { version, value: change.value.clone() };
+        self.settings.insert(change.name.clone(), setting);
+        Ok(Applied::Version(version))
+    }
+}
--- /dev/null
+++ b/crates/coriandertack-core/src/state/audit.rs
@@ -0,0 +1,130 @@
+//! Trail of the changes that operators made, and of those that were refused.
+//!
+//! The trail is part of the replicated state, so every VM gives the same answer. It keeps the newest
+//! [`MAX_ENTRIES`] entries.
+
+use std::collections::VecDeque;
+
+use crate::{
+    keys::Offset,
+    record::{Entry, Record},
+    state::{State, Verdict},
+};
+
+/// Entries kept: over three weeks at the 460 configuration changes a day of the target.
+pub const MAX_ENTRIES: usize = 10_000;
+
+/// The most characters of a value that an entry keeps.
+const MAX_TEXT: usize = 400;
+
+/// One change, made or refused.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AuditEntry {
+    /// Offset of the batch that held the change.
+    pub offset: Offset,
+    /// Index in that batch.
+    pub index: u32,
+    /// Wall-clock time of the writer in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Who asked for it.
+    pub actor: String,
+    /// What was asked, for example `set setting lanes`.
+    pub action: String,
+    /// The value before, empty if there was none.
+    pub before: String,
+    /// The value after, empty if there is none.
+    pub after: String,
+    /// Number of the result code.
+    pub code: u16,
+}
+
+/// The trail.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Audit {
+    /// Entries, oldest first.
+    pub entries: VecDeque<AuditEntry>,
+}
+
+impl Audit {
+    fn push(&mut self, entry: AuditEntry) {
+        if self.entries.len() == MAX_ENTRIES {
+            self.entries.pop_front();
+        }
+        self.entries.push_back(entry);
+    }
+}
+
+impl State {
+    /// Returns the value that a record is about to change.
+    pub(super) fn audit_before(&self, record: &Record) -> String {
+        let text = match record {
+            Record::Team(change) => self.team(&change.name).map(|team| format!("{:?}", team.spec)),
+            Record::Setting(change) => {
+                self.settings.get(&change.name).and_then(|setting| setting.value.clone())
+            }
+            Record::Cordon(cordon) => {
+                self.worker(&cordon.worker).map(|worker| format!("cordoned={}", worker.cordoned))
+            }
+            _ => None,
+        };
+        shorten(text.unwrap_or_default())
+    }
+
+    /// Adds an entry if the record is one that operators answer for.
+    pub(super) fn audit_after(
+        &mut self,
+        offset: Offset,
+        index: usize,
+        entry: &Entry,
+        before: String,
+        verdict: Verdict,
+    ) {
+        let Some((action, after)) = describe(&entry.record) else {
+            return;
+        };
+        self.audit.push(AuditEntry {
+            offset,
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+            at_ms: entry.at_ms,
+            actor: entry.actor.clone(),
+            action,
+            before,
+            after: shorten(after),
+            code: verdict.map_or_else(|code| code.number(), |_| crate::code::Code::Done.number()),
+        });
+    }
+}
+
+/// Returns the action and the new value of a record that belongs in the trail.
+fn describe(record: &Record) -> Option<(String, String)> {
+    match record {
+        Record::Team(change) => {
+            let after = change.spec.as_ref().map(|spec| format!("{spec:?}")).unwrap_or_default();
+            Some((format!("set team {}", change.name), after))
+        }
+        Record::Setting(change) => {
+            Some((format!("set setting {}", change.name), change.value.clone().unwrap_or_default()))
+        }
+        Record::Cordon(cordon) => Some((
+            format!("cordon worker {}", cordon.worker),
+            format!("cordoned={}", cordon.cordoned),
+        )),
+        Record::Accept(spec) => {
+            let after = format!("kind={} tasks={} need={}", spec.kind, spec.tasks, spec.need);
+            Some((format!("submit {}/{}", spec.team, spec.name), after))
+        }
+        Record::Cancel(job) => Some((format!("cancel job {job}"), String::new())),
+        Record::Refused(refusal) => Some((refusal.action.clone(), String::new())),
+        Record::Join(join) => Some((format!("join vm {}", join.name), join.http.to_string())),
+        Record::Leave => Some(("leave".into(), String::new())),
+        Record::Fence(session) => Some((format!("fence session {session}"), String::new())),
+        _ => None,
+    }
+}
+
+fn shorten(text: String) -> String {
+    match text.char_indices().nth(MAX_TEXT) {
+        Some((at, _)) => format!("{}...", &text[..at]),
+        None => text,
+    }
+}
--- /dev/null
+++ b/crates/coriandertack-core/src/state/image.rs
@@ -0,0 +1,235 @@
+//! The content of a snapshot, as plain types.
+//!
+//! An [`Image`] holds identifiers in place of arena keys, so that it means the same on every VM. The
+//! log package converts it to and from bytes.
+
+use std::collections::BTreeMap;
+
+use tokio::time::Instant;
+
+use crate::{
+    keys::{Epoch, Incarnation, JobId, LeaseId, Offset, Session, Version},
+    record::{Join, TeamSpec, WorkerInfo},
+    state::{AuditEntry, Author, Holding, Job, Line, Setting, State, Team, Vm, Worker},
+    validity::HOLD_OFF,
+};
+
+/// A live VM.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VmImage {
+    /// Its session.
+    pub session: Session,
+    /// Its process.
+    pub author: Incarnation,
+    /// Name, zone and addresses.
+    pub info: Join,
+}
+
+/// A run of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AuthorImage {
+    /// The run.
+    pub author: Incarnation,
+    /// What is known of it.
+    pub known: Author,
+}
+
+/// A worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerImage {
+    /// What the VM list says of it.
+    pub info: WorkerInfo,
+    /// Whether an operator keeps new work away.
+    pub cordoned: bool,
+    /// Session of its owner.
+    pub owner: Option<Session>,
+    /// Epoch of its owner.
+    pub epoch: Epoch,
+}
+
+/// A team.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TeamImage {
+    /// Unique name.
+    pub name: String,
+    /// Version of `spec`.
+    pub version: Version,
+    /// Quota and token hashes, or nothing if the team was removed.
+    pub spec: Option<TeamSpec>,
+    /// Session of its home.
+    pub home: Option<Session>,
+    /// Epoch of its home.
+    pub epoch: Epoch,
+}
+
+/// A setting.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SettingImage {
+    /// Name.
+    pub name: String,
+    /// Version and value.
+    pub setting: Setting,
+}
+
+/// A job.
+pub type JobImage = Job;
+
+/// Watermark of a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseImage {
+    /// The lease.
+    pub lease: LeaseId,
+    /// First interval not yet charged.
+    pub mark: u32,
+}
+
+/// Everything that a VM needs to replay from `base` on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Image {
+    /// Last offset included.
+    pub base: Offset,
+    /// Live VMs by session.
+    pub vms: Vec<VmImage>,
+    /// Runs of processes.
+    pub authors: Vec<AuthorImage>,
+    /// Workers by name.
+    pub workers: Vec<WorkerImage>,
+    /// Teams by name, removed ones included.
+    pub teams: Vec<TeamImage>,
+    /// Settings by name.
+    pub settings: Vec<SettingImage>,
+    /// Jobs by identifier.
+    pub jobs: Vec<JobImage>,
+    /// Ended jobs in the order in which they ended.
+    pub ended: Vec<JobId>,
+    /// Watermarks by lease.
+    pub leases: Vec<LeaseImage>,
+    /// Sums of charges.
+    pub lines: Vec<Line>,
+    /// Audit trail, oldest first.
+    pub audit: Vec<AuditEntry>,
+}
+
+impl State {
+    /// Returns the content of a snapshot of this state.
+    #[must_use]
+    pub fn image(&self) -> Image {
+        let mut authors: Vec<AuthorImage> =
+            self.authors.iter().map(|(&author, &known)| AuthorImage { author, known }).collect();
+        authors.sort_by_key(|image| image.author);
+        Image {
+            base: self.offset,
+            vms: self.sessions.values().map(|&key| vm_image(&self.vms[key])).collect(),
+            authors,
+            workers: self.worker_names.values().map(|&key| self.worker_image(key)).collect(),
+            teams: self.team_images(),
+            settings: self.setting_images(),
+            jobs: self.jobs.ids.values().map(|&key| self.jobs.arena[key].clone()).collect(),
+            ended: self.jobs.ended.iter().copied().collect(),
+            leases: self
+                .ledger
+                .marks
+                .iter()
+                .map(|(&lease, &mark)| LeaseImage { lease, mark })
+                .collect(),
+            lines: self.ledger.lines().collect(),
+            audit: self.audit.entries.iter().cloned().collect(),
+        }
+    }
+
+    /// Rebuilds a state. Every holding waits for a full hold-off from `now`, because the time at which
+    /// it last moved is unknown.
+    #[must_use]
+    pub fn from_image(image: Image, now: Instant) -> Self {
+        let mut state = Self { offset: image.base, ..Self::default() };
+        for vm in image.vms {
+            let VmImage { session, author, info } = vm;
+            let key = state.vms.insert(Vm { session, author, info });
+            state.sessions.insert(session, key);
+        }
+        state.authors =
+            image.authors.into_iter().map(|image| (image.author, image.known)).collect();
+        for image in image.workers {
+            let owner = state.holding(image.owner, image.epoch, now);
+            let name = image.info.name.clone();
+            let worker = Worker { info: image.info, cordoned: image.cordoned, owner };
+            let key = state.workers.insert(worker);
+            state.worker_names.insert(name, key);
+        }
+        for image in image.teams {
+            state.restore_team(image, now);
+        }
+        state.settings =
+            image.settings.into_iter().map(|image| (image.name, image.setting)).collect();
+        for job in image.jobs {
+            state.jobs.insert(job);
+        }
+        state.jobs.ended = image.ended.into();
+        state.ledger.marks =
+            image.leases.into_iter().map(|image| (image.lease, image.mark)).collect();
+        state.ledger.sums = image.lines.into_iter().map(|line| (line.key, line.usage)).collect();
+        state.audit.entries = image.audit.into();
+        state
+    }
+
+    fn worker_image(&self, key: crate::keys::WorkerKey) -> WorkerImage {
+        let worker = &self.workers[key];
+        WorkerImage {
+            info: worker.info.clone(),
+            cordoned: worker.cordoned,
+            owner: self.session_of(worker.owner),
+            epoch: worker.owner.epoch,
+        }
+    }
+
+    fn team_images(&self) -> Vec<TeamImage> {
+        let mut images = BTreeMap::new();
+        for (name, &version) in &self.removed_teams {
+            let image =
+                TeamImage { name: name.clone(), version, spec: None, home: None, epoch: Epoch(0) };
+            images.insert(name.clone(), image);
+        }
+        for team in self.teams.values() {
+            let image = TeamImage {
+                name: team.name.clone(),
+                version: team.version,
+                spec: Some(team.spec.clone()),
+                home: self.session_of(team.home),
+                epoch: team.home.epoch,
+            };
+            images.insert(team.name.clone(), image);
+        }
+        images.into_values().collect()
+    }
+
+    fn setting_images(&self) -> Vec<SettingImage> {
+        let settings = self.settings.iter();
+        settings
+            .map(|(name, setting)| SettingImage { name: name.clone(), setting: setting.clone() })
+            .collect()
+    }
+
+    fn session_of(&self, holding: Holding) -> Option<Session> {
+        holding.vm.and_then(|vm| self.vms.get(vm)).map(|vm| vm.session)
+    }
+
+    fn holding(&self, session: Option<Session>, epoch: Epoch, now: Instant) -> Holding {
+        let vm = session.and_then(|session| self.sessions.get(&session).copied());
+        Holding { vm, epoch, ready: now + HOLD_OFF }
+    }
+
+    fn restore_team(&mut self, image: TeamImage, now: Instant) {
+        let Some(spec) = image.spec else {
+            self.removed_teams.insert(image.name, image.version);
+            return;
+        };
+        let home = self.holding(image.home, image.epoch, now);
+        let team = Team { name: image.name.clone(), version: image.version, spec, home };
+        let key = self.teams.insert(team);
+        self.team_names.insert(image.name, key);
+    }
+}
+
+fn vm_image(vm: &Vm) -> VmImage {
+    VmImage { session: vm.session, author: vm.author, info: vm.info.clone() }
+}
--- /dev/null
+++ b/crates/coriandertack-core/src/state/mod.rs
@@ -0,0 +1,188 @@
+//! The replicated state, which every VM computes from the log.
+//!
+//! [`State::apply`] is the only function that changes it, and it is deterministic: the same records in
+//! the same order give the same state on every VM, whatever the arena keys are. Iteration that
+//! influences a result therefore goes by name or session and never by arena key. The instants in
+//! [`Holding::ready`] are local to one VM and are not part of the replicated content.
+//!
+//! ```
+//! use coriandertack_core::{
+//!     keys::{Incarnation, Offset},
+//!     record::{Batch, Entry, Join, Record},
+//!     state::State,
+//! };
+//! use tokio::time::Instant;
+//!
+//! let mut state = State::default();
+//! let join = Record::Join(Join {
+//!     name: "split-1".into(),
+//!     zone: "split".into(),
+//!     link: "127.0.0.1:7000".parse().unwrap(),
+//!     http: "127.0.0.1:7001".parse().unwrap(),
+//! });
+//! let entry = Entry { actor: "system".into(), at_ms: 0, record: join };
+//! let batch = Batch { author: Incarnation(1), seq: 1, entries: vec![entry] };
+//! let verdicts = state.apply(Offset(1), &batch, Instant::now());
+//! assert!(verdicts[0].is_ok());
+//! assert_eq!(state.vms.len(), 1);
+//! ```
+
+mod apply;
+mod audit;
+mod image;
+mod jobs;
+mod ledger;
+mod members;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
+
+use {slotmap::SlotMap, tokio::time::Instant};
+
+pub use self::{
+    apply::{Applied, Verdict},
+    audit::{Audit, AuditEntry},
+    image::{
+        AuthorImage, Image, JobImage, LeaseImage, SettingImage, TeamImage, VmImage, WorkerImage,
+    },
+    jobs::{Job, Jobs},
+    ledger::{Ledger, Line, LineKey},
+    members::Holding,
+};
+
+use crate::{
+    keys::{Epoch, Incarnation, Offset, Session, TeamKey, Version, VmKey, WorkerKey},
+    record::{Join, TeamSpec, WorkerInfo},
+};
+
+/// A live entry VM.
+#[derive(Clone, Debug)]
+pub struct Vm {
+    /// Offset of its `Join`.
+    pub session: Session,
+    /// Run of the process that joined.
+    pub author: Incarnation,
+    /// Name, zone and addresses.
+    pub info: Join,
+}
+
+/// A worker that the VM list shows.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// What the VM list says of it.
+    pub info: WorkerInfo,
+    /// Whether an operator keeps new work away.
+    pub cordoned: bool,
+    /// The VM that alone grants its capacity.
+    pub owner: Holding,
+}
+
+impl Worker {
+    /// Returns the address of the worker.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.info.address
+    }
+}
+
+/// A team.
+#[derive(Clone, Debug)]
+pub struct Team {
+    /// Unique name.
+    pub name: String,
+    /// Version of `spec`.
+    pub version: Version,
+    /// Quota and token hashes.
+    pub spec: TeamSpec,
+    /// The VM that alone binds its tasks.
+    pub home: Holding,
+}
+
+/// A value that operators set while the system runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Setting {
+    /// Version, kept after removal so that a name never reuses one.
+    pub version: Version,
+    /// TOML text, or nothing if it was removed.
+    pub value: Option<String>,
+}
+
+/// What is known of one run of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Author {
+    /// Last batch applied.
+    pub seq: u64,
+    /// Its session, once it has joined.
+    pub session: Option<Session>,
+    /// Whether that session has ended.
+    pub ended: bool,
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    /// Last offset applied.
+    pub offset: Offset,
+    /// Live entry VMs.
+    pub vms: SlotMap<VmKey, Vm>,
+    /// Live entry VMs by session.
+    pub sessions: BTreeMap<Session, VmKey>,
+    /// Every run of a process seen.
+    pub authors: HashMap<Incarnation, Author>,
+    /// Workers.
+    pub workers: SlotMap<WorkerKey, Worker>,
+    /// Workers by name.
+    pub worker_names: BTreeMap<String, WorkerKey>,
+    /// Teams.
+    pub teams: SlotMap<TeamKey, Team>,
+    /// Teams by name.
+    pub team_names: BTreeMap<String, TeamKey>,
+    /// Versions of removed teams, so that a team made anew continues them.
+    pub removed_teams: BTreeMap<String, Version>,
+    /// Settings by name.
+    pub settings: BTreeMap<String, Setting>,
+    /// Accepted jobs.
+    pub jobs: Jobs,
+    /// Charges.
+    pub ledger: Ledger,
+    /// Trail of changes.
+    pub audit: Audit,
+}
+
+impl State {
+    /// Returns the live VM of an incarnation.
+    #[must_use]
+    pub fn vm_of(&self, author: Incarnation) -> Option<VmKey> {
+        let known = self.authors.get(&author)?;
+        let session = known.session.filter(|_| !known.ended)?;
+        self.sessions.get(&session).copied()
+    }
+
+    /// Returns the team of this name.
+    #[must_use]
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.team_names.get(name).map(|&key| &self.teams[key])
+    }
+
+    /// Returns the worker of this name.
+    #[must_use]
+    pub fn worker(&self, name: &str) -> Option<&Worker> {
+        self.worker_names.get(name).map(|&key| &self.workers[key])
+    }
+
+    /// Tells whether `vm` is the owner of `worker` and may act on it at `now`.
+    ///
+    /// The caller checks its own validity as well.
+    #[must_use]
+    pub fn may_act(&self, vm: VmKey, worker: WorkerKey, now: Instant) -> bool {
+        self.workers.get(worker).is_some_and(|worker| worker.owner.is_ready(vm, now))
+    }
+
+    /// Returns the epoch of a team's home, or epoch 0 for an unknown team.
+    #[must_use]
+    pub fn home_epoch(&self, team: &str) -> Epoch {
+        self.team(team).map_or(Epoch(0), |team| team.home.epoch)
+    }
+}
--- /dev/null
+++ b/crates/coriandertack-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/coriandertackd/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry VM.
+
+fn main() {}
