Add the links between VMs, and the decisions of homes and owners

Cause: placement needs a home that binds and an owner that grants, on different VMs.

Change: framed prost links with a mutual proof of the shared key; the owner's decisions with epochs, barred leases and unacknowledged ends; the usage book that cuts reports into spans; the home's queues split into queue, ends and recovery, with gangs that regroup as a whole.

Conclusion: the decisions have no I/O; the tasks that drive them follow.

--- /dev/null
+++ b/crates/coriandertack-core/src/home/mod.rs
@@ -0,0 +1,236 @@
+//! Queues of the teams whose home is this VM.
+//!
+//! The home alone binds a team's tasks. It knows every task of its teams that has not ended, charges the
+//! team's quota in memory, and hands tasks to owners. Tasks accepted before this VM became the home
+//! are *recovering* until every owner has listed what runs; younger ones were never bound by another
+//! home and queue at once. See docs/design.md, section 4.
+
+mod ends;
+mod queue;
+mod recovery;
+
+use std::{collections::HashMap, sync::Arc};
+
+use {
+    slotmap::{SecondaryMap, SlotMap},
+    tokio::time::Instant,
+};
+
+pub use self::{ends::Verdict, queue::Pick};
+
+use self::queue::Queue;
+
+use crate::{
+    keys::{JobId, LeaseId, MAX_ENTRIES, TaskId, TaskKey, TeamKey, VmKey},
+    message::Ask,
+    record::{Kind, Outcome, TaskEnd},
+    state::{Job, State},
+};
+
+/// Where a task is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Step {
+    /// Another home may have bound it; it waits until every owner has listed its tasks.
+    Recovering,
+    /// It waits for capacity.
+    Queued,
+    /// An owner was asked.
+    Asked(VmKey),
+    /// An owner was asked and did not answer; it may run. It is settled after the deadline.
+    Unknown(VmKey, Instant),
+    /// It has capacity or runs.
+    Bound(VmKey),
+    /// An attempt of this gang member is over; it waits for those of the others.
+    Regroup,
+    /// Its end is on the way to the log.
+    Ending,
+}
+
+/// A task that has not ended.
+#[derive(Clone, Debug)]
+pub struct Task {
+    /// The task, with the attempt to make or under way.
+    pub ask: Ask,
+    /// Team.
+    pub team: TeamKey,
+    /// Where it is.
+    pub step: Step,
+    /// When it came there.
+    pub since: Instant,
+    /// Worker of the attempt under way, once known.
+    pub worker: String,
+    /// Failed attempts that are left.
+    pub retries: u32,
+    /// Whether it is to be stopped.
+    pub cancelled: bool,
+    /// When a stop may be sent again.
+    pub stop_at: Instant,
+    /// When it was queued first for the attempt to come.
+    pub queued: Instant,
+    /// Whether it counts against the quota.
+    pub counted: bool,
+}
+
+impl Task {
+    fn go(&mut self, step: Step, now: Instant) {
+        self.step = step;
+        self.since = now;
+    }
+}
+
+/// The queues of the teams homed here.
+#[derive(Clone, Debug, Default)]
+pub struct Homes {
+    tasks: SlotMap<TaskKey, Task>,
+    ids: HashMap<TaskId, TaskKey>,
+    queues: SecondaryMap<TeamKey, Queue>,
+    /// Team that is served first by the next pick, so that teams take turns.
+    turn: usize,
+}
+
+impl Homes {
+    /// Takes over new jobs, cancellations and quotas from the state, and drops teams homed elsewhere.
+    pub fn sync(&mut self, state: &State, me: VmKey, now: Instant) {
+        let ours = |team: TeamKey, queue: &Queue| {
+            let home = state.teams.get(team).map(|team| team.home);
+            home.is_some_and(|home| home.vm == Some(me) && home.epoch == queue.epoch)
+        };
+        let lost = self.queues.iter().filter(|(key, queue)| !ours(*key, queue));
+        for team in lost.map(|(key, _)| key).collect::<Vec<_>>() {
+            self.drop_team(team);
+        }
+        for (key, team) in state.teams.iter().filter(|(_, team)| team.home.is_ready(me, now)) {
+            if !self.queues.contains_key(key) {
+                self.queues.insert(key, Queue::new(team.home.epoch, team.spec.quota));
+            }
+            self.queues[key].quota = team.spec.quota;
+            self.add_jobs(state, key, &team.name, now);
+        }
+        self.note_cancelled(state);
+    }
+
+    fn drop_team(&mut self, team: TeamKey) {
+        self.queues.remove(team);
+        self.tasks.retain(|_, task| task.team != team);
+        let tasks = &self.tasks;
+        self.ids.retain(|_, key| tasks.contains_key(*key));
+    }
+
+    fn add_jobs(&mut self, state: &State, team: TeamKey, name: &str, now: Instant) {
+        let next = self.queues[team].next;
+        let jobs = state.jobs.ids.range(next..).map(|(_, &job)| &state.jobs.arena[job]);
+        for job in jobs.filter(|job| job.spec.team == name) {
+            self.add_job(team, job, now);
+        }
+        if let Some((last, _)) = state.jobs.ids.last_key_value() {
+            self.queues[team].next = JobId(last.0 + 1);
+        }
+    }
+
+    fn add_job(&mut self, team: TeamKey, job: &Job, now: Instant) {
+        let epoch = self.queues[team].epoch;
+        // The identifier holds the offset of acceptance; see `JobId::new`.
+        let fresh = job.id.0 / MAX_ENTRIES as u64 > epoch.0;
+        let class: Arc<str> = class_of(&job.spec.team, &job.spec.name).into();
+        let command: Arc<str> = job.spec.command.as_str().into();
+        let mut keys = Vec::new();
+        for index in (0..job.spec.tasks).filter(|index| !job.ends.contains_key(index)) {
+            let id = TaskId { job: job.id, index };
+            let ask = Ask {
+                lease: LeaseId::first(id, epoch),
+                class: Arc::clone(&class),
+                kind: job.spec.kind,
+                need: job.spec.need,
+                run_ms: job.spec.run_ms,
+                urgent: job.spec.urgent,
+                command: Arc::clone(&command),
+            };
+            let task = Task {
+                ask,
+                team,
+                step: if fresh { Step::Queued } else { Step::Recovering },
+                since: now,
+                worker: String::new(),
+                retries: job.spec.retries,
+                cancelled: job.cancelled,
+                stop_at: now,
+                queued: now,
+                counted: false,
+            };
+            let key = self.tasks.insert(task);
+            self.ids.insert(id, key);
+            keys.push(key);
+        }
+        if fresh {
+            self.enqueue(keys);
+        }
+    }
+
+    fn note_cancelled(&mut self, state: &State) {
+        for task in self.tasks.values_mut().filter(|task| !task.cancelled) {
+            let job = state.jobs.get(task.ask.lease.task.job);
+            task.cancelled = job.is_some_and(|job| job.cancelled);
+        }
+    }
+
+    /// Returns the tasks that have not ended.
+    pub fn tasks(&self) -> impl Iterator<Item = &Task> {
+        self.tasks.values()
+    }
+
+    /// Returns a task.
+    #[must_use]
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        self.ids.get(&id).map(|&key| &self.tasks[key])
+    }
+
+    /// Returns the task that is making this attempt.
+    fn attempt(&mut self, lease: LeaseId) -> Option<&mut Task> {
+        let key = *self.ids.get(&lease.task)?;
+        self.tasks.get_mut(key).filter(|task| task.ask.lease == lease)
+    }
+
+    /// Returns the tasks of a job that have not ended, in order of index.
+    fn members(&self, job: JobId) -> Vec<TaskKey> {
+        let mut members: Vec<TaskKey> = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| task.ask.lease.task.job == job)
+            .map(|(key, _)| key)
+            .collect();
+        members.sort_by_key(|&key| self.tasks[key].ask.lease.task.index);
+        members
+    }
+
+    /// Counts a task against the quota of its team, once.
+    fn count(&mut self, key: TaskKey) {
+        let task = &mut self.tasks[key];
+        if !task.counted {
+            task.counted = true;
+            self.queues[task.team].used += task.ask.need;
+        }
+    }
+
+    fn uncount(&mut self, key: TaskKey) {
+        let task = &mut self.tasks[key];
+        if task.counted {
+            task.counted = false;
+            let used = &mut self.queues[task.team].used;
+            *used = used.saturating_sub(task.ask.need);
+        }
+    }
+}
+
+/// Returns the class of a workload.
+#[must_use]
+pub fn class_of(team: &str, name: &str) -> String {
+    format!("{team}.{name}")
+}
+
+fn end_of(task: &Task, outcome: Outcome) -> TaskEnd {
+    TaskEnd { task: task.ask.lease.task, outcome, worker: task.worker.clone() }
+}
+
+fn is_gang(task: &Task) -> bool {
+    task.ask.kind == Kind::Gang
+}
--- /dev/null
+++ b/crates/coriandertack-core/src/home/recovery.rs
@@ -0,0 +1,118 @@
+//! Finding out what runs, after this VM has become the home or workers have changed their owner.
+
+use tokio::time::Instant;
+
+use super::{Homes, Step, Task};
+
+use crate::{
+    keys::{Epoch, LeaseId, TaskKey, TeamKey, VmKey},
+    message::Known,
+};
+
+impl Homes {
+    /// Lets every team compare its tasks with the owners' lists, because workers have changed owners.
+    pub fn set_stale(&mut self) {
+        for queue in self.queues.values_mut() {
+            queue.stale = true;
+        }
+    }
+
+    /// Returns the teams that must ask all owners for their lists, with the epochs of this home.
+    #[must_use]
+    pub fn to_recover(&self) -> Vec<(TeamKey, Epoch)> {
+        let tasks = || self.tasks.values();
+        let waits =
+            |team: TeamKey| tasks().any(|task| task.team == team && task.step == Step::Recovering);
+        let binds = |team: TeamKey| {
+            tasks().any(|task| task.team == team && matches!(task.step, Step::Bound(_)))
+        };
+        let teams = self
+            .queues
+            .iter()
+            .filter(|(team, queue)| waits(*team) || (queue.stale && binds(*team)));
+        teams.map(|(team, queue)| (team, queue.epoch)).collect()
+    }
+
+    /// Adopts what an owner listed.
+    ///
+    /// Of two attempts at one task the later one counts; the earlier one has ended, since a home makes an
+    /// attempt only after the one before is over.
+    pub fn adopt(&mut self, vm: VmKey, known: &[Known], now: Instant) {
+        for listed in known {
+            let Some(&key) = self.ids.get(&listed.lease.task) else { continue };
+            let task = &mut self.tasks[key];
+            let adoptable = match task.step {
+                Step::Recovering => true,
+                Step::Bound(_) => listed.lease.attempt >= task.ask.lease.attempt,
+                _ => false,
+            };
+            if !adoptable {
+                continue;
+            }
+            task.ask.lease = listed.lease;
+            task.worker.clone_from(&listed.worker);
+            task.go(Step::Bound(vm), now);
+            self.count(key);
+        }
+    }
+
+    /// Queues the tasks of a team that no owner listed. Only for complete lists of all owners.
+    ///
+    /// Tasks bound after the lists were asked for at `began` need not be on them.
+    pub fn recovered(&mut self, team: TeamKey, began: Instant, now: Instant) {
+        let missing = |task: &Task| {
+            task.team == team
+                && match task.step {
+                    Step::Recovering => true,
+                    Step::Bound(_) => task.since < began,
+                    _ => false,
+                }
+        };
+        let found = self.tasks.iter().filter(|(_, task)| missing(task)).map(|(key, _)| key);
+        let mut keys: Vec<TaskKey> = found.collect();
+        keys.sort_by_key(|&key| self.tasks[key].ask.lease.task);
+        let mut leases = Vec::with_capacity(keys.len());
+        for key in keys {
+            let task = &mut self.tasks[key];
+            // `put_back` counts a bound task as over, which is what the complete lists have shown.
+            task.step = Step::Regroup;
+            leases.push(task.ask.lease);
+        }
+        self.put_back(&leases, now);
+        if let Some(queue) = self.queues.get_mut(team) {
+            queue.stale = false;
+        }
+    }
+
+    /// Returns the leases whose owner did not answer and whose deadline has passed, with that owner.
+    #[must_use]
+    pub fn unsettled(&self, now: Instant) -> Vec<(VmKey, LeaseId)> {
+        let unknown = self.tasks.values().filter_map(|task| match task.step {
+            Step::Unknown(vm, until) if until <= now => Some((vm, task.ask.lease)),
+            _ => None,
+        });
+        unknown.collect()
+    }
+
+    /// Notes what the owner said of an unsettled lease.
+    pub fn settled(&mut self, lease: LeaseId, vm: VmKey, runs: bool, now: Instant) {
+        let Some(task) = self.attempt(lease) else { return };
+        match task.step {
+            Step::Unknown(..) if runs => task.go(Step::Bound(vm), now),
+            Step::Unknown(..) => self.put_back(&[lease], now),
+            _ => {}
+        }
+    }
+
+    /// Lets the tasks of VMs that are no longer members wait for the lists of the remaining owners.
+    pub fn unbind(&mut self, is_member: impl Fn(VmKey) -> bool, now: Instant) {
+        for task in self.tasks.values_mut() {
+            let (Step::Asked(vm) | Step::Unknown(vm, _) | Step::Bound(vm)) = task.step else {
+                continue;
+            };
+            if !is_member(vm) {
+                task.go(Step::Recovering, now);
+            }
+        }
+    }
+}
--- a/crates/coriandertack-core/src/message.rs
+++ b/crates/coriandertack-core/src/message.rs
@@ -327,6 +327,8 @@
         team: String,
         /// Epoch of the new home.
         epoch: Epoch,
+        /// Offset that the receiver must have applied for its list to count as complete.
+        offset: Offset,
     },
     /// News for the home of the tasks.
     Notices(Vec<Notice>),
--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -21,6 +21,7 @@
     keys::{Incarnation, Offset, VmKey, WorkerKey},
     link::Link,
     message::{Instance, Outgoing, PeerReply, PeerRequest, Submission, WorkerCommand},
+    owner::Owner,
     record::{Batch, Entry, Join, Record},
     state::{State, Verdict},
     validity::Validity,
@@ -55,6 +56,8 @@
     pub validity: Validity,
     /// Capacity of the workers owned here.
     pub cell: Cell,
+    /// What this VM remembers as an owner beside the grants.
+    pub owner: Owner,
     /// Queues of the teams homed here.
     pub homes: Homes,
     /// Links to the other VMs.
@@ -120,6 +123,7 @@
             state: State::default(),
             validity: Validity::lapsed(Instant::now()),
             cell: Cell::default(),
+            owner: Owner::default(),
             homes: Homes::default(),
             links: SecondaryMap::new(),
             posts: SecondaryMap::new(),
--- a/crates/coriandertack-core/src/state/members.rs
+++ b/crates/coriandertack-core/src/state/members.rs
@@ -160,6 +160,7 @@
     ///
     /// What is moved from a live holder can be used from `moved` on.
     pub(super) fn rebalance(&mut self, offset: Offset, moved: Instant) {
+        self.moved = offset;
         if self.sessions.is_empty() {
             return;
         }
--- a/crates/coriandertack-core/src/state/mod.rs
+++ b/crates/coriandertack-core/src/state/mod.rs
@@ -48,7 +48,7 @@
         AuthorImage, Image, JobImage, LeaseImage, SettingImage, TeamImage, VmImage, WorkerImage,
     },
     jobs::{Job, Jobs},
-    ledger::{Ledger, Line, LineKey},
+    ledger::{Ledger, Line, LineKey, PERIOD_MS},
     members::Holding,
 };
 
@@ -125,6 +125,8 @@
 pub struct State {
     /// Last offset applied.
     pub offset: Offset,
+    /// Offset of the last record that may have moved a worker or a team.
+    pub moved: Offset,
     /// Live entry VMs.
     pub vms: SlotMap<VmKey, Vm>,
     /// Live entry VMs by session.
