Let a home postpone and settle unanswered placements

Cause: a request whose answer is lost must be asked for again, but not in every round.

Change: a deadline that moves with each attempt, and the epoch of a home for a team.

--- a/crates/coriandertack-core/src/home/recovery.rs
+++ b/crates/coriandertack-core/src/home/recovery.rs
@@ -94,6 +94,24 @@
         unknown.collect()
     }
 
+    /// Moves the deadline after which an unsettled lease is asked for. Returns whether it is unsettled.
+    pub fn postpone(&mut self, lease: LeaseId, until: Instant) -> bool {
+        let task = self.attempt(lease);
+        match task.map(|task| &mut task.step) {
+            Some(Step::Unknown(_, deadline)) => {
+                *deadline = until;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the epoch of this home for a team, if it is its home.
+    #[must_use]
+    pub fn epoch(&self, team: TeamKey) -> Option<Epoch> {
+        self.queues.get(team).map(|queue| queue.epoch)
+    }
+
     /// Notes what the owner said of an unsettled lease.
     pub fn settled(&mut self, lease: LeaseId, vm: VmKey, runs: bool, now: Instant) {
         let Some(task) = self.attempt(lease) else { return };
