Place by kind, preempt, quarantine and learn sizes

Cause: the cell placed every task by one rule and had no preemption, quarantine, learning or throttling. Change: cell becomes a folder with an index by free capacity, spread for services, gangs in one call, claims for urgent work, quarantine and throttling; learn, feasible and home_choice are new modules.

--- /dev/null
+++ b/crates/coriandertack-core/src/cell/choose.rs
@@ -0,0 +1,190 @@
+//! The choice of one worker for one task.
+
+use std::{collections::HashMap, sync::Arc};
+
+use tokio::time::Instant;
+
+use crate::{
+    cell::{
+        Cell,
+        index::{Position, RackKey, ZoneKey},
+    },
+    keys::WorkerKey,
+    message::Ask,
+    record::Kind,
+    resources::Resources,
+};
+
+/// Workers of one bucket that are compared. Those of a bucket differ little, so more gain nothing.
+const COMPARED: usize = 8;
+
+/// Share of a worker's processors above which a placement uses up headroom.
+const BUSY: f64 = 0.8;
+
+/// Running copies of a service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Copies {
+    zones: HashMap<ZoneKey, u32>,
+    racks: HashMap<RackKey, u32>,
+    workers: HashMap<WorkerKey, u32>,
+}
+
+impl Copies {
+    fn add(&mut self, worker: WorkerKey, at: &Position) {
+        *self.zones.entry(at.zone).or_default() += 1;
+        *self.racks.entry(at.rack).or_default() += 1;
+        *self.workers.entry(worker).or_default() += 1;
+    }
+
+    fn remove(&mut self, worker: WorkerKey, at: &Position) {
+        remove_one(&mut self.zones, &at.zone);
+        remove_one(&mut self.racks, &at.rack);
+        remove_one(&mut self.workers, &worker);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
+}
+
+fn remove_one<K: Copy + Eq + std::hash::Hash>(counts: &mut HashMap<K, u32>, key: &K) {
+    if let Some(count) = counts.get_mut(key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(key);
+        }
+    }
+}
+
+impl Cell {
+    /// Returns the worker that suits a task best, if one has room.
+    pub(super) fn choose(&self, ask: &Ask) -> Option<WorkerKey> {
+        if let Some(worker) = self.due_trial(ask, Instant::now()) {
+            return Some(worker);
+        }
+        match ask.kind {
+            Kind::Service => self.choose_spread(ask),
+            Kind::Batch | Kind::Gang => self.choose_packed(ask.need),
+        }
+    }
+
+    /// Chooses the worker on which least capacity is stranded.
+    ///
+    /// Workers with accelerators are kept for work that needs them while others have room.
+    fn choose_packed(&self, need: Resources) -> Option<WorkerKey> {
+        let best = |accelerated| {
+            let fitting = self.index.fitting(need, accelerated, COMPARED);
+            let ranked = fitting.map(|(worker, at)| (self.cost(at, need), worker));
+            ranked.min_by(|one, two| one.0.total_cmp(&two.0)).map(|(_, worker)| worker)
+        };
+        let plain = if need.accelerators == 0 { best(false) } else { None };
+        plain.or_else(|| best(true))
+    }
+
+    /// Returns the cost of a placement for the weights of the cell; the lowest is best.
+    fn cost(&self, at: &Position, need: Resources) -> f64 {
+        let left = at.free.saturating_sub(need);
+        let [processors, memory, accelerators] = shares(left, at.capacity);
+        let [scarce_processors, scarce_memory, scarce_accelerators] = self.scarcity();
+        let open = processors * scarce_processors
+            + memory * scarce_memory
+            + accelerators * scarce_accelerators;
+        let uneven = (processors - memory).abs();
+        let busy = (1.0 - processors - BUSY).max(0.0);
+        self.weights.packing * (open + uneven) + self.weights.headroom * busy
+    }
+
+    /// Returns how much of each resource of the whole cell is granted.
+    fn scarcity(&self) -> [f64; 3] {
+        let share = |granted: u64, all: u64| granted as f64 / all.max(1) as f64;
+        let (granted, all) = (self.granted, self.capacity);
+        [
+            share(granted.millicores, all.millicores),
+            share(granted.memory_mib, all.memory_mib),
+            share(granted.accelerators, all.accelerators),
+        ]
+    }
+
+    /// Chooses the worker with the fewest copies of the class in its zone, then in its rack, then on
+    /// itself. Among equals the load decides, and the weights say in which direction.
+    fn choose_spread(&self, ask: &Ask) -> Option<WorkerKey> {
+        let plain = ask.need.accelerators == 0;
+        let kept = plain.then(|| self.choose_among(ask, false)).flatten();
+        kept.or_else(|| self.choose_among(ask, true))
+    }
+
+    fn choose_among(&self, ask: &Ask, accelerated: bool) -> Option<WorkerKey> {
+        let none = Copies::default();
+        let copies = self.copies.get(&ask.class).unwrap_or(&none);
+        let mut best = None;
+        for (key, rack) in &self.index.racks {
+            if !ask.need.fits(rack.most) {
+                continue;
+            }
+            let in_zone = copies.zones.get(&rack.zone).copied().unwrap_or(0);
+            let in_rack = copies.racks.get(&key).copied().unwrap_or(0);
+            let rank = (in_zone, in_rack);
+            if best.is_some_and(|((known, _, _), _)| known < rank) {
+                continue;
+            }
+            for &worker in &rack.workers {
+                let Some(at) = self.index.position(worker).filter(|at| at.takes(ask.need)) else {
+                    continue;
+                };
+                if accelerated != (at.capacity.accelerators > 0) {
+                    continue;
+                }
+                let on_worker = copies.workers.get(&worker).copied().unwrap_or(0);
+                let found = ((rank, on_worker, self.load(at)), worker);
+                if best.is_none_or(|known| is_before(found.0, known.0)) {
+                    best = Some(found);
+                }
+            }
+        }
+        best.map(|(_, worker)| worker)
+    }
+
+    /// Returns the load of a worker, with the sign that makes the preferred worker the lowest.
+    fn load(&self, at: &Position) -> f64 {
+        let used = at.capacity.saturating_sub(at.free).dominant_share(at.capacity);
+        used * (self.weights.spread - self.weights.packing)
+    }
+
+    pub(super) fn count_copy(&mut self, worker: WorkerKey, ask: &Ask) {
+        let Some(at) = self.index.position(worker).filter(|_| ask.kind == Kind::Service) else {
+            return;
+        };
+        self.copies.entry(Arc::clone(&ask.class)).or_default().add(worker, at);
+    }
+
+    pub(super) fn uncount_copy(&mut self, worker: WorkerKey, ask: &Ask) {
+        let Some(at) = self.index.position(worker).filter(|_| ask.kind == Kind::Service) else {
+            return;
+        };
+        let Some(copies) = self.copies.get_mut(&ask.class) else {
+            return;
+        };
+        copies.remove(worker, at);
+        if copies.is_empty() {
+            self.copies.remove(&ask.class);
+        }
+    }
+}
+
+/// Copies in zone and rack, copies on the worker, and load.
+type SpreadRank = ((u32, u32), u32, f64);
+
+fn is_before(one: SpreadRank, two: SpreadRank) -> bool {
+    let counts = (one.0, one.1).cmp(&(two.0, two.1));
+    counts.then(one.2.total_cmp(&two.2)).is_lt()
+}
+
+/// Returns the share of each resource of `whole`; a resource that it lacks counts as 0.
+fn shares(part: Resources, whole: Resources) -> [f64; 3] {
+    let share = |part: u32, whole: u32| f64::from(part) / f64::from(whole.max(1));
+    [
+        share(part.millicores, whole.millicores),
+        share(part.memory_mib, whole.memory_mib),
+        share(part.accelerators, whole.accelerators),
+    ]
+}
--- /dev/null
+++ b/crates/coriandertack-core/src/cell/host.rs
@@ -0,0 +1,55 @@
+//! A worker owned here.
+
+use std::sync::Arc;
+
+use crate::resources::Resources;
+
+/// A worker owned here.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// Name of the worker.
+    pub name: Arc<str>,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Rack within the zone.
+    pub rack: Arc<str>,
+    /// What it has.
+    pub capacity: Resources,
+    /// What is granted.
+    pub granted: Resources,
+    /// What is kept for urgent work that waits for preempted tasks to end.
+    pub withheld: Resources,
+    /// Whether its own list has been read under this ownership.
+    pub resolved: bool,
+    /// Whether it takes new work.
+    pub open: bool,
+}
+
+impl Host {
+    /// Returns a worker whose list has not been read yet.
+    #[must_use]
+    pub fn new(name: &str, zone: &str, rack: &str, capacity: Resources) -> Self {
+        Self {
+            name: name.into(),
+            zone: zone.into(),
+            rack: rack.into(),
+            capacity,
+            granted: Resources::ZERO,
+            withheld: Resources::ZERO,
+            resolved: false,
+            open: true,
+        }
+    }
+
+    /// Returns what is left.
+    #[must_use]
+    pub fn free(&self) -> Resources {
+        self.capacity.saturating_sub(self.granted).saturating_sub(self.withheld)
+    }
+
+    /// Tells whether it takes part in placement.
+    #[must_use]
+    pub fn is_available(&self) -> bool {
+        self.resolved && self.open
+    }
+}
--- a/crates/coriandertack-core/src/cell.rs
+++ b/crates/coriandertack-core/src/cell/mod.rs
@@ -16,6 +16,15 @@
 //! assert_eq!(cell.summary().free, Resources::new(16_000, 32_768, 0));
 //! ```
 
+mod choose;
+mod gang;
+mod host;
+mod index;
+mod preempt;
+mod quarantine;
+mod throttle;
+mod weights;
+
 use std::{collections::HashMap, sync::Arc};
 
 use {
@@ -23,58 +32,26 @@
     tokio::time::Instant,
 };
 
+pub use self::{
+    host::Host,
+    preempt::{Claim, Victims},
+    quarantine::{FAILURES, FIRST_DELAY, LAST_DELAY, QUICK, Report},
+    throttle::TaskUse,
+    weights::Weights,
+};
+
+use self::{
+    choose::Copies,
+    index::Index,
+    quarantine::{Health, Suspect},
+};
+
 use crate::{
     keys::{GrantKey, LeaseId, WorkerKey},
     message::{Ask, Running, Summary},
-    record::Kind,
     resources::Resources,
 };
 
-/// A worker owned here.
-#[derive(Clone, Debug)]
-pub struct Host {
-    /// Name of the worker.
-    pub name: Arc<str>,
-    /// Availability zone.
-    pub zone: Arc<str>,
-    /// Rack within the zone.
-    pub rack: Arc<str>,
-    /// What it has.
-    pub capacity: Resources,
-    /// What is granted.
-    pub granted: Resources,
-    /// Whether its own list has been read under this ownership.
-    pub resolved: bool,
-    /// Whether it takes new work.
-    pub open: bool,
-}
-
-impl Host {
-    /// Returns a worker whose list has not been read yet.
-    #[must_use]
-    pub fn new(name: &str, zone: &str, rack: &str, capacity: Resources) -> Self {
-        Self {
-            name: name.into(),
-            zone: zone.into(),
-            rack: rack.into(),
-            capacity,
-            granted: Resources::ZERO,
-            resolved: false,
-            open: true,
-        }
-    }
-
-    /// Returns what is left.
-    #[must_use]
-    pub fn free(&self) -> Resources {
-        self.capacity.saturating_sub(self.granted)
-    }
-
-    fn takes(&self, need: Resources) -> bool {
-        self.resolved && self.open && need.fits(self.free())
-    }
-}
-
 /// What is done with granted capacity.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -95,6 +72,10 @@
     pub worker: WorkerKey,
     /// What is done with it.
     pub phase: Phase,
+    /// When it was granted or its progress was last saved; work since then is lost if it is stopped.
+    pub saved: Instant,
+    /// Limit of its processor use in thousandths of a core, while it is throttled.
+    pub limit: Option<u32>,
 }
 
 /// Why no capacity was granted.
@@ -106,34 +87,112 @@
     Duplicate,
 }
 
+/// Sums over many workers, which may exceed what [`Resources`] holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Total {
+    millicores: u64,
+    memory_mib: u64,
+    accelerators: u64,
+}
+
+impl Total {
+    fn add(&mut self, part: Resources) {
+        self.millicores += u64::from(part.millicores);
+        self.memory_mib += u64::from(part.memory_mib);
+        self.accelerators += u64::from(part.accelerators);
+    }
+
+    fn remove(&mut self, part: Resources) {
+        self.millicores -= u64::from(part.millicores);
+        self.memory_mib -= u64::from(part.memory_mib);
+        self.accelerators -= u64::from(part.accelerators);
+    }
+}
+
 /// The workers owned here and the capacity granted on them.
 #[derive(Clone, Debug, Default)]
 pub struct Cell {
+    weights: Weights,
     hosts: SecondaryMap<WorkerKey, Host>,
+    /// Grants on each worker.
+    tasks: SecondaryMap<WorkerKey, Vec<GrantKey>>,
+    health: SecondaryMap<WorkerKey, Health>,
     grants: SlotMap<GrantKey, Grant>,
     leases: HashMap<LeaseId, GrantKey>,
+    /// Urgent work that waits for preempted tasks to end, in order of age.
+    claims: Vec<Claim>,
+    index: Index,
+    copies: HashMap<Arc<str>, Copies>,
+    suspects: Vec<Suspect>,
+    /// What all workers have.
+    capacity: Total,
+    /// What is granted on all workers.
+    granted: Total,
 }
 
 impl Cell {
+    /// Returns a cell without workers that places by `weights`.
+    #[must_use]
+    pub fn new(weights: Weights) -> Self {
+        Self { weights, ..Self::default() }
+    }
+
+    /// Changes the weights for all later decisions.
+    pub fn set_weights(&mut self, weights: Weights) {
+        self.weights = weights;
+    }
+
     /// Adds a worker, or updates what is known of it.
     pub fn track(&mut self, worker: WorkerKey, host: Host) {
         match self.hosts.get_mut(worker) {
             Some(known) => {
+                self.capacity.remove(known.capacity);
                 known.capacity = host.capacity;
                 known.open = host.open;
+                let moved = known.zone != host.zone || known.rack != host.rack;
+                if moved {
+                    self.move_host(worker, &host);
+                }
             }
             None => {
+                let host = Host { granted: Resources::ZERO, withheld: Resources::ZERO, ..host };
                 self.hosts.insert(worker, host);
+                self.tasks.insert(worker, Vec::new());
             }
         }
+        self.capacity.add(self.hosts[worker].capacity);
+        self.reindex(worker);
+    }
+
+    /// Moves a worker to another rack, with the copies of services that it runs.
+    fn move_host(&mut self, worker: WorkerKey, host: &Host) {
+        let asks: Vec<Ask> =
+            self.tasks[worker].iter().map(|&key| self.grants[key].ask.clone()).collect();
+        for ask in &asks {
+            self.uncount_copy(worker, ask);
+        }
+        self.index.remove(worker);
+        self.hosts[worker].zone = Arc::clone(&host.zone);
+        self.hosts[worker].rack = Arc::clone(&host.rack);
+        self.reindex(worker);
+        for ask in &asks {
+            self.count_copy(worker, ask);
+        }
     }
 
     /// Drops a worker and the grants on it, as when it is no longer owned or no longer exists.
     pub fn forget(&mut self, worker: WorkerKey) {
-        self.hosts.remove(worker);
-        self.grants.retain(|_, grant| grant.worker != worker);
-        let grants = &self.grants;
-        self.leases.retain(|_, key| grants.contains_key(*key));
+        self.claims.retain(|claim| claim.worker != worker);
+        for key in self.tasks.get(worker).cloned().unwrap_or_default() {
+            let lease = self.grants[key].ask.lease;
+            self.release(lease);
+        }
+        if let Some(host) = self.hosts.remove(worker) {
+            self.capacity.remove(host.capacity);
+        }
+        self.tasks.remove(worker);
+        self.health.remove(worker);
+        self.index.remove(worker);
     }
 
     /// Adopts what a worker says it runs. From now on it takes new work.
@@ -147,6 +206,7 @@
             }
         }
         self.hosts[worker].resolved = true;
+        self.reindex(worker);
     }
 
     /// Tells whether every worker has been resolved.
@@ -171,6 +231,11 @@
         self.grants.values()
     }
 
+    /// Returns the grants on a worker.
+    pub fn grants_on(&self, worker: WorkerKey) -> impl Iterator<Item = &Grant> {
+        self.tasks.get(worker).into_iter().flatten().map(|&key| &self.grants[key])
+    }
+
     /// Returns the grant of a lease.
     #[must_use]
     pub fn grant(&self, lease: LeaseId) -> Option<&Grant> {
@@ -183,7 +248,7 @@
     ///
     /// Fails if no worker has room, or if the lease already has capacity.
     pub fn place(&mut self, ask: &Ask, phase: Phase) -> Result<WorkerKey, Refusal> {
-        if self.leases.contains_key(&ask.lease) {
+        if self.is_known(ask.lease) {
             return Err(Refusal::Duplicate);
         }
         let worker = self.choose(ask).ok_or(Refusal::Full)?;
@@ -191,23 +256,28 @@
         Ok(worker)
     }
 
-    /// Chooses the tightest worker for batch and gang tasks and the loosest for services.
-    fn choose(&self, ask: &Ask) -> Option<WorkerKey> {
-        let fitting = self.hosts.iter().filter(|(_, host)| host.takes(ask.need));
-        let rank = |host: &Host| host.granted.dominant_share(host.capacity);
-        let ranked = fitting.map(|(key, host)| (key, rank(host)));
-        let chosen = match ask.kind {
-            Kind::Service => ranked.min_by(|one, two| one.1.total_cmp(&two.1)),
-            Kind::Batch | Kind::Gang => ranked.max_by(|one, two| one.1.total_cmp(&two.1)),
-        };
-        chosen.map(|(key, _)| key)
+    /// Tells whether a lease has capacity or waits for preempted tasks to end.
+    fn is_known(&self, lease: LeaseId) -> bool {
+        self.leases.contains_key(&lease) || self.claim(lease).is_some()
     }
 
     fn insert(&mut self, worker: WorkerKey, ask: Ask, phase: Phase) {
         let lease = ask.lease;
         self.hosts[worker].granted += ask.need;
-        let key = self.grants.insert(Grant { ask, worker, phase });
+        self.granted.add(ask.need);
+        self.count_copy(worker, &ask);
+        let grant = Grant { ask, worker, phase, saved: Instant::now(), limit: None };
+        let key = self.grants.insert(grant);
+        self.tasks[worker].push(key);
         self.leases.insert(lease, key);
+        self.begin_trial(worker, lease, phase);
+        self.reindex(worker);
+    }
+
+    /// Lets the index know what has changed of a worker.
+    fn reindex(&mut self, worker: WorkerKey) {
+        let takes = self.hosts[worker].is_available() && !self.is_quarantined(worker);
+        self.index.update(worker, &self.hosts[worker], takes);
     }
 
     /// Changes what is done with the capacity of a lease. Returns the grant if there is one.
@@ -217,12 +287,27 @@
         Some(grant)
     }
 
-    /// Returns the capacity of a lease to its worker.
-    pub fn release(&mut self, lease: LeaseId) -> Option<Grant> {
-        let grant = self.grants.remove(self.leases.remove(&lease)?)?;
-        if let Some(host) = self.hosts.get_mut(grant.worker) {
-            host.granted = host.granted.saturating_sub(grant.ask.need);
+    /// Notes that the progress of a task was saved, so that stopping it now loses nothing.
+    pub fn checkpointed(&mut self, lease: LeaseId, now: Instant) {
+        if let Some(&key) = self.leases.get(&lease) {
+            self.grants[key].saved = now;
         }
+    }
+
+    /// Returns the capacity of a lease to its worker, or first to the urgent work that waits for it.
+    pub fn release(&mut self, lease: LeaseId) -> Option<Grant> {
+        self.drop_claim(lease);
+        let key = self.leases.remove(&lease)?;
+        let grant = self.grants.remove(key)?;
+        let worker = grant.worker;
+        self.granted.remove(grant.ask.need);
+        self.uncount_copy(worker, &grant.ask);
+        let host = &mut self.hosts[worker];
+        host.granted = host.granted.saturating_sub(grant.ask.need);
+        self.tasks[worker].retain(|&other| other != key);
+        self.end_trial(worker, lease);
+        self.withhold(worker);
+        self.reindex(worker);
         Some(grant)
     }
 
@@ -238,7 +323,10 @@
     #[must_use]
     pub fn summary(&self) -> Summary {
         let mut summary = Summary::default();
-        for host in self.hosts.values().filter(|host| host.resolved && host.open) {
+        for (worker, host) in self.hosts.iter().filter(|(_, host)| host.is_available()) {
+            if self.is_quarantined(worker) {
+                continue;
+            }
             let free = host.free();
             summary.free += free;
             summary.workers += 1;
--- /dev/null
+++ b/crates/coriandertack-core/src/cell/preempt.rs
@@ -0,0 +1,188 @@
+//! Room for urgent work by stopping batch tasks.
+//!
+//! Only batch tasks that are not urgent are stopped. Stopping a copy of a service would interrupt its
+//! callers, and stopping one member of a gang stops the whole gang, possibly on other owners'
+//! workers, so neither is a candidate. What the stopped tasks held is withheld from all others until the urgent
+//! task has its need; [`Cell::settle`] then turns the claim into a grant.
+
+use tokio::time::Instant;
+
+use crate::{
+    cell::{Cell, Grant, Phase},
+    keys::{LeaseId, WorkerKey},
+    message::Ask,
+    record::Kind,
+    resources::Resources,
+};
+
+/// Cost of stopping one more task, in core-milliseconds of lost work.
+///
+/// A task that has just saved its progress still pays for its restart.
+const RESTART_CORE_MS: f64 = 5_000.0;
+
+/// Workers whose tasks are compared. More would cost time that urgent work does not have.
+const COMPARED: usize = 256;
+
+/// Tasks to checkpoint and stop, all on one worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Victims {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// Leases of the tasks.
+    pub leases: Vec<LeaseId>,
+}
+
+/// Urgent work that waits for preempted tasks to end.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    /// The urgent task.
+    pub ask: Ask,
+    /// Where it will run.
+    pub worker: WorkerKey,
+    /// What is kept for it so far; it starts when this is its need.
+    pub kept: Resources,
+}
+
+/// A task that may be stopped.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    lease: LeaseId,
+    need: Resources,
+    cost: f64,
+}
+
+impl Cell {
+    /// Chooses the cheapest tasks on one worker whose end makes room for urgent work, and keeps that room
+    /// for it. The caller checkpoints and stops the victims, and calls [`Cell::settle`] after each release.
+    ///
+    /// The cost is the work since the last checkpoint plus a constant for each task. The claim ends
+    /// with [`Cell::settle`], or with [`Cell::release`] of the urgent lease.
+    pub fn preempt(&mut self, ask: &Ask) -> Option<Victims> {
+        if !ask.urgent || self.is_known(ask.lease) {
+            return None;
+        }
+        let now = Instant::now();
+        let able = self.hosts.keys().filter(|&worker| self.could_make_room(worker, ask.need));
+        let options = able.take(COMPARED).filter_map(|worker| self.victims(worker, ask.need, now));
+        let (_, victims) = options.min_by(|one, two| one.0.total_cmp(&two.0))?;
+        for &lease in &victims.leases {
+            self.set_phase(lease, Phase::Stopping);
+        }
+        let worker = victims.worker;
+        self.claims.push(Claim { ask: ask.clone(), worker, kept: Resources::ZERO });
+        self.withhold(worker);
+        self.reindex(worker);
+        Some(victims)
+    }
+
+    fn could_make_room(&self, worker: WorkerKey, need: Resources) -> bool {
+        let host = &self.hosts[worker];
+        let sound = host.is_available() && !self.is_quarantined(worker);
+        let claimed = self.claims.iter().any(|claim| claim.worker == worker);
+        if !sound || claimed || !need.fits(host.capacity) {
+            return false;
+        }
+        let stoppable = self.grants_on(worker).filter(|grant| is_stoppable(grant));
+        need.fits(stoppable.map(|grant| grant.ask.need).sum::<Resources>() + host.free())
+    }
+
+    /// Returns the cheapest victims found on a worker.
+    ///
+    /// Tasks are added by cost for what they contribute; then those that turn out not to be needed are
+    /// left out again, the dearest first.
+    fn victims(&self, worker: WorkerKey, need: Resources, now: Instant) -> Option<(f64, Victims)> {
+        let free = self.hosts[worker].free();
+        let missing = need.saturating_sub(free);
+        let stoppable = self.grants_on(worker).filter(|grant| is_stoppable(grant));
+        let mut candidates: Vec<Candidate> = stoppable.map(|grant| candidate(grant, now)).collect();
+        let rate = |one: &Candidate| one.cost / one.need.min(missing).dominant_share(missing);
+        candidates.sort_by(|one, two| rate(one).total_cmp(&rate(two)));
+        let mut room = free;
+        let mut chosen: Vec<Candidate> = Vec::new();
+        for candidate in candidates {
+            if need.fits(room) {
+                break;
+            }
+            room += candidate.need;
+            chosen.push(candidate);
+        }
+        if !need.fits(room) {
+            return None;
+        }
+        chosen.sort_by(|one, two| two.cost.total_cmp(&one.cost));
+        chosen.retain(|candidate| {
+            let spared = room - candidate.need;
+            let spare = need.fits(spared);
+            if spare {
+                room = spared;
+            }
+            !spare
+        });
+        let cost = chosen.iter().map(|candidate| candidate.cost).sum();
+        let leases = chosen.iter().map(|candidate| candidate.lease).collect();
+        Some((cost, Victims { worker, leases }))
+    }
+
+    /// Keeps free capacity of a worker for the claims on it, the oldest first.
+    pub(super) fn withhold(&mut self, worker: WorkerKey) {
+        let host = &mut self.hosts[worker];
+        for claim in self.claims.iter_mut().filter(|claim| claim.worker == worker) {
+            let more = claim.ask.need.saturating_sub(claim.kept).min(host.free());
+            claim.kept += more;
+            host.withheld += more;
+        }
+    }
+
+    /// Turns the claims that have their need into grants in the phase [`Phase::Running`], and returns
+    /// them. The caller sends the starts.
+    pub fn settle(&mut self) -> Vec<Grant> {
+        let ready = |claim: &Claim| claim.kept == claim.ask.need;
+        let leases: Vec<LeaseId> =
+            self.claims.iter().filter(|claim| ready(claim)).map(|claim| claim.ask.lease).collect();
+        let mut grants = Vec::with_capacity(leases.len());
+        for lease in leases {
+            let Some(claim) = self.take_claim(lease) else { continue };
+            self.insert(claim.worker, claim.ask, Phase::Running);
+            grants.extend(self.grant(lease).cloned());
+        }
+        grants
+    }
+
+    /// Gives up a claim, if the lease has one. What was kept for it can be granted to others.
+    pub(super) fn drop_claim(&mut self, lease: LeaseId) {
+        if let Some(claim) = self.take_claim(lease) {
+            self.withhold(claim.worker);
+            self.reindex(claim.worker);
+        }
+    }
+
+    fn take_claim(&mut self, lease: LeaseId) -> Option<Claim> {
+        let at = self.claims.iter().position(|claim| claim.ask.lease == lease)?;
+        let claim = self.claims.remove(at);
+        let host = &mut self.hosts[claim.worker];
+        host.withheld = host.withheld.saturating_sub(claim.kept);
+        Some(claim)
+    }
+
+    /// Returns the urgent work that waits for preempted tasks to end.
+    pub fn claims(&self) -> impl Iterator<Item = &Claim> {
+        self.claims.iter()
+    }
+
+    /// Returns the claim of a lease.
+    #[must_use]
+    pub fn claim(&self, lease: LeaseId) -> Option<&Claim> {
+        self.claims.iter().find(|claim| claim.ask.lease == lease)
+    }
+}
+
+fn is_stoppable(grant: &Grant) -> bool {
+    grant.ask.kind == Kind::Batch && !grant.ask.urgent && grant.phase == Phase::Running
+}
+
+fn candidate(grant: &Grant, now: Instant) -> Candidate {
+    let lost_ms = now.saturating_duration_since(grant.saved).as_secs_f64() * 1_000.0;
+    let cores = f64::from(grant.ask.need.millicores) / 1_000.0;
+    let cost = RESTART_CORE_MS + lost_ms * cores;
+    Candidate { lease: grant.ask.lease, need: grant.ask.need, cost }
+}
--- a/crates/coriandertack-core/src/lib.rs
+++ b/crates/coriandertack-core/src/lib.rs
@@ -7,8 +7,11 @@
 
 pub mod cell;
 pub mod code;
+pub mod feasible;
 pub mod home;
+pub mod home_choice;
 pub mod keys;
+pub mod learn;
 pub mod link;
 pub mod message;
 pub mod node;
--- a/crates/coriandertack-core/src/resources.rs
+++ b/crates/coriandertack-core/src/resources.rs
@@ -72,6 +72,26 @@
         }
     }
 
+    /// Returns the larger value of each part.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns the smaller value of each part.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.min(other.millicores),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Adds, and returns nothing on overflow.
     #[must_use]
     pub fn checked_add(self, other: Self) -> Option<Self> {
@@ -92,6 +112,17 @@
         })
     }
 
+    /// Returns how many times this amount can be taken from `room`.
+    ///
+    /// An amount of zero can be taken `u32::MAX` times.
+    #[must_use]
+    pub fn count_in(self, room: Self) -> u32 {
+        let times = |part: u32, all: u32| all.checked_div(part).unwrap_or(u32::MAX);
+        times(self.millicores, room.millicores)
+            .min(times(self.memory_mib, room.memory_mib))
+            .min(times(self.accelerators, room.accelerators))
+    }
+
     /// Returns the largest part of `whole` that this amount takes, from 0 to 1.
     ///
     /// A part that `whole` lacks counts as 0 unless this amount needs it.
