Add stand-ins for workers and the VM list, and the VM list client

Cause: the path from end to end needs workers and a VM list to talk to. Not tested yet beyond compiling.

--- a/crates/coriandertack-standins/src/lib.rs
+++ b/crates/coriandertack-standins/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Small stand-ins for the platform, for the demo, the bench and tests.
+
+pub mod audit;
+pub mod vmlist;
+pub mod worker;
--- /dev/null
+++ b/crates/coriandertack-vms/src/diff.rs
@@ -0,0 +1,77 @@
+//! Differences between the list and the replicated state.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coriandertack_core::{
+    keys::Session,
+    record::{Record, WorkerInfo},
+    state::State,
+};
+
+/// One answer of the list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listing {
+    /// Names of the entry VMs.
+    pub entries: BTreeSet<String>,
+    /// Workers by name.
+    pub workers: BTreeMap<String, WorkerInfo>,
+}
+
+/// Names that were missing from the last answer.
+///
+/// The list can lose a VM for one answer, so a VM counts as gone only when it is missing from two
+/// answers in a row.
+#[derive(Clone, Debug, Default)]
+pub struct Absent {
+    workers: BTreeSet<String>,
+    entries: BTreeSet<String>,
+}
+
+/// What follows from one answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Findings {
+    /// Records that would make the state agree with the list.
+    pub records: Vec<Record>,
+    /// Members that the list no longer has.
+    pub missing: BTreeSet<Session>,
+}
+
+impl Absent {
+    /// Compares an answer with the state and notes what is missing.
+    pub fn compare(&mut self, state: &State, listing: &Listing) -> Findings {
+        let known = state.worker_names.keys();
+        let absent = missing(known, |name| listing.workers.contains_key(name));
+        let gone: Vec<String> = absent.intersection(&self.workers).cloned().collect();
+        self.workers = absent;
+
+        let members = state.sessions.values().map(|&vm| &state.vms[vm].info.name);
+        let absent = missing(members, |name| listing.entries.contains(name));
+        let lost = |name: &String| absent.contains(name) && self.entries.contains(name);
+        let vms = state.sessions.iter().filter(|&(_, &vm)| lost(&state.vms[vm].info.name));
+        let missing = vms.map(|(&session, _)| session).collect();
+        self.entries = absent;
+
+        let mut records = Vec::new();
+        let changed = changed(state, listing);
+        if !changed.is_empty() {
+            records.push(Record::Workers(changed));
+        }
+        if !gone.is_empty() {
+            records.push(Record::WorkersGone(gone));
+        }
+        Findings { records, missing }
+    }
+}
+
+fn missing<'a>(
+    names: impl Iterator<Item = &'a String>,
+    is_listed: impl Fn(&str) -> bool,
+) -> BTreeSet<String> {
+    names.filter(|name| !is_listed(name)).cloned().collect()
+}
+
+fn changed(state: &State, listing: &Listing) -> Vec<WorkerInfo> {
+    let differs =
+        |info: &&WorkerInfo| state.worker(&info.name).is_none_or(|known| known.info != **info);
+    listing.workers.values().filter(differs).cloned().collect()
+}
--- /dev/null
+++ b/crates/coriandertack-vms/src/poll.rs
@@ -0,0 +1,75 @@
+//! The task that reads the list.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use {
+    coriandertack_core::{
+        keys::Session,
+        node::{Node, now_ms},
+        record::{Entry, Record},
+    },
+    tokio::{
+        sync::watch,
+        time::{MissedTickBehavior, interval, timeout},
+    },
+};
+
+use crate::{client::Client, diff::Absent};
+
+/// Longest wait for the records of one answer. During a log outage the list is read on, because
+/// the members that it lacks are needed.
+const SUBMIT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Reads the list every `every` for as long as the process runs.
+///
+/// Every VM reads it, but only the lowest live session submits records, so that one change leads to
+/// one record. Members that the list no longer has are put into `missing`; they are suspected, and
+/// nothing more follows from the list alone.
+pub async fn run(
+    node: Arc<Node>,
+    client: Client,
+    every: Duration,
+    missing: watch::Sender<BTreeSet<Session>>,
+) {
+    let mut absent = Absent::default();
+    let mut ticks = interval(every);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let listing = match client.list().await {
+            Ok(listing) => listing,
+            Err(error) => {
+                log::warn!("event=vm_list_failed error=\"{error:#}\"");
+                continue;
+            }
+        };
+        let findings = node.with(|inner| absent.compare(&inner.state, &listing));
+        missing.send_if_modified(|known| {
+            let changed = *known != findings.missing;
+            known.clone_from(&findings.missing);
+            changed
+        });
+        if !findings.records.is_empty() && writes(&node) {
+            submit(&node, findings.records).await;
+        }
+    }
+}
+
+/// Tells whether this VM is the one that submits what the list shows.
+fn writes(node: &Node) -> bool {
+    let me = node.me();
+    let first = node.with(|inner| inner.state.sessions.values().next().copied());
+    me.is_some() && me == first && node.is_valid()
+}
+
+async fn submit(node: &Node, records: Vec<Record>) {
+    let entry = |record| Entry { actor: "system".to_owned(), at_ms: now_ms(), record };
+    let count = records.len();
+    let entries = records.into_iter().map(entry).collect();
+    // Whatever the outcome, the next answer is compared with the state again.
+    match timeout(SUBMIT_TIMEOUT, node.submit(entries)).await {
+        Ok(Ok(_)) => log::info!("event=vm_list_applied records={count}"),
+        Ok(Err(code)) => log::warn!("event=vm_list_not_applied code=\"{code}\""),
+        Err(_) => log::warn!("event=vm_list_not_applied code=timeout"),
+    }
+}
--- /dev/null
+++ b/crates/coriandertack-vms/src/wire.rs
@@ -0,0 +1,80 @@
+//! JSON form of the list, and its conversion.
+
+use std::net::SocketAddr;
+
+use {
+    coriandertack_core::{
+        record::{Presence, WorkerInfo},
+        resources::Resources,
+    },
+    serde::Deserialize,
+};
+
+use crate::diff::Listing;
+
+/// Kind of a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Kind {
+    Entry,
+    Worker,
+    /// The platform may list VMs that do not concern this system.
+    #[serde(other)]
+    Other,
+}
+
+/// State of a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    Live,
+    Leaving,
+}
+
+/// A VM in the list.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Vm {
+    name: String,
+    kind: Kind,
+    address: SocketAddr,
+    zone: String,
+    #[serde(default)]
+    rack: String,
+    state: State,
+    millicores: u32,
+    memory_mib: u32,
+    #[serde(default)]
+    accelerators: u32,
+}
+
+/// Converts an answer.
+pub(crate) fn listing(vms: Vec<Vm>) -> Listing {
+    let mut listing = Listing::default();
+    for vm in vms {
+        match vm.kind {
+            Kind::Entry => {
+                listing.entries.insert(vm.name);
+            }
+            Kind::Worker => {
+                listing.workers.insert(vm.name.clone(), worker(vm));
+            }
+            Kind::Other => {}
+        }
+    }
+    listing
+}
+
+fn worker(vm: Vm) -> WorkerInfo {
+    let presence = match vm.state {
+        State::Live => Presence::Live,
+        State::Leaving => Presence::Leaving,
+    };
+    WorkerInfo {
+        name: vm.name,
+        address: vm.address,
+        zone: vm.zone,
+        rack: vm.rack,
+        presence,
+        capacity: Resources::new(vm.millicores, vm.memory_mib, vm.accelerators),
+    }
+}
