Add the resource API, the settings files and the log lines

Operators and teams had no way in. The routes, their access rules, the rates, the watch over recent changes, health and metrics are in coriandertack-operators; the settings of a deployment and the form of the log lines are in coriandertackd. Node publishes applied changes while somebody follows them.

--- a/crates/coriandertack-core/src/lib.rs
+++ b/crates/coriandertack-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! docs/design.md.
 
 pub mod cell;
+pub mod change;
 pub mod code;
 pub mod home;
 pub mod keys;
--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -9,13 +9,14 @@
 use {
     slotmap::SecondaryMap,
     tokio::{
-        sync::{Notify, mpsc, oneshot, watch},
+        sync::{Notify, broadcast, mpsc, oneshot, watch},
         time::Instant,
     },
 };
 
 use crate::{
     cell::Cell,
+    change::{Step, changes_of},
     code::Code,
     home::Homes,
     keys::{Incarnation, Offset, VmKey, WorkerKey},
@@ -29,6 +30,9 @@
 /// Records waiting for the log task.
 const LOG_QUEUE: usize = 4_096;
 
+/// Steps that a follower of changes may lag behind: about 3 s at 300 batches per second.
+const STEP_QUEUE: usize = 1_024;
+
 /// What a process is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum Stage {
@@ -105,6 +109,8 @@
     pub applied: watch::Sender<Offset>,
     /// What the process is doing.
     pub stage: watch::Sender<Stage>,
+    /// Changes as they are applied, sent under the lock of the state.
+    pub steps: broadcast::Sender<Arc<Step>>,
     /// Services that can answer callers, of all owners.
     pub routes: watch::Sender<Arc<Vec<Instance>>>,
     /// Signals that tasks may have become placeable.
@@ -132,6 +138,7 @@
             log,
             applied: watch::Sender::new(Offset(0)),
             stage: watch::Sender::new(Stage::Starting),
+            steps: broadcast::Sender::new(STEP_QUEUE),
             routes: watch::Sender::default(),
             work: Notify::new(),
         };
@@ -197,7 +204,9 @@
     pub fn apply(&self, offset: Offset, batch: &Batch) {
         let now = Instant::now();
         self.with(|inner| {
+            let before = inner.state.offset;
             let verdicts = inner.state.apply(offset, batch, now);
+            self.publish(&inner.state, before, batch, &verdicts);
             if batch.author == self.author {
                 inner.commits.resolve(batch.seq, verdicts);
             }
@@ -205,6 +214,16 @@
         self.applied.send_replace(offset);
     }
 
+    /// Publishes the changes of a batch to those who follow them, if any.
+    fn publish(&self, state: &State, before: Offset, batch: &Batch, verdicts: &[Verdict]) {
+        if self.steps.receiver_count() == 0 {
+            return;
+        }
+        let changes = changes_of(state, batch, verdicts);
+        // Sending fails only when the last follower has just gone.
+        let _ = self.steps.send(Arc::new(Step { before, offset: state.offset, changes }));
+    }
+
     /// Extends the permission to act after a read of the tail that began at `began`.
     pub fn extend(&self, began: Instant) {
         self.with(|inner| inner.validity.extend(began));
--- a/crates/coriandertack-core/src/state/mod.rs
+++ b/crates/coriandertack-core/src/state/mod.rs
@@ -47,8 +47,8 @@
     image::{
         AuthorImage, Image, JobImage, LeaseImage, SettingImage, TeamImage, VmImage, WorkerImage,
     },
-    jobs::{Job, Jobs},
-    ledger::{Ledger, Line, LineKey},
+    jobs::{Job, Jobs, MAX_TASKS},
+    ledger::{Ledger, Line, LineKey, PERIOD_MS},
     members::Holding,
 };
 
--- /dev/null
+++ b/crates/coriandertack-operators/src/api.rs
@@ -0,0 +1,155 @@
+//! What the handlers share.
+
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
+
+use {
+    coriandertack_core::{
+        code::Code,
+        keys::JobId,
+        node::{Node, Stage},
+        record::{JobSpec, Record},
+        state::{Applied, State, Verdict},
+    },
+    futures::future::BoxFuture,
+    tokio::{sync::mpsc, time::Instant},
+};
+
+use crate::{
+    access::{Caller, Operator},
+    metrics::Metrics,
+    rates::{Rate, Rates},
+    refusals::{self, Refused},
+    reply::Fault,
+    settings_schema::Live,
+    watch::{self, Ring},
+};
+
+/// Accepts a job at the home of its team: the node, the actor and the job.
+pub type Submit = Box<
+    dyn Fn(Arc<Node>, String, JobSpec) -> BoxFuture<'static, Result<JobId, Code>> + Send + Sync,
+>;
+
+/// Refuses a job that no worker could ever hold.
+pub type Admit = Box<dyn Fn(&State, &JobSpec) -> Result<(), Code> + Send + Sync>;
+
+/// Refusals that wait for the audit trail; more are counted and dropped.
+const REFUSAL_QUEUE: usize = 64;
+
+/// What the handlers of the resource API share.
+pub struct Api {
+    /// This VM.
+    pub node: Arc<Node>,
+    /// Tokens of the operators.
+    pub operators: Vec<Operator>,
+    /// Instruments.
+    pub metrics: Arc<Metrics>,
+    /// Recent changes, for those who watch.
+    pub(crate) ring: Ring,
+    /// Refusals on the way to the audit trail.
+    pub(crate) refused: mpsc::Sender<Refused>,
+    /// Refusals that the audit trail does not show, because there were too many.
+    pub(crate) dropped: AtomicU64,
+    submit: Submit,
+    admit: Admit,
+    rates: Mutex<Rates<Caller>>,
+    refusals: Mutex<Option<mpsc::Receiver<Refused>>>,
+}
+
+impl Api {
+    /// Returns an API that accepts jobs on this VM, whatever their home, and admits every job.
+    ///
+    /// [`Api::with_submit`] and [`Api::with_admit`] replace both. Changes can be watched from the
+    /// offset that is applied when this is called.
+    #[must_use]
+    pub fn new(node: Arc<Node>, operators: Vec<Operator>, metrics: Arc<Metrics>) -> Self {
+        let (refused, refusals) = mpsc::channel(REFUSAL_QUEUE);
+        Self {
+            ring: Ring::of(&node),
+            node,
+            operators,
+            metrics,
+            refused,
+            dropped: AtomicU64::new(0),
+            submit: Box::new(|node, actor, spec| Box::pin(submit_here(node, actor, spec))),
+            admit: Box::new(|_, _| Ok(())),
+            rates: Mutex::default(),
+            refusals: Mutex::new(Some(refusals)),
+        }
+    }
+
+    /// Replaces the way in which a job reaches the home of its team.
+    #[must_use]
+    pub fn with_submit(mut self, submit: Submit) -> Self {
+        self.submit = submit;
+        self
+    }
+
+    /// Replaces the test for work that no worker could ever hold.
+    #[must_use]
+    pub fn with_admit(mut self, admit: Admit) -> Self {
+        self.admit = admit;
+        self
+    }
+
+    /// Follows the changes and writes refusals to the audit trail, for as long as the process runs.
+    ///
+    /// Only the first call does so; a later one returns at once.
+    pub async fn run(self: Arc<Self>) {
+        let refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let Some(refusals) = refusals else { return };
+        tokio::join!(watch::follow(&self.ring), refusals::write(&self.node, refusals));
+    }
+
+    /// Takes one request out of the caller's allowance.
+    pub(crate) fn allow(&self, caller: &Caller) -> bool {
+        let live = self.node.with(|inner| Live::read(&inner.state));
+        let rate = Rate { per_s: live.rate, burst: live.burst };
+        let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
+        rates.take(caller, rate, Instant::now())
+    }
+
+    /// Queues a refused change for the audit trail, or counts it if the queue is full.
+    pub(crate) fn note_refused(&self, refused: Refused) {
+        if self.refused.try_send(refused).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Checks that this VM may accept a change now.
+    pub(crate) fn require_serving(&self) -> Result<(), Fault> {
+        match *self.node.stage.borrow() {
+            Stage::Serving => {}
+            Stage::Starting => return Err(Code::NotReady.into()),
+            Stage::Draining | Stage::Stopped => return Err(Code::Stopping.into()),
+        }
+        if self.node.me().is_none() {
+            return Err(Code::Fenced.into());
+        }
+        if !self.node.is_valid() {
+            return Err(Code::LogUnavailable.into());
+        }
+        Ok(())
+    }
+
+    pub(crate) fn admit(&self, state: &State, spec: &JobSpec) -> Result<(), Code> {
+        (self.admit)(state, spec)
+    }
+
+    pub(crate) async fn submit(&self, actor: String, spec: JobSpec) -> Result<JobId, Code> {
+        (self.submit)(Arc::clone(&self.node), actor, spec).await
+    }
+
+    pub(crate) async fn append(&self, actor: &str, record: Record) -> Verdict {
+        self.node.submit_one(actor, record).await
+    }
+}
+
+async fn submit_here(node: Arc<Node>, actor: String, spec: JobSpec) -> Result<JobId, Code> {
+    match node.submit_one(&actor, Record::Accept(spec)).await? {
+        Applied::Job(job) => Ok(job),
+        _ => Err(Code::Internal),
+    }
+}
--- /dev/null
+++ b/crates/coriandertack-operators/src/members.rs
@@ -0,0 +1,116 @@
+//! Workers and entry VMs.
+
+use std::{ops::Bound, sync::Arc};
+
+use {
+    coriandertack_core::{
+        code::Code,
+        keys::{Epoch, Session},
+        record::{Cordon, Join, Record, WorkerInfo},
+        state::{State, Worker},
+    },
+    serde::Serialize,
+};
+
+use crate::{
+    api::Api,
+    call::Call,
+    changes,
+    reply::{Answer, Reply},
+};
+
+/// A worker as it is answered.
+#[derive(Debug, Serialize)]
+struct WorkerView<'a> {
+    #[serde(flatten)]
+    info: &'a WorkerInfo,
+    cordoned: bool,
+    owner: Option<&'a str>,
+    epoch: Epoch,
+}
+
+/// An entry VM as it is answered.
+#[derive(Debug, Serialize)]
+struct VmView<'a> {
+    #[serde(flatten)]
+    info: &'a Join,
+    session: Session,
+    workers: usize,
+    teams: usize,
+    here: bool,
+}
+
+fn view<'a>(state: &'a State, worker: &'a Worker) -> WorkerView<'a> {
+    let owner = worker.owner.vm.and_then(|vm| state.vms.get(vm));
+    WorkerView {
+        info: &worker.info,
+        cordoned: worker.cordoned,
+        owner: owner.map(|vm| vm.info.name.as_str()),
+        epoch: worker.owner.epoch,
+    }
+}
+
+/// Lists workers in the order of names.
+pub(crate) async fn workers(api: Arc<Api>, call: Call) -> Answer {
+    let limit = call.limit()?;
+    let after = call.text("after").unwrap_or_default();
+    let (zone, owner) = (call.text("zone"), call.text("owner"));
+    api.node.with(|inner| {
+        let state = &inner.state;
+        let range = state.worker_names.range::<str, _>((Bound::Excluded(after), Bound::Unbounded));
+        let mut found: Vec<WorkerView<'_>> = range
+            .map(|(_, &key)| view(state, &state.workers[key]))
+            .filter(|worker| zone.is_none_or(|zone| zone == worker.info.zone))
+            .filter(|worker| owner.is_none_or(|owner| Some(owner) == worker.owner))
+            .take(limit + 1)
+            .collect();
+        let is_more = found.len() > limit;
+        found.truncate(limit);
+        let next = found.last().filter(|_| is_more).map(|worker| worker.info.name.as_str());
+        let reply = Reply::new(Code::Done).with("position", state.offset).with("next", next);
+        Ok(reply.with("workers", found))
+    })
+}
+
+/// Answers with one worker.
+pub(crate) async fn worker(api: Arc<Api>, call: Call) -> Answer {
+    api.node.with(|inner| {
+        let worker = inner.state.worker(&call.name).ok_or(Code::NotFound)?;
+        let reply = Reply::new(Code::Done).with("position", inner.state.offset);
+        Ok(reply.with("worker", view(&inner.state, worker)))
+    })
+}
+
+/// Keeps new work away from a worker.
+pub(crate) async fn cordon(api: Arc<Api>, call: Call) -> Answer {
+    set_cordoned(&api, &call, true).await
+}
+
+/// Lets a worker take new work again.
+pub(crate) async fn uncordon(api: Arc<Api>, call: Call) -> Answer {
+    set_cordoned(&api, &call, false).await
+}
+
+async fn set_cordoned(api: &Api, call: &Call, cordoned: bool) -> Answer {
+    let worker = call.name.clone();
+    if api.node.with(|inner| inner.state.worker(&worker).is_none()) {
+        return Err(Code::NotFound.into());
+    }
+    changes::make(api, call, Record::Cordon(Cordon { worker, cordoned })).await
+}
+
+/// Lists the live entry VMs in the order in which they joined.
+pub(crate) async fn vms(api: Arc<Api>, _: Call) -> Answer {
+    api.node.with(|inner| {
+        let state = &inner.state;
+        let views = state.sessions.values().map(|&key| VmView {
+            info: &state.vms[key].info,
+            session: state.vms[key].session,
+            workers: state.owned_by(key).count(),
+            teams: state.teams.values().filter(|team| team.home.vm == Some(key)).count(),
+            here: state.vms[key].author == api.node.author,
+        });
+        let views: Vec<VmView<'_>> = views.collect();
+        Ok(Reply::new(Code::Done).with("position", state.offset).with("vms", views))
+    })
+}
--- /dev/null
+++ b/crates/coriandertack-operators/src/metrics.rs
@@ -0,0 +1,197 @@
+//! Instruments of an entry VM, exported in the Prometheus text format.
+//!
+//! Other packages record through the methods of [`Metrics`]. Core stays free of this library: it gets
+//! closures, or its counters are read when the metrics are asked for ([`Metrics::observe`]).
+
+use std::{fmt, time::Duration};
+
+use {
+    coriandertack_core::{
+        code::Code,
+        home::Step,
+        node::{Node, Stage},
+    },
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    },
+    opentelemetry_sdk::metrics::SdkMeterProvider,
+    prometheus::{Encoder, Registry, TextEncoder},
+};
+
+/// Bounds of the buckets for waiting times and appends, in seconds; 0.05 is the bound of the design.
+const WAIT_BOUNDS_S: &[f64] =
+    &[0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0];
+
+/// Bounds of the buckets for decisions, in seconds; 0.001 is the bound of the design.
+const DECISION_BOUNDS_S: &[f64] =
+    &[0.000_01, 0.000_02, 0.000_05, 0.000_1, 0.000_2, 0.000_5, 0.001, 0.002, 0.005, 0.01];
+
+/// Instruments of an entry VM.
+pub struct Metrics {
+    registry: Registry,
+    // The instruments work for as long as their provider lives.
+    _provider: SdkMeterProvider,
+    waiting: Histogram<f64>,
+    decision: Histogram<f64>,
+    append: Histogram<f64>,
+    grants: Counter<u64>,
+    requests: Counter<u64>,
+    calls: Counter<u64>,
+    control: Counter<u64>,
+    dropped: Counter<u64>,
+    queue: Gauge<u64>,
+    granted: Gauge<u64>,
+    members: Gauge<u64>,
+    offset: Gauge<u64>,
+    ready: Gauge<u64>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Metrics {
+    /// Returns instruments with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot be registered.
+    pub fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("coriandertack");
+        let count = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        Ok(Self {
+            waiting: seconds(&meter, "waiting", "from acceptance to start sent", WAIT_BOUNDS_S),
+            decision: seconds(&meter, "decision", "one placement decision", DECISION_BOUNDS_S),
+            append: seconds(&meter, "log_append", "one append to the log", WAIT_BOUNDS_S),
+            grants: count("grants", "capacity granted to tasks"),
+            requests: count("requests", "answers of the resource API, by code"),
+            calls: count("calls", "answers to callers, by code"),
+            control: count("control_bytes", "bytes sent and received for control, by peer"),
+            dropped: count("refusals_not_audited", "refused changes beyond the audit's rate"),
+            queue: gauge("tasks", "tasks homed here, by step"),
+            granted: gauge("grants_held", "grants held on workers owned here"),
+            members: gauge("members", "live objects in the replicated state, by type"),
+            offset: gauge("log_offset", "last offset applied"),
+            ready: gauge("ready", "1 if this VM takes work"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Records the time from the acceptance of a task to the start sent.
+    pub fn waited(&self, time: Duration) {
+        self.waiting.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records the time of one placement decision.
+    pub fn decided(&self, time: Duration) {
+        self.decision.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records the time of one append to the log.
+    pub fn appended(&self, time: Duration) {
+        self.append.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Counts capacity granted.
+    pub fn granted(&self, count: u64) {
+        self.grants.add(count, &[]);
+    }
+
+    /// Counts an answer of the resource API.
+    pub fn answered(&self, code: Code) {
+        self.requests.add(1, &[code_label(code)]);
+    }
+
+    /// Counts an answer to a caller's request.
+    pub fn called(&self, code: Code) {
+        self.calls.add(1, &[code_label(code)]);
+    }
+
+    /// Counts bytes of control traffic with a kind of peer, for example `log` or `workers`.
+    pub fn control(&self, peer: &'static str, bytes: u64) {
+        self.control.add(bytes, &[KeyValue::new("peer", peer)]);
+    }
+
+    pub(crate) fn dropped(&self, count: u64) {
+        self.dropped.add(count, &[]);
+    }
+
+    /// Reads the gauges from the node.
+    pub fn observe(&self, node: &Node) {
+        let is_ready = *node.stage.borrow() == Stage::Serving && node.is_valid();
+        self.ready.record(u64::from(is_ready), &[]);
+        node.with(|inner| {
+            let state = &inner.state;
+            self.offset.record(state.offset.0, &[]);
+            for (name, count) in [
+                ("vm", state.vms.len()),
+                ("worker", state.workers.len()),
+                ("team", state.teams.len()),
+                ("job", state.jobs.ids.len()),
+            ] {
+                self.members.record(count as u64, &[KeyValue::new("type", name)]);
+            }
+            let mut counts = [0; STEPS.len()];
+            for task in inner.homes.tasks() {
+                counts[index_of(&task.step)] += 1;
+            }
+            for (name, count) in STEPS.iter().zip(counts) {
+                self.queue.record(count, &[KeyValue::new("step", *name)]);
+            }
+            self.granted.record(inner.cell.grants().count() as u64, &[]);
+        });
+    }
+
+    /// Returns all instruments in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics cannot be encoded.
+    pub fn text(&self) -> anyhow::Result<String> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(String::from_utf8(text)?)
+    }
+}
+
+/// Labels of the steps of tasks.
+pub(crate) const STEPS: [&str; 6] = ["recovering", "queued", "asked", "unknown", "bound", "ending"];
+
+/// Returns the index in [`STEPS`].
+pub(crate) fn index_of(step: &Step) -> usize {
+    match step {
+        Step::Recovering => 0,
+        Step::Queued => 1,
+        Step::Asked(_) => 2,
+        Step::Unknown(..) => 3,
+        Step::Bound(_) => 4,
+        Step::Ending => 5,
+    }
+}
+
+fn code_label(code: Code) -> KeyValue {
+    KeyValue::new("code", i64::from(code.number()))
+}
+
+fn seconds(
+    meter: &Meter,
+    name: &'static str,
+    text: &'static str,
+    bounds: &[f64],
+) -> Histogram<f64> {
+    let histogram = meter.f64_histogram(name).with_unit("s").with_description(text);
+    histogram.with_boundaries(bounds.to_vec()).build()
+}
--- /dev/null
+++ b/crates/coriandertack-operators/src/preview.rs
@@ -0,0 +1,56 @@
+//! What the log would make of a change, for dry runs.
+//!
+//! The rules repeat those of [`State::apply`](coriandertack_core::state::State::apply) for the records
+//! that operators write. A test holds the two together.
+
+use coriandertack_core::{
+    code::Code,
+    keys::Version,
+    record::Record,
+    state::{Applied, State, Verdict},
+};
+
+/// Returns the verdict that a record would have now.
+///
+/// An accepted job has no identifier yet, so its verdict is [`Applied::Done`].
+pub fn verdict(state: &State, record: &Record) -> Verdict {
+    match record {
+        Record::Team(change) => {
+            let known = state.team(&change.name);
+            let version = known.map_or(Version(0), |team| team.version);
+            if version != change.expect {
+                return Err(Code::Conflict);
+            }
+            let is_used = state.jobs.live_of(&change.name).next().is_some();
+            match (known, &change.spec) {
+                (None, None) => Err(Code::NotFound),
+                (Some(_), None) if is_used => Err(Code::Conflict),
+                _ => {
+                    let removed = state.removed_teams.get(&change.name).copied();
+                    Ok(Applied::Version(removed.unwrap_or(version).max(version).next()))
+                }
+            }
+        }
+        Record::Setting(change) => {
+            let known = state.settings.get(&change.name);
+            let version = known.map_or(Version(0), |setting| setting.version);
+            if version == change.expect {
+                Ok(Applied::Version(version.next()))
+            } else {
+                Err(Code::Conflict)
+            }
+        }
+        Record::Cordon(change) => match state.worker(&change.worker) {
+            None => Err(Code::NotFound),
+            Some(worker) if worker.cordoned == change.cordoned => Ok(Applied::Unchanged),
+            Some(_) => Ok(Applied::Done),
+        },
+        Record::Cancel(id) => match state.jobs.get(*id) {
+            None => Err(Code::NotFound),
+            Some(job) if job.cancelled || job.is_ended() => Ok(Applied::Unchanged),
+            Some(_) => Ok(Applied::Done),
+        },
+        Record::Accept(spec) if state.team(&spec.team).is_none() => Err(Code::NotFound),
+        _ => Ok(Applied::Done),
+    }
+}
--- /dev/null
+++ b/crates/coriandertack-operators/src/watch.rs
@@ -0,0 +1,215 @@
+//! Following changes from a position in the log.
+//!
+//! A position is a log offset. `GET /v1/watch?from=P` answers with every change after `P` that the
+//! caller may see, and with the position to go on from; if there is none, it waits up to `wait_ms`.
+//! `from` may also be `oldest` or `now`. The changes of one
+//! offset are never split, so a resume from the returned position loses none. Positions mean the
+//! same on every VM. Each VM keeps the newest [`MAX_CHANGES`] changes; an older position is answered with 4010,
+//! and the reader then lists the objects again and watches from the `position` of that list.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use {
+    coriandertack_core::{
+        change::{Change, Event, Step, Subject},
+        code::Code,
+        keys::Offset,
+        node::Node,
+    },
+    serde::Serialize,
+    tokio::{
+        sync::{broadcast, watch},
+        time::{Duration, Instant, timeout_at},
+    },
+};
+
+use crate::{
+    access::Caller,
+    api::Api,
+    call::Call,
+    reply::{Answer, Fault, Reply},
+};
+
+/// Changes kept: several minutes at the target's rate of starts, over a month of configuration changes.
+const MAX_CHANGES: usize = 20_000;
+
+/// Steps kept, with or without changes.
+const MAX_STEPS: usize = 20_000;
+
+/// The most changes of one answer, beyond which the offset under way is still completed.
+const MAX_ANSWER: usize = 500;
+
+/// Longest wait for a change.
+const MAX_WAIT_MS: u64 = 30_000;
+
+/// Recent changes.
+pub struct Ring {
+    kept: Mutex<Kept>,
+    /// Last offset whose changes are in the ring.
+    position: watch::Sender<Offset>,
+    steps: Mutex<Option<broadcast::Receiver<Arc<Step>>>>,
+}
+
+#[derive(Debug)]
+struct Kept {
+    /// Position after which no change is missing.
+    floor: Offset,
+    /// Last offset taken in.
+    last: Offset,
+    steps: VecDeque<Arc<Step>>,
+    changes: usize,
+}
+
+impl Ring {
+    /// Returns an empty ring that begins at the offset that `node` has applied.
+    #[must_use]
+    pub fn of(node: &Node) -> Self {
+        // Steps are sent under the lock of the state, so the offset and the subscription agree.
+        let (steps, start) = node.with(|inner| (node.steps.subscribe(), inner.state.offset));
+        Self {
+            kept: Mutex::new(Kept::starting_at(start)),
+            position: watch::Sender::new(start),
+            steps: Mutex::new(Some(steps)),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Kept> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take(&self, step: Arc<Step>) {
+        let last = {
+            let mut kept = self.lock();
+            kept.take(step);
+            kept.last
+        };
+        self.position.send_replace(last);
+    }
+
+    /// Returns the changes after `from` that `is_visible` lets through, and the position after them.
+    fn after(&self, from: Offset, is_visible: impl Fn(&Change) -> bool) -> Result<Page, Fault> {
+        let kept = self.lock();
+        if from < kept.floor {
+            let reason = format!(
+                "changes after position {from} are no longer kept; list the objects and watch from \
+                 the position of the list (oldest position kept: {})",
+                kept.floor
+            );
+            return Err(Fault::new(Code::PositionTooOld, reason));
+        }
+        let start = kept.steps.partition_point(|step| step.offset <= from);
+        let mut page = Page { position: from, changes: Vec::new() };
+        for step in kept.steps.range(start..) {
+            if page.changes.len() >= MAX_ANSWER {
+                return Ok(page);
+            }
+            let visible = step.changes.iter().filter(|change| is_visible(change));
+            page.changes.extend(visible.map(|change| View::of(step.offset, change)));
+            page.position = step.offset;
+        }
+        page.position = page.position.max(kept.last);
+        Ok(page)
+    }
+}
+
+impl Kept {
+    fn starting_at(offset: Offset) -> Self {
+        Self { floor: offset, last: offset, steps: VecDeque::new(), changes: 0 }
+    }
+
+    fn take(&mut self, step: Arc<Step>) {
+        if step.before != self.last {
+            // Something was not seen, as when a snapshot was loaded.
+            *self = Self::starting_at(step.before);
+        }
+        self.last = step.offset;
+        self.changes += step.changes.len();
+        self.steps.push_back(step);
+        while self.changes > MAX_CHANGES || self.steps.len() > MAX_STEPS {
+            let Some(oldest) = self.steps.pop_front() else { break };
+            self.changes -= oldest.changes.len();
+            self.floor = oldest.offset;
+        }
+    }
+}
+
+/// Takes applied steps into the ring until the node is dropped.
+pub(crate) async fn follow(ring: &Ring) {
+    let steps = ring.steps.lock().unwrap_or_else(PoisonError::into_inner).take();
+    let Some(mut steps) = steps else { return };
+    loop {
+        match steps.recv().await {
+            Ok(step) => ring.take(step),
+            // The next step does not follow the last one, so the ring begins anew with it.
+            Err(broadcast::error::RecvError::Lagged(missed)) => {
+                log::warn!("event=watch_lagged steps={missed}");
+            }
+            Err(broadcast::error::RecvError::Closed) => return,
+        }
+    }
+}
+
+/// Changes after a position.
+#[derive(Debug, PartialEq)]
+struct Page {
+    position: Offset,
+    changes: Vec<View>,
+}
+
+/// A change as it is answered.
+#[derive(Debug, PartialEq, Serialize)]
+struct View {
+    offset: Offset,
+    at_ms: u64,
+    actor: String,
+    subject: Subject,
+    event: Event,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    team: Option<String>,
+    #[serde(skip_serializing_if = "is_zero")]
+    tasks: u32,
+}
+
+impl View {
+    fn of(offset: Offset, change: &Change) -> Self {
+        let Change { actor, at_ms, subject, event, team, tasks } = change.clone();
+        Self { offset, at_ms, actor, subject, event, team, tasks }
+    }
+}
+
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
+/// Answers with the changes after a position, or waits for one.
+pub(crate) async fn watch(api: Arc<Api>, call: Call) -> Answer {
+    let from = match call.text("from").unwrap_or("oldest") {
+        "oldest" => api.ring.lock().floor,
+        "now" => *api.ring.position.borrow(),
+        _ => Offset(call.number("from")?.unwrap_or_default()),
+    };
+    let wait_ms = call.number("wait_ms")?.unwrap_or(0).min(MAX_WAIT_MS);
+    let until = Instant::now() + Duration::from_millis(wait_ms);
+    let mut position = api.ring.position.subscribe();
+    loop {
+        position.borrow_and_update();
+        let page = api.ring.after(from, |change| is_visible(&call.caller, change))?;
+        let moved = timeout_at(until, position.changed());
+        if !page.changes.is_empty() || !matches!(moved.await, Ok(Ok(()))) {
+            let reply = Reply::new(Code::Done).with("position", page.position);
+            return Ok(reply.with("changes", page.changes));
+        }
+    }
+}
+
+/// A team sees its own work and account; an operator sees everything.
+fn is_visible(caller: &Caller, change: &Change) -> bool {
+    match (caller.team(), &change.team) {
+        (None, _) => true,
+        (Some(own), Some(team)) => own == team,
+        (Some(_), None) => false,
+    }
+}
--- a/crates/coriandertackd/src/lib.rs
+++ b/crates/coriandertackd/src/lib.rs
@@ -1,1 +1,4 @@
-//! Entry.
+//! An entry VM process.
+
+pub mod logging;
+pub mod settings;
