--- a/crates/coriandertack/src/main.rs
+++ b/crates/coriandertack/src/main.rs
@@ -1,3 +1,24 @@
-//! CLI.
+//! Command line of the coriandertack scheduler, with its demo and its benchmarks.
 
-fn main() {}
+mod bench;
+mod cli;
+mod demo;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    let result = match matches.subcommand() {
+        Some(("demo", matches)) => demo::command(matches).map_err(cli::Failure::from),
+        Some(("bench", matches)) => bench::command(matches).map_err(cli::Failure::from),
+        Some((name, matches)) => cli::run(name, matches),
+        None => Ok(()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("error: {failure}");
+            ExitCode::from(failure.exit)
+        }
+    }
+}
