Drive homes and owners by tasks, with preemption, learning and fencing

Cause: the decisions need tasks that carry them between the log, the workers and the other VMs.

Change: dispatch, gang, recovery, capacity, members and routes in the daemon's library, not yet assembled; urgent work preempts; ends teach the learner; a worker dropped by the VM list holds back complete lists until its leases are over; heartbeats name the members that the sender does not hear.

--- a/crates/coriandertack-core/src/cell/host.rs
+++ b/crates/coriandertack-core/src/cell/host.rs
@@ -21,8 +21,12 @@
     pub withheld: Resources,
     /// Whether its own list has been read under this ownership.
     pub resolved: bool,
-    /// Whether it takes new work.
+    /// Whether the VM list and the operators let it take new work.
     pub open: bool,
+    /// Whether it answers.
+    pub reachable: bool,
+    /// Whether it said itself that it is leaving, which the VM list shows later.
+    pub leaving: bool,
 }
 
 impl Host {
@@ -38,6 +42,8 @@
             withheld: Resources::ZERO,
             resolved: false,
             open: true,
+            reachable: true,
+            leaving: false,
         }
     }
 
@@ -50,6 +56,6 @@
     /// Tells whether it takes part in placement.
     #[must_use]
     pub fn is_available(&self) -> bool {
-        self.resolved && self.open
+        self.resolved && self.open && self.reachable && !self.leaving
     }
 }
--- a/crates/coriandertack-core/src/cell/mod.rs
+++ b/crates/coriandertack-core/src/cell/mod.rs
@@ -206,9 +206,33 @@
             }
         }
         self.hosts[worker].resolved = true;
+        self.hosts[worker].reachable = true;
         self.reindex(worker);
     }
 
+    /// Keeps new work away from a worker that does not answer, until [`Cell::resolve`].
+    pub fn set_unreachable(&mut self, worker: WorkerKey) {
+        if let Some(host) = self.hosts.get_mut(worker) {
+            host.reachable = false;
+            self.reindex(worker);
+        }
+    }
+
+    /// Notes that every lease on an unreachable worker is over, so that nothing runs there.
+    pub fn set_expired(&mut self, worker: WorkerKey) {
+        if let Some(host) = self.hosts.get_mut(worker) {
+            host.resolved = true;
+        }
+    }
+
+    /// Keeps new work away from a worker that is leaving.
+    pub fn set_leaving(&mut self, worker: WorkerKey) {
+        if let Some(host) = self.hosts.get_mut(worker) {
+            host.leaving = true;
+            self.reindex(worker);
+        }
+    }
+
     /// Tells whether every worker has been resolved.
     #[must_use]
     pub fn is_resolved(&self) -> bool {
--- a/crates/coriandertack-core/src/home/mod.rs
+++ b/crates/coriandertack-core/src/home/mod.rs
@@ -24,6 +24,7 @@
     keys::{JobId, LeaseId, MAX_ENTRIES, TaskId, TaskKey, TeamKey, VmKey},
     message::Ask,
     record::{Kind, Outcome, TaskEnd},
+    resources::Resources,
     state::{Job, State},
 };
 
@@ -51,6 +52,10 @@
 pub struct Task {
     /// The task, with the attempt to make or under way.
     pub ask: Ask,
+    /// What the team declared for a task.
+    pub declared: Resources,
+    /// Run time that the team declared, in milliseconds.
+    pub run_ms: u64,
     /// Team.
     pub team: TeamKey,
     /// Where it is.
@@ -147,6 +152,8 @@
             };
             let task = Task {
                 ask,
+                declared: job.spec.need,
+                run_ms: job.spec.run_ms,
                 team,
                 step: if fresh { Step::Queued } else { Step::Recovering },
                 since: now,
--- a/crates/coriandertack-core/src/home/queue.rs
+++ b/crates/coriandertack-core/src/home/queue.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     keys::{Epoch, JobId, LeaseId, TaskKey, TeamKey, VmKey},
+    learn::Learner,
     message::{Ask, Placed},
     record::{Outcome, TaskEnd},
     resources::Resources,
@@ -55,6 +56,11 @@
     pub epoch: Epoch,
 }
 
+/// Returns what to grant to a task.
+fn learned(task: &Task, learner: &Learner) -> Resources {
+    learner.grant_for(&task.ask.class, task.declared)
+}
+
 impl Queue {
     pub(super) fn new(epoch: Epoch, quota: Resources) -> Self {
         let used = Resources::ZERO;
@@ -106,7 +112,9 @@
     /// Picks queued work that the quotas allow, teams in turn and urgent work first.
     ///
     /// The tasks picked count against the quota and wait for [`Homes::placed`].
-    pub fn pick(&mut self, now: Instant, limit: usize) -> Vec<Pick> {
+    ///
+    /// What is asked for follows the sizes and run times learned, within what the team declared.
+    pub fn pick(&mut self, learner: &Learner, now: Instant, limit: usize) -> Vec<Pick> {
         let teams: Vec<TeamKey> = self.queues.keys().collect();
         let mut picks = Vec::new();
         for urgent in [true, false] {
@@ -114,7 +122,7 @@
             while picks.len() < limit && idle < teams.len() {
                 let team = teams[self.turn % teams.len()];
                 self.turn = self.turn.wrapping_add(1);
-                match self.pick_team(team, urgent, now) {
+                match self.pick_team(team, urgent, learner, now) {
                     Some(pick) => {
                         idle = 0;
                         picks.push(pick);
@@ -126,12 +134,18 @@
         picks
     }
 
-    fn pick_team(&mut self, team: TeamKey, urgent: bool, now: Instant) -> Option<Pick> {
+    fn pick_team(
+        &mut self,
+        team: TeamKey,
+        urgent: bool,
+        learner: &Learner,
+        now: Instant,
+    ) -> Option<Pick> {
         let queue = &mut self.queues[team];
         let room = queue.quota.saturating_sub(queue.used);
         let tasks = &self.tasks;
         let fits = |unit: &Unit| {
-            let needs = unit.tasks.iter().map(|&task| tasks[task].ask.need);
+            let needs = unit.tasks.iter().map(|&task| learned(&tasks[task], learner));
             needs.sum::<Resources>().fits(room)
         };
         let age = |lane: &Lane| lane.units.front().map(|unit| tasks[unit.tasks[0]].queued);
@@ -140,9 +154,13 @@
         let fitting = open.filter(|lane| lane.units.front().is_some_and(fits));
         let unit = fitting.min_by_key(|lane| age(lane))?.units.pop_front()?;
         let epoch = queue.epoch;
-        let asks = unit.tasks.iter().map(|&task| tasks[task].ask.clone()).collect();
-        for task in unit.tasks {
-            self.count(task);
+        let mut asks = Vec::with_capacity(unit.tasks.len());
+        for key in unit.tasks {
+            let task = &mut self.tasks[key];
+            task.ask.need = learned(task, learner);
+            task.ask.run_ms = learner.expected_run(&task.ask.class, task.run_ms);
+            asks.push(task.ask.clone());
+            self.count(key);
         }
         Some(Pick { asks, epoch })
     }
--- a/crates/coriandertack-core/src/link.rs
+++ b/crates/coriandertack-core/src/link.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
-    keys::Offset,
+    keys::{Offset, Session},
     message::{Heartbeat, Instance, Outgoing, Summary},
 };
 
@@ -28,6 +28,8 @@
     pub settled: Offset,
     /// Its free capacity.
     pub summary: Summary,
+    /// Members that it does not hear.
+    pub suspects: Vec<Session>,
     /// Services on its workers.
     pub instances: Vec<Instance>,
 }
@@ -42,6 +44,7 @@
             offset: Offset(0),
             settled: Offset(0),
             summary: Summary::default(),
+            suspects: Vec::new(),
             instances: Vec::new(),
         }
     }
@@ -52,6 +55,7 @@
         self.offset = self.offset.max(heartbeat.offset);
         self.settled = self.settled.max(heartbeat.settled);
         self.summary = heartbeat.summary;
+        self.suspects = heartbeat.suspects;
         match heartbeat.instances {
             Some(instances) if instances != self.instances => {
                 self.instances = instances;
--- a/crates/coriandertack-core/src/message.rs
+++ b/crates/coriandertack-core/src/message.rs
@@ -259,6 +259,8 @@
     pub settled: Offset,
     /// Free capacity.
     pub summary: Summary,
+    /// Members that the sender has not heard for too long.
+    pub suspects: Vec<Session>,
     /// Services on the sender's workers, if they changed since the last heartbeat that was confirmed.
     pub instances: Option<Vec<Instance>>,
 }
--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -9,16 +9,18 @@
 use {
     slotmap::SecondaryMap,
     tokio::{
-        sync::{Notify, mpsc, oneshot, watch},
+        sync::{Notify, broadcast, mpsc, oneshot, watch},
         time::Instant,
     },
 };
 
 use crate::{
     cell::Cell,
+    change::{Step, changes_of},
     code::Code,
     home::Homes,
     keys::{Incarnation, Offset, VmKey, WorkerKey},
+    learn::Learner,
     link::Link,
     message::{Instance, Outgoing, PeerReply, PeerRequest, Submission, WorkerCommand},
     owner::Owner,
@@ -30,6 +32,9 @@
 /// Records waiting for the log task.
 const LOG_QUEUE: usize = 4_096;
 
+/// Steps that a follower of changes may lag behind: about 3 s at 300 batches per second.
+const STEP_QUEUE: usize = 1_024;
+
 /// What a process is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum Stage {
@@ -58,6 +63,8 @@
     pub cell: Cell,
     /// What this VM remembers as an owner beside the grants.
     pub owner: Owner,
+    /// Sizes and run times learned by class.
+    pub learner: Learner,
     /// Queues of the teams homed here.
     pub homes: Homes,
     /// Links to the other VMs.
@@ -108,6 +115,8 @@
     pub applied: watch::Sender<Offset>,
     /// What the process is doing.
     pub stage: watch::Sender<Stage>,
+    /// Changes as they are applied, sent under the lock of the state.
+    pub steps: broadcast::Sender<Arc<Step>>,
     /// Services that can answer callers, of all owners.
     pub routes: watch::Sender<Arc<Vec<Instance>>>,
     /// Signals that tasks may have become placeable.
@@ -124,6 +133,7 @@
             validity: Validity::lapsed(Instant::now()),
             cell: Cell::default(),
             owner: Owner::default(),
+            learner: Learner::default(),
             homes: Homes::default(),
             links: SecondaryMap::new(),
             posts: SecondaryMap::new(),
@@ -136,6 +146,7 @@
             log,
             applied: watch::Sender::new(Offset(0)),
             stage: watch::Sender::new(Stage::Starting),
+            steps: broadcast::Sender::new(STEP_QUEUE),
             routes: watch::Sender::default(),
             work: Notify::new(),
         };
@@ -201,7 +212,9 @@
     pub fn apply(&self, offset: Offset, batch: &Batch) {
         let now = Instant::now();
         self.with(|inner| {
+            let before = inner.state.offset;
             let verdicts = inner.state.apply(offset, batch, now);
+            self.publish(&inner.state, before, batch, &verdicts);
             if batch.author == self.author {
                 inner.commits.resolve(batch.seq, verdicts);
             }
@@ -209,6 +222,16 @@
         self.applied.send_replace(offset);
     }
 
+    /// Publishes the changes of a batch to those who follow them, if any.
+    fn publish(&self, state: &State, before: Offset, batch: &Batch, verdicts: &[Verdict]) {
+        if self.steps.receiver_count() == 0 {
+            return;
+        }
+        let changes = changes_of(state, batch, verdicts);
+        // Sending fails only when the last follower has just gone.
+        let _ = self.steps.send(Arc::new(Step { before, offset: state.offset, changes }));
+    }
+
     /// Extends the permission to act after a read of the tail that began at `began`.
     pub fn extend(&self, began: Instant) {
         self.with(|inner| inner.validity.extend(began));
--- a/crates/coriandertack-core/src/owner.rs
+++ b/crates/coriandertack-core/src/owner.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    cell::{Grant, Host, Phase, Refusal},
+    cell::{Grant, Host, Phase, Refusal, Report},
     keys::{Epoch, LeaseId, Offset, VmKey, WorkerKey},
     message::{
         EndCause, Instance, Known, News, Notice, Place, Placed, Running, WorkerCommand, WorkerEvent,
@@ -102,10 +102,33 @@
         }
         Ok(worker) => start(inner, worker, lease),
         Err(Refusal::Duplicate) => Placed::Granted,
+        Err(Refusal::Full) if place.ask.urgent && !place.hold => preempt(inner, place),
         Err(Refusal::Full) => Placed::Full,
     }
 }
 
+/// Stops batch work for urgent work, which starts as soon as the room is free.
+fn preempt(inner: &mut Inner, place: &Place) -> Placed {
+    let Some(victims) = inner.cell.preempt(&place.ask) else { return Placed::Full };
+    let Some(post) = inner.posts.get(victims.worker) else {
+        inner.cell.release(place.ask.lease);
+        return Placed::Full;
+    };
+    for &lease in &victims.leases {
+        // The worker handles commands in order, so the progress is saved before the stop.
+        let _ = post.send(WorkerCommand::Checkpoint(lease));
+        let _ = post.send(WorkerCommand::Stop(lease));
+    }
+    Placed::Granted
+}
+
+/// Starts urgent work whose room has become free.
+fn start_claimed(inner: &mut Inner) {
+    for grant in inner.cell.settle() {
+        start(inner, grant.worker, grant.ask.lease);
+    }
+}
+
 /// Hands the start of a granted lease to the worker's task.
 fn start(inner: &mut Inner, worker: WorkerKey, lease: LeaseId) -> Placed {
     let until = inner.validity.until();
@@ -161,7 +184,8 @@
 pub fn settle(inner: &mut Inner, leases: &[LeaseId], now: Instant) -> Vec<Placed> {
     inner.owner.barred.retain(|_, until| *until > now);
     let answer = |lease: &LeaseId| {
-        if inner.cell.grant(*lease).is_some() || inner.owner.ended.contains_key(lease) {
+        let granted = inner.cell.grant(*lease).is_some() || inner.cell.claim(*lease).is_some();
+        if granted || inner.owner.ended.contains_key(lease) {
             return Placed::Granted;
         }
         inner.owner.barred.insert(*lease, now + BAR_FOR);
@@ -173,7 +197,7 @@
 /// Lists the tasks of a team, and refuses its former homes from now on.
 ///
 /// The list is complete if this VM is valid, has applied `offset`, and has read the list of every
-/// worker that it owns.
+/// worker that it owns, and if no worker that the VM list dropped may still run leases.
 pub fn list(
     inner: &mut Inner,
     team: &str,
@@ -201,7 +225,9 @@
         },
     });
     let known = running.chain(ended).collect();
-    let current = inner.validity.holds(now) && inner.state.offset >= offset;
+    let current = inner.validity.holds(now)
+        && inner.state.offset >= offset
+        && !inner.state.has_departing(now);
     (known, current && inner.cell.is_resolved())
 }
 
@@ -237,7 +263,14 @@
             report_usage(inner, worker, lease, interval, usage, end_ms);
             false
         }
-        WorkerEvent::Checkpointed(_) | WorkerEvent::Leaving => false,
+        WorkerEvent::Checkpointed(lease) => {
+            inner.cell.checkpointed(lease, now);
+            false
+        }
+        WorkerEvent::Leaving => {
+            inner.cell.set_leaving(worker);
+            false
+        }
     }
 }
 
@@ -259,7 +292,14 @@
 }
 
 fn end(inner: &mut Inner, worker: WorkerKey, lease: LeaseId, news: News, now: Instant) {
-    inner.cell.release(lease);
+    let released = inner.cell.release(lease);
+    if let (Some(grant), News::Ended { cause, run_ms, .. }) = (released, news) {
+        let report = inner.cell.report(worker, &grant.ask.class, cause, run_ms, now);
+        if let Report::Closed(_) = report {
+            log::warn!("event=worker_quarantined worker={}", host_name(inner, worker));
+        }
+    }
+    start_claimed(inner);
     let notice = Notice { lease, worker: host_name(inner, worker), news };
     let report = Unacknowledged { notice, worker, report_at: now };
     inner.owner.ended.entry(lease).or_insert(report);
@@ -273,6 +313,7 @@
     for lease in leases {
         end(inner, worker, lease, news, now);
     }
+    inner.cell.set_expired(worker);
 }
 
 /// Returns the notices that are due, by the home that they go to.
--- a/crates/coriandertack-core/src/state/members.rs
+++ b/crates/coriandertack-core/src/state/members.rs
@@ -14,7 +14,7 @@
     keys::{Epoch, Incarnation, Offset, Session, TeamKey, VmKey, WorkerKey},
     record::{Join, Presence, WorkerInfo},
     state::{Applied, State, Verdict, Vm, Worker},
-    validity::HOLD_OFF,
+    validity::{HOLD_OFF, LEASE_TERM},
 };
 
 /// Which VM holds a worker or a team, since when, and from when on it may act.
@@ -147,9 +147,12 @@
         offset: Offset,
         now: Instant,
     ) -> Verdict {
+        self.departed.retain(|_, until| *until > now);
         for name in names {
             if let Some(key) = self.worker_names.remove(name) {
                 self.workers.remove(key);
+                // The list may be wrong, and the owner may have renewed a moment ago.
+                self.departed.insert(name.clone(), now + LEASE_TERM + HOLD_OFF);
             }
         }
         self.rebalance(offset, now + HOLD_OFF);
--- a/crates/coriandertack-core/src/state/mod.rs
+++ b/crates/coriandertack-core/src/state/mod.rs
@@ -47,7 +47,7 @@
     image::{
         AuthorImage, Image, JobImage, LeaseImage, SettingImage, TeamImage, VmImage, WorkerImage,
     },
-    jobs::{Job, Jobs},
+    jobs::{Job, Jobs, MAX_TASKS},
     ledger::{Ledger, Line, LineKey, PERIOD_MS},
     members::Holding,
 };
@@ -137,6 +137,8 @@
     pub workers: SlotMap<WorkerKey, Worker>,
     /// Workers by name.
     pub worker_names: BTreeMap<String, WorkerKey>,
+    /// Workers that the VM list dropped, with the local time until which their leases may still run.
+    pub departed: BTreeMap<String, Instant>,
     /// Teams.
     pub teams: SlotMap<TeamKey, Team>,
     /// Teams by name.
@@ -182,6 +184,12 @@
         self.workers.get(worker).is_some_and(|worker| worker.owner.is_ready(vm, now))
     }
 
+    /// Tells whether a worker that the VM list has dropped may still run leases.
+    #[must_use]
+    pub fn has_departing(&self, now: Instant) -> bool {
+        self.departed.values().any(|until| *until > now)
+    }
+
     /// Returns the epoch of a team's home, or epoch 0 for an unknown team.
     #[must_use]
     pub fn home_epoch(&self, team: &str) -> Epoch {
--- a/crates/coriandertack-core/src/validity.rs
+++ b/crates/coriandertack-core/src/validity.rs
@@ -27,6 +27,9 @@
 /// It is the validity plus 10%, which covers the drift between the clocks of two VMs.
 pub const HOLD_OFF: Duration = Duration::from_millis(3_300);
 
+/// Term of a lease after a renewal. A task whose owner is gone ends by itself after at most this time.
+pub const LEASE_TERM: Duration = Duration::from_secs(30);
+
 /// Permission to act on the replicated state, as a stored deadline.
 #[derive(Clone, Copy, Debug)]
 pub struct Validity {
--- a/crates/coriandertack-peers/src/codec.rs
+++ b/crates/coriandertack-peers/src/codec.rs
@@ -350,6 +350,7 @@
         largest: Some(resources_out(heartbeat.summary.largest)),
         workers: heartbeat.summary.workers,
         instances,
+        suspects: heartbeat.suspects.into_iter().map(u64::from).collect(),
     }
 }
 
@@ -366,6 +367,7 @@
             largest: resources_in(heartbeat.largest),
             workers: heartbeat.workers,
         },
+        suspects: heartbeat.suspects.into_iter().map(Session).collect(),
         instances: instances.transpose()?,
     })
 }
--- a/crates/coriandertack-standins/src/worker/http.rs
+++ b/crates/coriandertack-standins/src/worker/http.rs
@@ -123,7 +123,8 @@
 
 async fn events(shared: &Shared, query: &str) -> Answer {
     let after = parameter(query, "after");
-    let until = Instant::now() + Duration::from_millis(parameter(query, "wait_ms").min(MAX_WAIT_MS));
+    let until =
+        Instant::now() + Duration::from_millis(parameter(query, "wait_ms").min(MAX_WAIT_MS));
     let mut news = shared.news.subscribe();
     loop {
         news.mark_unchanged();
@@ -143,12 +144,7 @@
 }
 
 /// Runs one request of a caller in a slot.
-async fn run(
-    shared: &Shared,
-    slots: &Slots,
-    service: &str,
-    request: Request<Incoming>,
-) -> Answer {
+async fn run(shared: &Shared, slots: &Slots, service: &str, request: Request<Incoming>) -> Answer {
     let header = |name: &HeaderName| {
         request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
     };
--- a/crates/coriandertack-workers/src/control.rs
+++ b/crates/coriandertack-workers/src/control.rs
@@ -363,7 +363,7 @@
     async fn note(&mut self, batch: &[WorkerCommand], results: &[Done]) -> Result<(), Finish> {
         for (command, done) in batch.iter().zip(results) {
             match (command, done) {
-                (WorkerCommand::Start { ask, .. }, Done::Done | Done::Known) => {
+                (WorkerCommand::Start { ask, .. }, Done::Executed | Done::Known) => {
                     self.running.insert(ask.lease);
                 }
                 (WorkerCommand::Start { ask, .. }, Done::Refused | Done::Unknown) => {
--- a/crates/coriandertack-workers/src/wire.rs
+++ b/crates/coriandertack-workers/src/wire.rs
@@ -152,7 +152,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum Done {
-    Done,
+    #[serde(rename = "done")]
+    Executed,
     Known,
     Refused,
     Unknown,
--- /dev/null
+++ b/crates/coriandertackd/src/gang.rs
@@ -0,0 +1,143 @@
+//! Starting a gang: all of its tasks or none.
+//!
+//! One task for each gang that is being placed. Capacity is held at the owners in ascending order of
+//! their sessions until a stored deadline; nobody waits for capacity, so two gangs cannot block each other,
+//! and whatever is not committed falls at the deadline. See docs/design.md, section 4.
+
+use std::{sync::Arc, time::Duration};
+
+use {
+    coriandertack_core::{
+        home::Pick,
+        keys::{LeaseId, VmKey},
+        message::{PeerReply, PeerRequest, Place, Placed},
+        node::Node,
+        owner,
+    },
+    rand::RngExt,
+    tokio::time::{Instant, sleep},
+};
+
+use crate::dispatch;
+
+/// How long capacity is held for the rest of a gang.
+const HOLD: Duration = Duration::from_millis(1_500);
+
+/// Longest pause before a gang without room tries again; the pause is drawn at random so that two gangs
+/// do not meet again.
+const BACK_OFF_MS: u64 = 400;
+
+/// Capacity held at an owner.
+struct Held {
+    vm: VmKey,
+    leases: Vec<LeaseId>,
+}
+
+/// Places a gang, or puts it back.
+pub async fn place(node: Arc<Node>, me: VmKey, pick: Pick) {
+    let until = (Instant::now() + HOLD).min(node.valid_until());
+    let mut left = dispatch::holds(&pick.asks, pick.epoch, until);
+    let mut held = Vec::new();
+    for vm in owners(&node, me) {
+        if left.is_empty() {
+            break;
+        }
+        let refused = hold(&node, me, vm, left, &mut held).await;
+        left = refused;
+    }
+    let leases: Vec<LeaseId> = pick.asks.iter().map(|ask| ask.lease).collect();
+    if !left.is_empty() {
+        give_up(&node, held, &leases).await;
+        return;
+    }
+    start(&node, me, held, until).await;
+    node.work.notify_one();
+}
+
+/// Returns the owners in the order in which every gang asks them.
+fn owners(node: &Node, me: VmKey) -> Vec<VmKey> {
+    let now = Instant::now();
+    node.with(|inner| {
+        let links = &inner.links;
+        let usable = |vm: &VmKey| *vm == me || links.get(*vm).is_some_and(|link| !link.is_suspected(now));
+        inner.state.sessions.values().copied().filter(usable).collect()
+    })
+}
+
+/// Holds as much as one owner can, and returns what it refused.
+async fn hold(
+    node: &Node,
+    me: VmKey,
+    vm: VmKey,
+    places: Vec<Place>,
+    held: &mut Vec<Held>,
+) -> Vec<Place> {
+    let placed = ask(node, me, vm, &places).await;
+    let mut leases = Vec::new();
+    let mut refused = Vec::new();
+    for (place, placed) in places.into_iter().zip(placed) {
+        match placed {
+            // Held capacity whose answer was lost falls at its deadline.
+            Placed::Granted | Placed::Unknown => leases.push(place.ask.lease),
+            Placed::Full | Placed::Invalid => refused.push(place),
+        }
+    }
+    if !leases.is_empty() {
+        held.push(Held { vm, leases });
+    }
+    refused
+}
+
+async fn ask(node: &Node, me: VmKey, vm: VmKey, places: &[Place]) -> Vec<Placed> {
+    let now = Instant::now();
+    if vm == me {
+        return node
+            .with(|inner| places.iter().map(|place| owner::place(inner, me, place, now)).collect());
+    }
+    match node.ask(vm, PeerRequest::Place(places.to_vec()), places[0].until).await {
+        Ok(PeerReply::Placed(placed)) if placed.len() == places.len() => placed,
+        _ => vec![Placed::Full; places.len()],
+    }
+}
+
+/// Lets go of what is held and queues the gang again after a random pause.
+async fn give_up(node: &Arc<Node>, held: Vec<Held>, leases: &[LeaseId]) {
+    for Held { vm, leases } in held {
+        dispatch::stop(Arc::clone(node), vm, leases).await;
+    }
+    let pause = rand::rng().random_range(0..BACK_OFF_MS);
+    sleep(Duration::from_millis(pause)).await;
+    node.with(|inner| inner.homes.put_back(leases, Instant::now()));
+    node.work.notify_one();
+}
+
+/// Starts every member. A member that does not start ends as refused or unknown; the home then stops the
+/// others and starts the gang again.
+async fn start(node: &Arc<Node>, me: VmKey, held: Vec<Held>, until: Instant) {
+    let now = Instant::now();
+    node.with(|inner| {
+        for Held { vm, leases } in &held {
+            leases.iter().for_each(|&lease| inner.homes.asked(lease, *vm, now));
+        }
+    });
+    let commits = held.into_iter().map(|held| commit(node, me, held, until));
+    futures::future::join_all(commits).await;
+}
+
+async fn commit(node: &Node, me: VmKey, held: Held, until: Instant) {
+    let Held { vm, leases } = held;
+    let placed = if vm == me {
+        node.with(|inner| owner::commit(inner, &leases, Instant::now()))
+    } else {
+        match node.ask(vm, PeerRequest::Commit(leases.clone()), until).await {
+            Ok(PeerReply::Placed(placed)) if placed.len() == leases.len() => placed,
+            _ => vec![Placed::Unknown; leases.len()],
+        }
+    };
+    let now = Instant::now();
+    node.with(|inner| {
+        for (lease, placed) in leases.into_iter().zip(placed) {
+            inner.homes.placed(lease, vm, placed, until, now);
+        }
+    });
+}
--- /dev/null
+++ b/crates/coriandertackd/src/members.rs
@@ -0,0 +1,168 @@
+//! Keeps one task for each peer that this VM is responsible for: a link for each other VM, and a control
+//! task for each worker that it owns. Fences VMs that have fallen silent.
+
+use std::{sync::Arc, time::Duration};
+
+use {
+    coriandertack_core::{
+        keys::{Session, VmKey, WorkerKey},
+        link::Link,
+        node::{Node, Stage},
+        owner,
+        record::Record,
+    },
+    coriandertack_peers::{
+        SharedKey,
+        dial::{self, Target},
+        handshake::Identity,
+    },
+    coriandertack_workers::{control, news::WorkerNews},
+    tokio::{
+        sync::mpsc,
+        task::JoinSet,
+        time::{Instant, sleep},
+    },
+};
+
+use crate::routes;
+
+/// Requests that wait for a link. A full queue refuses, which the sender treats as not sent.
+const LINK_QUEUE: usize = 4_096;
+
+/// Longest time between two looks at the links and at hold-offs that have ended.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Silence after which a VM is fenced although others still hear it: a cut between two VMs must not stop
+/// the recovery of teams for ever.
+const FENCE_ALONE_AFTER: Duration = Duration::from_secs(15);
+
+/// Time after which a fence that has not taken effect is appended again.
+const FENCE_AGAIN: Duration = Duration::from_secs(2);
+
+/// A fence under way.
+#[derive(Clone, Copy)]
+struct Fencing {
+    session: Session,
+    again_at: Instant,
+}
+
+/// Follows the tables of members and owners until the process stops.
+pub async fn run(
+    node: Arc<Node>,
+    key: SharedKey,
+    news: mpsc::Sender<(WorkerKey, WorkerNews)>,
+) {
+    let mut tasks = JoinSet::new();
+    let mut applied = node.applied.subscribe();
+    let mut fencing = None;
+    while *node.stage.borrow() != Stage::Stopped {
+        if let Some(me) = node.me() {
+            open_links(&node, me, &key, &mut tasks);
+            open_workers(&node, me, &news, &mut tasks);
+            fence_silent(&node, me, &mut fencing);
+        }
+        tokio::select! {
+            changed = applied.changed() => if changed.is_err() { return },
+            () = sleep(LOOK_EVERY) => {}
+            Some(_) = tasks.join_next() => {}
+        }
+    }
+}
+
+/// Opens a link to each member that has none, and drops those of former members.
+fn open_links(node: &Arc<Node>, me: VmKey, key: &SharedKey, tasks: &mut JoinSet<()>) {
+    let now = Instant::now();
+    let opened = node.with(|inner| {
+        let vms = &inner.state.vms;
+        inner.links.retain(|vm, _| vms.contains_key(vm));
+        let mut opened = Vec::new();
+        for (vm, other) in vms.iter().filter(|(vm, _)| *vm != me) {
+            if inner.links.contains_key(vm) {
+                continue;
+            }
+            let (sender, queue) = mpsc::channel(LINK_QUEUE);
+            inner.links.insert(vm, Link::new(sender, now));
+            let identity = Identity { name: other.info.name.clone(), session: other.session };
+            opened.push((Target { vm, address: other.info.link, identity }, queue));
+        }
+        opened
+    });
+    for (target, queue) in opened {
+        let identity = identity(node);
+        let (link, key) = (Arc::clone(node), key.clone());
+        let sent = std::sync::Mutex::new(None);
+        let maker = Arc::clone(node);
+        let heartbeat = move |fresh| {
+            let mut sent = sent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+            routes::heartbeat(&maker, fresh, &mut sent)
+        };
+        tasks.spawn(dial::run(link, key, identity, target, queue, heartbeat));
+    }
+}
+
+/// Returns this VM's name and session.
+pub fn identity(node: &Node) -> Identity {
+    let session = node.with(|inner| {
+        let me = inner.state.vm_of(node.author);
+        me.map_or(Session(0), |vm| inner.state.vms[vm].session)
+    });
+    Identity { name: node.info.name.clone(), session }
+}
+
+/// Starts the control task of each worker that has become this VM's.
+fn open_workers(
+    node: &Arc<Node>,
+    me: VmKey,
+    news: &mpsc::Sender<(WorkerKey, WorkerNews)>,
+    tasks: &mut JoinSet<()>,
+) {
+    let opened = node.with(|inner| {
+        let mut opened = Vec::new();
+        for worker in owner::sync(inner, me) {
+            let (post, commands) = mpsc::unbounded_channel();
+            inner.posts.insert(worker, post);
+            opened.push((worker, commands));
+        }
+        opened
+    });
+    for (worker, commands) in opened {
+        let (node, news) = (Arc::clone(node), news.clone());
+        tasks.spawn(async move {
+            control::run(Arc::clone(&node), worker, commands, news).await;
+            // The worker may have come back under a new epoch, which needs a new task.
+            node.with(|inner| {
+                inner.posts.remove(worker);
+                inner.cell.forget(worker);
+            });
+        });
+    }
+}
+
+/// Appends a fence for a VM that has been silent for too long, one at a time.
+fn fence_silent(node: &Arc<Node>, me: VmKey, fencing: &mut Option<Fencing>) {
+    let now = Instant::now();
+    let silent = node.with(|inner| {
+        if !inner.validity.holds(now) {
+            return None;
+        }
+        let links = &inner.links;
+        let suspected = |vm: VmKey| links.get(vm).is_some_and(|link| link.is_suspected(now));
+        // The lowest session that is heard writes the fence, so that one silence gives one record.
+        let writer = inner.state.sessions.values().copied().find(|&vm| !suspected(vm));
+        let members = inner.state.sessions.iter();
+        let (&session, &vm) = members.into_iter().find(|&(_, &vm)| suspected(vm))?;
+        let heard = links.values().any(|link| !link.is_suspected(now) && !link.suspects.contains(&session));
+        let long = links.get(vm).is_some_and(|link| now >= link.suspect_at + FENCE_ALONE_AFTER);
+        ((writer == Some(me) && !heard) || long).then_some(session)
+    });
+    let under_way = |session| fencing.is_some_and(|f| f.session == session && now < f.again_at);
+    let Some(session) = silent.filter(|&session| !under_way(session)) else { return };
+    *fencing = Some(Fencing { session, again_at: now + FENCE_AGAIN });
+    let node = Arc::clone(node);
+    log::warn!("event=fence session={session} reason=silent");
+    tokio::spawn(async move {
+        if let Err(code) = node.submit_one("system", Record::Fence(session)).await {
+            log::warn!("event=fence_failed session={session} code={}", code.number());
+        }
+    });
+}
--- /dev/null
+++ b/crates/coriandertackd/src/peers.rs
@@ -0,0 +1,160 @@
+//! Requests of the other entry VMs.
+
+use std::{future::Future, pin::Pin, sync::Arc};
+
+use {
+    coriandertack_callers::Router,
+    coriandertack_core::{
+        code::Code,
+        keys::{JobId, Session, VmKey},
+        message::{Heartbeat, PeerReply, PeerRequest},
+        node::{Node, Stage},
+        owner,
+        record::{JobSpec, Record},
+        state::Applied,
+    },
+    tokio::time::Instant,
+};
+
+use crate::{capacity, routes};
+
+/// Answers a request of the VM with this session.
+pub async fn handle(
+    node: Arc<Node>,
+    router: Arc<Router>,
+    session: Session,
+    request: PeerRequest,
+) -> PeerReply {
+    let now = Instant::now();
+    let from = node.with(|inner| inner.state.sessions.get(&session).copied());
+    match request {
+        PeerRequest::Heartbeat(heartbeat) => on_heartbeat(&node, from, heartbeat, now),
+        PeerRequest::Submit { actor, spec } => reply_job(submit_here(&node, &actor, spec).await),
+        PeerRequest::NoteKey(note) => router.note_key(note),
+        PeerRequest::Call(call) => router.handle_call(call).await,
+        request => match (from, node.me()) {
+            (Some(from), Some(me)) => on_member(&node, me, from, request, now),
+            // One of the two has not read the other's `Join` yet, or has been fenced.
+            _ => PeerReply::Refused(Code::Fenced),
+        },
+    }
+}
+
+fn on_heartbeat(
+    node: &Node,
+    from: Option<VmKey>,
+    heartbeat: Heartbeat,
+    now: Instant,
+) -> PeerReply {
+    let changed = node.with(|inner| {
+        let link = from.and_then(|vm| inner.links.get_mut(vm));
+        link.is_some_and(|link| link.heard(heartbeat, now))
+    });
+    if changed {
+        routes::refresh(node);
+    }
+    PeerReply::Ok
+}
+
+fn on_member(
+    node: &Arc<Node>,
+    me: VmKey,
+    from: VmKey,
+    request: PeerRequest,
+    now: Instant,
+) -> PeerReply {
+    match request {
+        PeerRequest::Place(places) => {
+            let place = |inner: &mut _| places.iter().map(|p| owner::place(inner, me, p, now)).collect();
+            PeerReply::Placed(node.with(place))
+        }
+        PeerRequest::Commit(leases) => {
+            PeerReply::Placed(node.with(|inner| owner::commit(inner, &leases, now)))
+        }
+        PeerRequest::Release(leases) => {
+            node.with(|inner| owner::release(inner, &leases));
+            PeerReply::Ok
+        }
+        PeerRequest::Settle(leases) => {
+            PeerReply::Placed(node.with(|inner| owner::settle(inner, &leases, now)))
+        }
+        PeerRequest::List { team, epoch, offset } => {
+            let (tasks, complete) =
+                node.with(|inner| owner::list(inner, &team, epoch, offset, now));
+            PeerReply::Listed { tasks, complete }
+        }
+        PeerRequest::Notices(notices) => {
+            capacity::on_notices(node, from, notices);
+            PeerReply::Ok
+        }
+        PeerRequest::AckEnds(leases) => {
+            node.with(|inner| owner::acknowledge(inner, &leases));
+            PeerReply::Ok
+        }
+        PeerRequest::Heartbeat(_)
+        | PeerRequest::Submit { .. }
+        | PeerRequest::NoteKey(_)
+        | PeerRequest::Call(_) => PeerReply::Refused(Code::Internal),
+    }
+}
+
+fn reply_job(result: Result<JobId, Code>) -> PeerReply {
+    match result {
+        Ok(job) => PeerReply::Job(job),
+        Err(code) => PeerReply::Refused(code),
+    }
+}
+
+/// A submission in progress.
+pub type Submitting = Pin<Box<dyn Future<Output = Result<JobId, Code>> + Send>>;
+
+/// Accepts a job at the home of its team, wherever that is.
+pub fn submit(node: Arc<Node>, actor: String, spec: JobSpec) -> Submitting {
+    Box::pin(async move {
+        let me = node.me();
+        let home = node.with(|inner| inner.state.team(&spec.team).map(|team| team.home.vm));
+        match home.ok_or(Code::NotFound)? {
+            Some(vm) if Some(vm) != me => submit_there(&node, vm, actor, spec).await,
+            _ => submit_here(&node, &actor, spec).await,
+        }
+    })
+}
+
+/// Accepts a job through this VM's log task.
+///
+/// The home is the best place, since it learns of the job first, but any VM may do it: the record counts
+/// wherever it was written.
+async fn submit_here(node: &Node, actor: &str, spec: JobSpec) -> Result<JobId, Code> {
+    if *node.stage.borrow() != Stage::Serving {
+        return Err(Code::Stopping);
+    }
+    match node.submit_one(actor, Record::Accept(spec)).await? {
+        Applied::Job(job) => {
+            node.work.notify_one();
+            Ok(job)
+        }
+        _ => Err(Code::Internal),
+    }
+}
+
+async fn submit_there(
+    node: &Node,
+    vm: VmKey,
+    actor: String,
+    spec: JobSpec,
+) -> Result<JobId, Code> {
+    let until = Instant::now() + SUBMIT_TIMEOUT;
+    let request = PeerRequest::Submit { actor: actor.clone(), spec: spec.clone() };
+    match node.ask(vm, request, until).await {
+        Ok(PeerReply::Job(job)) => Ok(job),
+        // Nothing was sent, or the other VM refuses new work without having run it.
+        Err(Code::NotReady) | Ok(PeerReply::Refused(Code::Stopping | Code::NotReady)) => {
+            submit_here(node, &actor, spec).await
+        }
+        Ok(PeerReply::Refused(code)) | Err(code) => Err(code),
+        Ok(_) => Err(Code::Internal),
+    }
+}
+
+/// How long a submission may take at the home: the log task gives up after 10 s.
+const SUBMIT_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(11);
