Add the log client and the stand-in of the log service

Cause: entry VMs need a replayed log before any of them can act.

Conclusion: two nodes join, race on one team version and leave, in tests over HTTP.

--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -18,7 +18,7 @@
     cell::Cell,
     code::Code,
     home::Homes,
-    keys::{Incarnation, Offset, VmKey, WorkerKey},
+    keys::{Incarnation, Offset, Session, VmKey, WorkerKey},
     link::Link,
     message::{Instance, Outgoing, PeerReply, PeerRequest, Submission, WorkerCommand},
     record::{Batch, Entry, Join, Record},
@@ -103,6 +103,8 @@
     log: mpsc::Sender<Submission>,
     /// Last offset applied; tasks that follow the state wait on it.
     pub applied: watch::Sender<Offset>,
+    /// End of the permission to act; tasks that wait for it follow it here.
+    pub valid: watch::Sender<Instant>,
     /// What the process is doing.
     pub stage: watch::Sender<Stage>,
     /// Services that can answer callers, of all owners.
@@ -131,6 +133,7 @@
             inner: Mutex::new(inner),
             log,
             applied: watch::Sender::new(Offset(0)),
+            valid: watch::Sender::new(Instant::now()),
             stage: watch::Sender::new(Stage::Starting),
             routes: watch::Sender::default(),
             work: Notify::new(),
@@ -193,7 +196,16 @@
         verdicts.into_iter().next().unwrap_or(Err(Code::Fenced))
     }
 
+    /// Replaces the state before the node has joined.
+    pub fn restore(&self, state: State) {
+        let offset = state.offset;
+        self.with(|inner| inner.state = state);
+        self.applied.send_replace(offset);
+    }
+
     /// Applies a batch read from the log and resolves those who wait for it.
+    ///
+    /// The end of the own session also ends the permission to act.
     pub fn apply(&self, offset: Offset, batch: &Batch) {
         let now = Instant::now();
         self.with(|inner| {
@@ -201,13 +213,56 @@
             if batch.author == self.author {
                 inner.commits.resolve(batch.seq, verdicts);
             }
+            if inner.state.has_ended(self.author) {
+                inner.validity.revoke(now);
+            }
         });
         self.applied.send_replace(offset);
     }
 
     /// Extends the permission to act after a read of the tail that began at `began`.
     pub fn extend(&self, began: Instant) {
-        self.with(|inner| inner.validity.extend(began));
+        let until = self.with(|inner| {
+            if !inner.state.has_ended(self.author) {
+                inner.validity.extend(began);
+            }
+            inner.validity.until()
+        });
+        self.valid.send_replace(until);
+    }
+
+    /// Ends the permission to act for good, and answers `code` to those who wait for a verdict.
+    pub fn stop(&self, code: Code) {
+        let now = Instant::now();
+        self.with(|inner| {
+            inner.validity.revoke(now);
+            inner.commits.answer_all(code);
+        });
+        self.stage.send_replace(Stage::Stopped);
+    }
+
+    /// Returns the session, if this VM is a member.
+    #[must_use]
+    pub fn session(&self) -> Option<Session> {
+        self.with(|inner| {
+            let vm = inner.state.vm_of(self.author)?;
+            Some(inner.state.vms[vm].session)
+        })
+    }
+
+    /// Tells whether this VM has become a member, even if its session has ended since.
+    #[must_use]
+    pub fn has_joined(&self) -> bool {
+        self.with(|inner| {
+            let author = inner.state.authors.get(&self.author);
+            author.is_some_and(|author| author.session.is_some())
+        })
+    }
+
+    /// Tells whether this VM's session has ended.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.with(|inner| inner.state.has_ended(self.author))
     }
 
     /// Sends a request to another VM and waits for the answer until `until`.
@@ -235,6 +290,40 @@
 }
 
 impl Commits {
+    /// Gives the next batch its number, and notes the replies that it owes.
+    pub fn expect(&mut self, replies: Vec<Due>) -> u64 {
+        self.seq += 1;
+        self.waiting.push(Waiting { seq: self.seq, replies });
+        self.seq
+    }
+
+    /// Tells whether the batch `seq` is not applied yet.
+    #[must_use]
+    pub fn is_waiting(&self, seq: u64) -> bool {
+        self.waiting.iter().any(|waiting| waiting.seq == seq)
+    }
+
+    /// Answers `code` to those who wait for the batch `seq`, which itself stays expected.
+    pub fn answer(&mut self, seq: u64, code: Code) {
+        let batch = self.waiting.iter_mut().filter(|waiting| waiting.seq == seq);
+        for due in batch.flat_map(|waiting| waiting.replies.drain(..)) {
+            let _ = due.reply.send(Err(code));
+        }
+    }
+
+    /// Answers `code` to those who wait for the batch `seq`, which was never sent.
+    pub fn withdraw(&mut self, seq: u64, code: Code) {
+        self.answer(seq, code);
+        self.waiting.retain(|waiting| waiting.seq != seq);
+    }
+
+    /// Answers `code` to all who wait.
+    fn answer_all(&mut self, code: Code) {
+        for due in self.waiting.drain(..).flat_map(|waiting| waiting.replies) {
+            let _ = due.reply.send(Err(code));
+        }
+    }
+
     /// Delivers the verdicts of the batch `seq`. A batch that was void as a whole has no verdicts.
     pub fn resolve(&mut self, seq: u64, verdicts: Vec<Verdict>) {
         let Some(at) = self.waiting.iter().position(|waiting| waiting.seq == seq) else {
--- a/crates/coriandertack-core/src/state/apply.rs
+++ b/crates/coriandertack-core/src/state/apply.rs
@@ -5,7 +5,7 @@
 use crate::{
     code::Code,
     keys::{Incarnation, JobId, Offset, Session, Version},
-    record::{Batch, Cordon, Entry, Record, SettingChange, TeamChange},
+    record::{Batch, Cordon, Entry, Record, SettingChange, SnapshotPart, TeamChange},
     state::{Author, Holding, Setting, State, Team},
     validity::HOLD_OFF,
 };
@@ -88,12 +88,20 @@
             Record::Ended(ends) => self.end_tasks(ends),
             Record::Usage(spans) => self.charge(spans),
             Record::Refused(refusal) => Err(refusal.code),
-            Record::Snapshot(_) => Ok(Applied::Done),
+            Record::Snapshot(part) => self.note_snapshot(part),
         };
         self.audit_after(offset, index, entry, before, verdict);
         verdict
     }
 
+    /// Notes a snapshot once its last part is read; its author appends the parts in order.
+    fn note_snapshot(&mut self, part: &SnapshotPart) -> Verdict {
+        if part.part + 1 == part.parts {
+            self.snapshot = self.snapshot.max(part.base);
+        }
+        Ok(Applied::Done)
+    }
+
     fn cordon(&mut self, cordon: &Cordon) -> Verdict {
         let key = *self.worker_names.get(&cordon.worker).ok_or(Code::NotFound)?;
         let worker = &mut self.workers[key];
--- a/crates/coriandertack-core/src/state/image.rs
+++ b/crates/coriandertack-core/src/state/image.rs
@@ -141,7 +141,8 @@
     /// it last moved is unknown.
     #[must_use]
     pub fn from_image(image: Image, now: Instant) -> Self {
-        let mut state = Self { offset: image.base, ..Self::default() };
+        let base = image.base;
+        let mut state = Self { offset: base, snapshot: base, ..Self::default() };
         for vm in image.vms {
             let VmImage { session, author, info } = vm;
             let key = state.vms.insert(Vm { session, author, info });
--- a/crates/coriandertack-core/src/state/mod.rs
+++ b/crates/coriandertack-core/src/state/mod.rs
@@ -125,6 +125,8 @@
 pub struct State {
     /// Last offset applied.
     pub offset: Offset,
+    /// Base of the newest complete snapshot seen. It is local to one VM, as the instants are.
+    pub snapshot: Offset,
     /// Live entry VMs.
     pub vms: SlotMap<VmKey, Vm>,
     /// Live entry VMs by session.
@@ -160,6 +162,12 @@
         self.sessions.get(&session).copied()
     }
 
+    /// Tells whether the session of an incarnation has ended.
+    #[must_use]
+    pub fn has_ended(&self, author: Incarnation) -> bool {
+        self.authors.get(&author).is_some_and(|known| known.ended)
+    }
+
     /// Returns the team of this name.
     #[must_use]
     pub fn team(&self, name: &str) -> Option<&Team> {
--- /dev/null
+++ b/crates/coriandertack-log/src/tail.rs
@@ -0,0 +1,117 @@
+//! The task that reads the log and applies it.
+//!
+//! A page that reaches the tail proves the state current at the moment its request was sent, so it
+//! extends the validity from that moment; see docs/design.md, section 3.1.
+
+use std::{sync::Arc, time::Duration};
+
+use {
+    coriandertack_core::{code::Code, keys::Offset, node::Node},
+    derive_more::Display,
+    tokio::time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    backoff::Backoff,
+    client::{Client, Page, Read},
+    codec, restore,
+};
+
+/// Longest wait of a long poll. An idle VM renews its validity of 3 s with each one.
+const POLL_WAIT: Duration = Duration::from_millis(500);
+
+/// Least time between the starts of two reads that found the tail.
+///
+/// At 300 appends/s it turns a read for each record into 100 reads/s, which bounds the cost of
+/// following the log.
+const READ_SPACING: Duration = Duration::from_millis(10);
+
+/// Why the task has ended without a fault in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Ended {
+    /// The session has ended, by `Leave`, by a `Fence`, or by a newer session of the same name.
+    #[display("session ended")]
+    Session,
+    /// The retention dropped records that were not read in time.
+    #[display("fell behind the retention")]
+    Behind,
+}
+
+/// Restores the state, then reads and applies the log until the session ends.
+///
+/// When it returns, the node is stopped and may not act. A process continues with a new node and a
+/// new incarnation.
+///
+/// # Errors
+///
+/// Fails if a record is corrupt or of an unknown kind.
+pub async fn run(node: Arc<Node>, client: Client) -> anyhow::Result<Ended> {
+    let ended = follow(&node, &client).await;
+    match &ended {
+        Ok(Ended::Session) => {
+            node.stop(Code::Fenced);
+            log::info!("event=session_ended vm={}", node.info.name);
+        }
+        Ok(Ended::Behind) => {
+            node.stop(Code::OutcomeUnknown);
+            log::error!("event=behind_retention vm={}", node.info.name);
+        }
+        Err(error) => {
+            node.stop(Code::OutcomeUnknown);
+            let code = Code::CorruptLog.number();
+            log::error!("event=log_alarm code={code} vm={} error={error:#?}", node.info.name);
+        }
+    }
+    ended
+}
+
+async fn follow(node: &Node, client: &Client) -> anyhow::Result<Ended> {
+    let mut from = restore::start(node, client).await?;
+    let mut backoff = Backoff::default();
+    loop {
+        let began = Instant::now();
+        // Without the permission to act, an idle log must not delay its return by a long poll.
+        let wait = if began < node.valid_until() { POLL_WAIT } else { Duration::ZERO };
+        let page = match client.read(from, wait).await {
+            Ok(Read::Page(page)) => page,
+            Ok(Read::Gone(_)) if node.has_joined() => return Ok(Ended::Behind),
+            Ok(Read::Gone(_)) => {
+                // Nothing depends on the state of a node that has not joined, so it can start anew.
+                from = restore::start(node, client).await?;
+                continue;
+            }
+            Err(error) => {
+                log::warn!("event=log_read_failed from={from} error={error:#}");
+                sleep(backoff.fail()).await;
+                continue;
+            }
+        };
+        backoff.reset();
+        from = apply(node, from, &page)?;
+        if node.has_ended() {
+            return Ok(Ended::Session);
+        }
+        if from == page.tail {
+            node.extend(began);
+            if !page.records.is_empty() {
+                sleep_until(began + READ_SPACING).await;
+            }
+        }
+    }
+}
+
+/// Applies the records of a page up to the end of the own session. Returns the next offset to read.
+fn apply(node: &Node, from: Offset, page: &Page) -> anyhow::Result<Offset> {
+    let mut next = from;
+    for record in &page.records {
+        let batch = codec::decode(&record.body).map_err(|error| {
+            anyhow::Error::new(error).context(format!("record at offset {}", record.offset))
+        })?;
+        node.apply(record.offset, &batch);
+        next = record.offset.next();
+        if node.has_ended() {
+            break;
+        }
+    }
+    Ok(next)
+}
--- /dev/null
+++ b/crates/coriandertack-log/tests/path.rs
@@ -0,0 +1,56 @@
+//! The path of a record: submitted, appended, read and applied by all nodes.
+
+mod common;
+
+use {
+    coriandertack_core::{code::Code, keys::Version, node::Stage, state::Applied},
+    coriandertack_log::{leave, tail::Ended},
+};
+
+/// Guards against a submitter that learns its outcome before its own node has applied the record.
+#[tokio::test]
+async fn a_record_is_applied_by_all_nodes() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    let two = common::joined(&service, "two", 2).await;
+    let verdict = one.node.submit_one("operator", common::setting("lanes", 0, "1")).await;
+    assert_eq!(verdict, Ok(Applied::Version(Version(1))));
+    assert!(one.node.with(|inner| inner.state.settings.contains_key("lanes")));
+    common::until_state(&two.node, |state| state.settings.contains_key("lanes")).await;
+    assert_eq!(two.node.with(|inner| inner.state.sessions.len()), 2);
+}
+
+/// Guards against two operators who both believe that their change of one version won.
+#[tokio::test]
+async fn one_of_two_racing_changes_wins() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    let two = common::joined(&service, "two", 2).await;
+    let (first, second) = tokio::join!(
+        one.node.submit_one("operator", common::team("vans", 0, 1_000)),
+        two.node.submit_one("operator", common::team("vans", 0, 2_000)),
+    );
+    let mut verdicts = [first, second];
+    verdicts.sort_by_key(Result::is_err);
+    assert_eq!(verdicts, [Ok(Applied::Version(Version(1))), Err(Code::Conflict)]);
+    let seen = |running: &common::Running| {
+        running.node.with(|inner| inner.state.team("vans").map(|team| team.spec.clone()))
+    };
+    let winner = seen(&one);
+    common::until_state(&two.node, |state| state.team("vans").is_some()).await;
+    assert_eq!(seen(&two), winner);
+}
+
+/// Guards against a node that acts on after its own `Leave`.
+#[tokio::test]
+async fn a_node_stops_after_it_has_left() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    leave(&one.node).await.unwrap();
+    assert!(!one.node.is_valid());
+    assert_eq!(one.tail.await.unwrap().unwrap(), Ended::Session);
+    one.commit.await.unwrap();
+    assert_eq!(*one.node.stage.borrow(), Stage::Stopped);
+    let verdict = one.node.submit_one("operator", common::setting("lanes", 0, "1")).await;
+    assert_eq!(verdict, Err(Code::Stopping));
+}
