--- a/crates/coriandertack-standins/src/lib.rs
+++ b/crates/coriandertack-standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for the platform, for the demo, the bench and tests.
 
 pub mod audit;
+pub mod log;
 pub mod vmlist;
 pub mod worker;
