Route callers' requests to workers and back

The path of a request consists of decisions in core::route, the connections in workers::upstream and the routing task in callers. One task decides for all services, because the slots of a worker are shared between its services.

Call gains the field class, so that the keeper of a key learns from a forwarded request under its own class. Node gains settled, which the heartbeats report.

--- /dev/null
+++ b/crates/coriandertack-callers/src/http.rs
@@ -0,0 +1,156 @@
+//! The HTTP interface for callers.
+//!
+//! `POST /call/{service}` with the headers `x-deadline-ms`, `idempotency-key`, `x-repeatable` and
+//! `x-class`. The answer is the service's own, or `{"code": .., "text": ..}` with a numbered code.
+
+use std::{sync::Arc, time::Duration};
+
+use {
+    bytes::Bytes,
+    coriandertack_core::{
+        code::Code,
+        message::{Answer, Call},
+        node::Node,
+    },
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{
+        HeaderMap,
+        header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue},
+    },
+    serde::Serialize,
+    tokio::time::{Instant, timeout_at},
+    viz::{Body, Request, RequestExt, Response, StatusCode},
+};
+
+use crate::router::Router;
+
+/// Longest deadline that a caller may set.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(600);
+
+/// Longest name of a service or a class, and longest key, in bytes.
+const MOST_NAME_BYTES: usize = 128;
+
+/// Time kept for the answer's way back to the caller, whose deadline counts from when it sent the
+/// request: about 1 ms each way.
+const WAY_BACK: Duration = Duration::from_millis(2);
+
+/// Body of an answer that does not come from a service.
+#[derive(Debug, Serialize)]
+struct Failure {
+    code: u16,
+    text: &'static str,
+}
+
+/// Returns the routes for callers.
+#[must_use]
+pub fn routes(_node: Arc<Node>, router: Arc<Router>) -> viz::Router {
+    viz::Router::new().post("/call/:service", move |request: Request| {
+        let router = Arc::clone(&router);
+        async move { Ok::<_, viz::Error>(respond(&router, request).await) }
+    })
+}
+
+async fn respond(router: &Arc<Router>, request: Request) -> Response {
+    match carry_out(router, request).await {
+        Ok(answer) => content(answer),
+        Err(code) => failure(code),
+    }
+}
+
+async fn carry_out(router: &Arc<Router>, request: Request) -> Result<Answer, Code> {
+    let arrived = Instant::now();
+    let service: String = request.param("service").map_err(|_| Code::Malformed)?;
+    if !is_name(&service) || !service.contains('.') {
+        return Err(Code::Malformed);
+    }
+    let (head, body) = request.into_parts();
+    let headers = &head.headers;
+    let until = arrived + deadline(headers, router.config.deadline_ms)?;
+    let class = header(headers, "x-class")?.unwrap_or_default();
+    if !class.is_empty() && !is_name(class) {
+        return Err(Code::Malformed);
+    }
+    let repeatable = match header(headers, "x-repeatable")? {
+        None | Some("true") => true,
+        Some("false") => false,
+        Some(_) => return Err(Code::Malformed),
+    };
+    let call = Call {
+        service: service.into(),
+        class: class.into(),
+        key: header(headers, "idempotency-key")?.map(Arc::from),
+        repeatable,
+        until,
+        body: read(headers, body, router.config.body_bytes, until).await?,
+    };
+    router.call(call).await
+}
+
+/// Reads a header that may occur once.
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Code> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| Code::Malformed)?;
+    if values.next().is_some() || text.len() > MOST_NAME_BYTES {
+        return Err(Code::Malformed);
+    }
+    Ok(Some(text))
+}
+
+/// Returns how long the request may take on this side.
+fn deadline(headers: &HeaderMap, default_ms: u64) -> Result<Duration, Code> {
+    let ms = match header(headers, "x-deadline-ms")? {
+        None => default_ms,
+        Some(text) => text.parse().map_err(|_| Code::Malformed)?,
+    };
+    let whole = Duration::from_millis(ms);
+    if whole.is_zero() || whole > LONGEST_DEADLINE {
+        return Err(Code::OutOfRange);
+    }
+    Ok(whole - WAY_BACK.min(whole / 4))
+}
+
+fn is_name(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    !text.is_empty() && text.len() <= MOST_NAME_BYTES && text.bytes().all(allowed)
+}
+
+/// Reads the content, which must arrive before the deadline.
+async fn read(
+    headers: &HeaderMap,
+    body: Body,
+    most: usize,
+    until: Instant,
+) -> Result<Arc<[u8]>, Code> {
+    let length = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+    if length.is_some_and(|length: u64| length > most as u64) {
+        return Err(Code::TooLarge);
+    }
+    let collected = timeout_at(until, Limited::new(body, most).collect()).await;
+    match collected.map_err(|_| Code::Overloaded)? {
+        Ok(content) => Ok(Arc::from(&content.to_bytes()[..])),
+        Err(error) if error.is::<LengthLimitError>() => Err(Code::TooLarge),
+        Err(_) => Err(Code::Malformed),
+    }
+}
+
+fn content(answer: Answer) -> Response {
+    let body = Body::from(Full::new(Bytes::from_owner(answer.body)));
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    response
+}
+
+fn failure(code: Code) -> Response {
+    let failure = Failure { code: code.number(), text: code.text() };
+    // Serializing two plain fields cannot fail.
+    let body = serde_json::to_vec(&failure).unwrap_or_default();
+    let mut response = Response::new(Body::from(Full::new(Bytes::from(body))));
+    *response.status_mut() =
+        StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/crates/coriandertack-callers/src/router.rs
@@ -0,0 +1,234 @@
+//! Handle of the routing task.
+//!
+//! [`Router::call`] is the way in for callers of this VM, and [`Router::handle_call`] and
+//! [`Router::note_key`] for requests of other VMs. All of them may be cancelled at any time: what was
+//! started is finished and learned from.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use {
+    coriandertack_core::{
+        code::Code,
+        keys::{Offset, Session},
+        message::{Answer, Call, KeyNote, PeerReply},
+        node::{Inner, Node, Stage},
+        route::keys::{History, KeyStore, id_of},
+    },
+    coriandertack_workers::upstream::Counters,
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        time::Instant,
+    },
+};
+
+use crate::task::{self, Job};
+
+/// Requests waiting for the routing task. It takes microseconds for each, so a longer queue would
+/// only hide that the process has no processor time.
+const JOB_QUEUE: usize = 4_096;
+
+/// Settings of a router.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Deadline of a request that names none, in milliseconds.
+    pub deadline_ms: u64,
+    /// Largest content of a request in bytes.
+    pub body_bytes: usize,
+    /// Most requests that this VM handles at a time, which bounds memory.
+    pub most_calls: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self { deadline_ms: 10_000, body_bytes: 1 << 20, most_calls: 20_000 }
+    }
+}
+
+/// What this VM knows of keys.
+#[derive(Debug, Default)]
+pub(crate) struct Keys {
+    pub(crate) store: KeyStore,
+    pub(crate) history: History,
+}
+
+pub(crate) fn lock(keys: &Mutex<Keys>) -> MutexGuard<'_, Keys> {
+    // A panic while the lock was held aborts the request that caused it; the keys stay usable.
+    keys.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Live sessions as this VM sees them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Members {
+    pub(crate) offset: Offset,
+    pub(crate) me: Option<Session>,
+    pub(crate) sessions: Vec<Session>,
+}
+
+impl Members {
+    pub(crate) fn read(node: &Node) -> Self {
+        node.with(|inner| Self {
+            offset: inner.state.offset,
+            me: inner.state.vm_of(node.author).map(|vm| inner.state.vms[vm].session),
+            sessions: inner.state.sessions.keys().copied().collect(),
+        })
+    }
+}
+
+/// Carries out callers' requests.
+#[derive(Debug)]
+pub struct Router {
+    pub(crate) node: Arc<Node>,
+    pub(crate) config: Config,
+    keys: Arc<Mutex<Keys>>,
+    jobs: mpsc::Sender<Job>,
+    calls: watch::Sender<usize>,
+    requests: watch::Receiver<usize>,
+    counters: Arc<Counters>,
+}
+
+/// Counts a call as in progress while it lives.
+#[derive(Debug)]
+pub(crate) struct Held(watch::Sender<usize>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.send_modify(|calls| *calls -= 1);
+    }
+}
+
+impl Router {
+    /// Starts the routing task, which follows the node's instances and membership.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a tokio runtime.
+    #[must_use]
+    pub fn new(node: Arc<Node>, config: Config) -> Arc<Self> {
+        let (jobs, queue) = mpsc::channel(JOB_QUEUE);
+        let (busy, requests) = watch::channel(0);
+        let counters = Arc::new(Counters::default());
+        let keys = Arc::default();
+        let followed = Arc::clone(&keys);
+        tokio::spawn(task::run(Arc::clone(&node), queue, busy, Arc::clone(&counters), followed));
+        let calls = watch::Sender::new(0);
+        Arc::new(Self { node, config, keys, jobs, calls, requests, counters })
+    }
+
+    /// Returns the counters of the connections to workers.
+    #[must_use]
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns how many calls are in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        *self.calls.borrow()
+    }
+
+    pub(crate) fn keys(&self) -> MutexGuard<'_, Keys> {
+        lock(&self.keys)
+    }
+
+    /// Carries out a request of a caller of this VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a code that says whether the request was not run ([`Code::is_not_run`]).
+    pub async fn call(self: &Arc<Self>, call: Call) -> Result<Answer, Code> {
+        let held = self.enter()?;
+        match call.key.clone() {
+            None => self.run(&call).await,
+            Some(key) => self.call_keyed(call, key, held).await,
+        }
+    }
+
+    /// Carries out a request that another VM forwards to the keeper of its key.
+    pub async fn handle_call(self: &Arc<Self>, call: Call) -> PeerReply {
+        let result = match (self.enter(), call.key.clone()) {
+            (Err(code), _) => Err(code),
+            (Ok(held), Some(key)) => self.keep_forwarded(call, key, held).await,
+            (Ok(_held), None) => self.run(&call).await,
+        };
+        result.map_or_else(PeerReply::Refused, PeerReply::Answer)
+    }
+
+    /// Notes a key as its backup.
+    #[must_use]
+    pub fn note_key(&self, note: KeyNote) -> PeerReply {
+        let id = id_of(&note.key);
+        match self.keys().store.note(id, &note, Instant::now()) {
+            Ok(known) => PeerReply::Key(known),
+            Err(code) => PeerReply::Refused(code),
+        }
+    }
+
+    /// Waits until nothing is in progress: no call, and no request at a worker whose caller was
+    /// answered at its deadline.
+    pub async fn drained(&self) {
+        let (mut calls, mut requests) = (self.calls.subscribe(), self.requests.clone());
+        loop {
+            // The senders live as long as the router, or the routing task has nothing left.
+            let _ = calls.wait_for(|calls| *calls == 0).await;
+            let _ = requests.wait_for(|requests| *requests == 0).await;
+            if *calls.borrow() == 0 {
+                return;
+            }
+        }
+    }
+
+    /// Admits a call to this VM.
+    fn enter(&self) -> Result<Held, Code> {
+        match *self.node.stage.borrow() {
+            Stage::Starting => return Err(Code::NotReady),
+            Stage::Serving => {}
+            Stage::Draining | Stage::Stopped => return Err(Code::Stopping),
+        }
+        self.check_membership()?;
+        let mut admitted = true;
+        self.calls.send_modify(|calls| {
+            admitted = *calls < self.config.most_calls;
+            *calls += 1;
+        });
+        let held = Held(self.calls.clone());
+        if admitted { Ok(held) } else { Err(Code::Overloaded) }
+    }
+
+    /// Checks that the others still count on this VM's share of the workers.
+    ///
+    /// Routing goes on while the log is down for everyone. A VM that alone is cut off from it may have
+    /// been fenced; it notices that another VM has applied more than itself.
+    fn check_membership(&self) -> Result<(), Code> {
+        let now = Instant::now();
+        self.node.with(|inner| {
+            if inner.state.vm_of(self.node.author).is_none() {
+                return Err(Code::Fenced);
+            }
+            if !inner.validity.holds(now) && is_behind(inner, now) {
+                return Err(Code::NotReady);
+            }
+            Ok(())
+        })
+    }
+
+    /// Runs a request here.
+    pub(crate) async fn run(&self, call: &Call) -> Result<Answer, Code> {
+        let (reply, answer) = oneshot::channel();
+        let job = Job {
+            service: Arc::clone(&call.service),
+            class: Arc::clone(&call.class),
+            repeatable: call.repeatable,
+            until: call.until,
+            body: Arc::clone(&call.body),
+            reply,
+        };
+        self.jobs.try_send(job).map_err(|_| Code::Overloaded)?;
+        // The routing task drops no reply; it has failed if it did, and may have sent the request.
+        answer.await.unwrap_or(Err(Code::OutcomeUnknown))
+    }
+}
+
+fn is_behind(inner: &Inner, now: Instant) -> bool {
+    let mut heard = inner.links.values().filter(|link| !link.is_suspected(now));
+    heard.any(|link| link.offset > inner.state.offset)
+}
--- a/crates/coriandertack-core/src/lib.rs
+++ b/crates/coriandertack-core/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod node;
 pub mod record;
 pub mod resources;
+pub mod route;
 pub mod state;
 pub mod validity;
--- a/crates/coriandertack-core/src/message.rs
+++ b/crates/coriandertack-core/src/message.rs
@@ -290,6 +290,8 @@
 pub struct Call {
     /// Class of the service, `team.name`.
     pub service: Arc<str>,
+    /// Class of the request within the service, empty if the caller named none.
+    pub class: Arc<str>,
     /// Idempotency key.
     pub key: Option<Arc<str>>,
     /// Whether it may be sent twice.
--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -107,6 +107,8 @@
     pub stage: watch::Sender<Stage>,
     /// Services that can answer callers, of all owners.
     pub routes: watch::Sender<Arc<Vec<Instance>>>,
+    /// Highest offset whose membership this VM's router keeps to, for heartbeats.
+    pub settled: watch::Sender<Offset>,
     /// Signals that tasks may have become placeable.
     pub work: Notify,
 }
@@ -133,6 +135,7 @@
             applied: watch::Sender::new(Offset(0)),
             stage: watch::Sender::new(Stage::Starting),
             routes: watch::Sender::default(),
+            settled: watch::Sender::new(Offset(0)),
             work: Notify::new(),
         };
         (Arc::new(node), submissions)
--- /dev/null
+++ b/crates/coriandertack-core/src/route/eject.rs
@@ -0,0 +1,117 @@
+//! Ejection of instances that fail or are slow, and their gradual return.
+//!
+//! An ejected instance gets nothing until its pause is over. Then it gets one request at a time, and
+//! after [`PROBES`] good answers in a row it is back to its full share. A failure while it is probed
+//! doubles the pause.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Failures in a row that eject an instance.
+const FAILURES: u32 = 3;
+
+/// Factor of the usual response time beyond which an instance is slow.
+const SLOW: f64 = 4.0;
+
+/// Answers that must be known before an instance can be called slow.
+const SLOW_SAMPLES: u64 = 8;
+
+/// Good answers in a row that end the probing.
+const PROBES: u32 = 3;
+
+/// First pause after an ejection.
+const FIRST_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Longest pause after an ejection.
+const LONGEST_PAUSE: Duration = Duration::from_millis(30_000);
+
+/// What an instance may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// As much as its share allows.
+    Good,
+    /// One request at a time.
+    Probed,
+    /// Nothing.
+    Ejected,
+}
+
+/// Record of an instance's recent behaviour.
+#[derive(Clone, Copy, Debug)]
+pub struct Health {
+    failures: u32,
+    successes: u32,
+    resume_at: Option<Instant>,
+    pause: Duration,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Self { failures: 0, successes: 0, resume_at: None, pause: FIRST_PAUSE }
+    }
+}
+
+impl Health {
+    /// Returns what the instance may be sent at `now`.
+    #[must_use]
+    pub fn standing(&self, now: Instant) -> Standing {
+        match self.resume_at {
+            None => Standing::Good,
+            Some(at) if now < at => Standing::Ejected,
+            Some(_) => Standing::Probed,
+        }
+    }
+
+    /// Tells whether the instance is ejected or being probed.
+    #[must_use]
+    pub fn is_out(&self) -> bool {
+        self.resume_at.is_some()
+    }
+
+    /// Notes an answer. `pace` is the instance's response time relative to the service's, from
+    /// `samples` answers. Returns whether the instance should be ejected for being slow.
+    pub fn answered(&mut self, pace: f64, samples: u64) -> bool {
+        self.failures = 0;
+        let slow = pace > SLOW && samples >= SLOW_SAMPLES;
+        if slow {
+            return true;
+        }
+        if self.resume_at.is_some() {
+            self.successes += 1;
+            if self.successes >= PROBES {
+                *self = Self::default();
+            }
+        }
+        false
+    }
+
+    /// Notes a failure. Returns whether the instance should be ejected.
+    pub fn failed(&mut self) -> bool {
+        self.failures += 1;
+        self.successes = 0;
+        self.failures >= FAILURES || self.resume_at.is_some()
+    }
+
+    /// Ejects the instance.
+    pub fn eject(&mut self, now: Instant) {
+        if self.standing(now) == Standing::Ejected {
+            return;
+        }
+        if self.resume_at.is_some() {
+            self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        }
+        self.resume_at = Some(now + self.pause);
+        self.successes = 0;
+        self.failures = 0;
+    }
+}
+
+/// Tells whether one more instance may be ejected when `out` of `all` are out already.
+///
+/// At most half may be out: if most of a service looks bad, the cause is probably not the instances,
+/// and the others could not carry the load.
+#[must_use]
+pub fn may_eject(out: usize, all: usize) -> bool {
+    (out + 1) * 2 <= all
+}
--- a/crates/coriandertack-standins/src/lib.rs
+++ b/crates/coriandertack-standins/src/lib.rs
@@ -1,1 +1,3 @@
 //! Placeholder.
+
+pub mod serving;
