--- a/crates/coriandertack-core/src/lib.rs
+++ b/crates/coriandertack-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod owner;
 pub mod record;
 pub mod resources;
+pub mod route;
 pub mod state;
 pub mod usage;
 pub mod validity;
--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -121,6 +121,8 @@
     pub steps: broadcast::Sender<Arc<Step>>,
     /// Services that can answer callers, of all owners.
     pub routes: watch::Sender<Arc<Vec<Instance>>>,
+    /// Highest offset whose membership this VM's router keeps to, for heartbeats.
+    pub settled: watch::Sender<Offset>,
     /// Signals that tasks may have become placeable.
     pub work: Notify,
 }
@@ -151,6 +153,7 @@
             stage: watch::Sender::new(Stage::Starting),
             steps: broadcast::Sender::new(STEP_QUEUE),
             routes: watch::Sender::default(),
+            settled: watch::Sender::new(Offset(0)),
             work: Notify::new(),
         };
         (Arc::new(node), submissions)
--- a/crates/coriandertack-standins/src/lib.rs
+++ b/crates/coriandertack-standins/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod audit;
 pub mod log;
+pub mod serving;
 pub mod vmlist;
 pub mod worker;
--- a/crates/coriandertack-workers/src/lib.rs
+++ b/crates/coriandertack-workers/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod clock;
 pub mod control;
 pub mod news;
+pub mod upstream;
 mod wire;
