Test the task of a worker against the stand-in

Cause: late starts, lost answers, pauses, crashes, outages and takeovers each can lose or double a task. Change: 14 tests in virtual time; the stand-in can lose answers.

--- a/crates/coriandertack-standins/src/worker.rs
+++ b/crates/coriandertack-standins/src/worker.rs
@@ -21,7 +21,10 @@
 use std::{
     collections::HashMap,
     net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use {
@@ -126,6 +129,7 @@
     changed: Notify,
     news: watch::Sender<u64>,
     paused: watch::Sender<bool>,
+    lost: AtomicUsize,
     tasks: Mutex<Vec<JoinHandle<()>>>,
 }
 
@@ -190,6 +194,7 @@
             changed: Notify::new(),
             news: watch::Sender::new(0),
             paused: watch::Sender::new(false),
+            lost: AtomicUsize::new(0),
             tasks: Mutex::default(),
         };
         let worker = Self { shared: Arc::new(shared) };
@@ -238,6 +243,12 @@
         self.shared.paused.send_replace(paused);
     }
 
+    /// Carries out the next `count` requests with commands but closes their connections without an
+    /// answer.
+    pub fn lose_answers(&self, count: usize) {
+        self.shared.lost.store(count, Ordering::SeqCst);
+    }
+
     /// Drops all connections and tasks at once and refuses connections until [`Worker::restart`].
     pub async fn crash(&self) {
         let tasks: Vec<JoinHandle<()>> = self.shared.tasks().drain(..).collect();
--- a/crates/coriandertack-standins/src/worker/engine.rs
+++ b/crates/coriandertack-standins/src/worker/engine.rs
@@ -20,8 +20,8 @@
     WorkerConfig,
     run::{Due, Run, Temper},
     wire::{
-        Amount, Cause, Done, Ended, Event, Events, Interval, Listed, News, Order, Orders, Results,
-        Start, Tasks, Used,
+        Amount, Cause, Effect, Ended, Event, Events, Interval, Listed, News, Order, Orders,
+        Results, Start, Tasks, Used,
     },
 };
 use crate::audit::{Audit, Stretch};
@@ -200,25 +200,25 @@
         Some(Results { now_ms, results })
     }
 
-    fn carry_order(&mut self, now: u64, order: Order) -> Done {
+    fn carry_order(&mut self, now: u64, order: Order) -> Effect {
         match order {
             Order::Start(start) => self.start(now, start),
             Order::Stop { lease } => match self.leases.get(&lease).copied() {
                 Some(key) => {
                     self.runs[key].account(now);
                     self.end(key, now, Cause::Stopped);
-                    Done::Done
+                    Effect::Done
                 }
-                None if self.ended.contains_key(&lease) => Done::Done,
-                None => Done::Unknown,
+                None if self.ended.contains_key(&lease) => Effect::Done,
+                None => Effect::Unknown,
             },
             Order::Checkpoint { lease } => self.checkpoint(now, lease),
             Order::Throttle { lease, millicores } => match self.leases.get(&lease) {
                 Some(&key) => {
                     self.runs[key].throttle(now, millicores);
-                    Done::Done
+                    Effect::Done
                 }
-                None => Done::Unknown,
+                None => Effect::Unknown,
             },
             Order::Renew { until_ms, except } => {
                 for run in self.runs.values_mut() {
@@ -226,31 +226,31 @@
                         run.until_ms = run.until_ms.max(until_ms);
                     }
                 }
-                Done::Done
+                Effect::Done
             }
             Order::AckEnd { lease } => match self.ended.remove(&lease) {
-                Some(_) => Done::Done,
-                None => Done::Unknown,
+                Some(_) => Effect::Done,
+                None => Effect::Unknown,
             },
             Order::AckUsage { lease, to } => {
                 let mark = self.acked.entry(lease).or_default();
                 *mark = to.max(*mark);
-                Done::Done
+                Effect::Done
             }
         }
     }
 
-    fn start(&mut self, now: u64, start: Start) -> Done {
+    fn start(&mut self, now: u64, start: Start) -> Effect {
         self.seen.retain(|_, until| *until > now);
         if self.leases.contains_key(&start.lease)
             || self.ended.contains_key(&start.lease)
             || self.seen.contains_key(&start.lease)
         {
-            return Done::Known;
+            return Effect::Known;
         }
         if start.until_ms <= now {
             self.audit.late += 1;
-            return Done::Refused;
+            return Effect::Refused;
         }
         // A second copy of the start can only arrive usefully until its lease would have ended.
         self.seen.insert(start.lease.clone(), start.until_ms);
@@ -267,7 +267,7 @@
         self.leases.insert(lease.clone(), key);
         self.audit.granted = self.audit.granted.max(self.granted());
         self.push(News::Started { lease });
-        Done::Done
+        Effect::Done
     }
 
     fn granted(&self) -> Amount {
@@ -275,14 +275,14 @@
         grants.fold(Amount::default(), Amount::plus)
     }
 
-    fn checkpoint(&mut self, now: u64, lease: String) -> Done {
+    fn checkpoint(&mut self, now: u64, lease: String) -> Effect {
         let Some(&key) = self.leases.get(&lease) else {
-            return Done::Unknown;
+            return Effect::Unknown;
         };
         self.runs[key].account(now);
         self.config.checkpoints.save(task_of(&lease), self.runs[key].done());
         self.push(News::Checkpointed { lease });
-        Done::Done
+        Effect::Done
     }
 
     /// Returns the events after `after` and drops earlier ones that nobody has to acknowledge.
--- a/crates/coriandertack-standins/src/worker/http.rs
+++ b/crates/coriandertack-standins/src/worker/http.rs
@@ -1,6 +1,11 @@
 //! HTTP interface of a worker.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{
+    error::Error,
+    fmt::{self, Display, Formatter},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use {
     bytes::Bytes,
@@ -35,6 +40,18 @@
 /// Longest wait of an event poll.
 const MAX_WAIT_MS: u64 = 60_000;
 
+/// The stand-in was told to lose the answer.
+#[derive(Debug)]
+struct AnswerLost;
+
+impl Display for AnswerLost {
+    fn fmt(&self, to: &mut Formatter<'_>) -> fmt::Result {
+        to.write_str("the answer is lost on purpose")
+    }
+}
+
+impl Error for AnswerLost {}
+
 /// Accepts connections until aborted, which closes all of them.
 pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let places = Slots::new(CONNECTIONS);
@@ -73,14 +90,19 @@
     drop(place);
 }
 
+/// Answers one request. An error closes the connection without an answer.
 async fn answer(
     shared: &Shared,
     slots: &Slots,
     request: Request<Incoming>,
-) -> Result<Answer, Infallible> {
+) -> Result<Answer, AnswerLost> {
+    let commands = request.method() == Method::POST && request.uri().path() == "/v1/commands";
     let answer = route(shared, slots, request).await;
     resumed(shared).await;
-    Ok(answer)
+    let fewer = |count: usize| count.checked_sub(1);
+    let lose =
+        commands && shared.lost.fetch_update(Ordering::SeqCst, Ordering::SeqCst, fewer).is_ok();
+    if lose { Err(AnswerLost) } else { Ok(answer) }
 }
 
 /// Waits while the worker is paused.
@@ -123,7 +145,8 @@
 
 async fn events(shared: &Shared, query: &str) -> Answer {
     let after = parameter(query, "after");
-    let until = Instant::now() + Duration::from_millis(parameter(query, "wait_ms").min(MAX_WAIT_MS));
+    let until =
+        Instant::now() + Duration::from_millis(parameter(query, "wait_ms").min(MAX_WAIT_MS));
     let mut news = shared.news.subscribe();
     loop {
         news.mark_unchanged();
@@ -143,12 +166,7 @@
 }
 
 /// Runs one request of a caller in a slot.
-async fn run(
-    shared: &Shared,
-    slots: &Slots,
-    service: &str,
-    request: Request<Incoming>,
-) -> Answer {
+async fn run(shared: &Shared, slots: &Slots, service: &str, request: Request<Incoming>) -> Answer {
     let header = |name: &HeaderName| {
         request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
     };
--- a/crates/coriandertack-standins/src/worker/run.rs
+++ b/crates/coriandertack-standins/src/worker/run.rs
@@ -54,11 +54,7 @@
 
 impl Totals {
     fn used(self) -> Used {
-        Used {
-            core_ms: self.cores / 1_000,
-            mib_s: self.memory / 1_000,
-            acc_ms: self.accelerators,
-        }
+        Used { core_ms: self.cores / 1_000, mib_s: self.memory / 1_000, acc_ms: self.accelerators }
     }
 }
 
--- a/crates/coriandertack-standins/src/worker/wire.rs
+++ b/crates/coriandertack-standins/src/worker/wire.rs
@@ -138,7 +138,7 @@
 /// Answer to one command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Done {
+pub enum Effect {
     /// It was carried out.
     Done,
     /// The lease has been started before.
@@ -155,7 +155,7 @@
     /// Time on the worker's clock.
     pub now_ms: u64,
     /// One result for each command.
-    pub results: Vec<Done>,
+    pub results: Vec<Effect>,
 }
 
 /// Answer to `GET /v1/tasks`.
--- a/crates/coriandertack-workers/src/client.rs
+++ b/crates/coriandertack-workers/src/client.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     clock::Clock,
-    wire::{Done, Event, Events, Order, Orders, Results, Tasks},
+    wire::{Effect, Event, Events, Order, Orders, Results, Tasks},
 };
 
 /// Time for an answer. A worker answers in milliseconds; one that takes longer counts as lost.
@@ -59,7 +59,7 @@
         &self,
         epoch: u64,
         commands: Vec<Order<'_>>,
-    ) -> Result<(Clock, Vec<Done>), Failure> {
+    ) -> Result<(Clock, Vec<Effect>), Failure> {
         let count = commands.len();
         let body = serde_json::to_vec(&Orders { epoch, commands })
             .map_err(|error| Failure::Lost(error.into()))?;
--- a/crates/coriandertack-workers/src/control.rs
+++ b/crates/coriandertack-workers/src/control.rs
@@ -29,7 +29,7 @@
     client::{Client, Failure},
     clock::Clock,
     news::{End, Finish, WorkerNews},
-    wire::{self, Done, Order, Tasks},
+    wire::{self, Effect, Order, Tasks},
 };
 
 /// Term of a renewed lease.
@@ -360,16 +360,16 @@
     }
 
     /// Notes the answers to commands.
-    async fn note(&mut self, batch: &[WorkerCommand], results: &[Done]) -> Result<(), Finish> {
+    async fn note(&mut self, batch: &[WorkerCommand], results: &[Effect]) -> Result<(), Finish> {
         for (command, done) in batch.iter().zip(results) {
             match (command, done) {
-                (WorkerCommand::Start { ask, .. }, Done::Done | Done::Known) => {
+                (WorkerCommand::Start { ask, .. }, Effect::Done | Effect::Known) => {
                     self.running.insert(ask.lease);
                 }
-                (WorkerCommand::Start { ask, .. }, Done::Refused | Done::Unknown) => {
+                (WorkerCommand::Start { ask, .. }, Effect::Refused | Effect::Unknown) => {
                     self.tell_end(ask.lease, EndCause::Refused).await?;
                 }
-                (&WorkerCommand::Stop(lease), Done::Unknown) => {
+                (&WorkerCommand::Stop(lease), Effect::Unknown) => {
                     self.tell_end(lease, EndCause::Stopped).await?;
                 }
                 _ => {}
--- a/crates/coriandertack-workers/src/wire.rs
+++ b/crates/coriandertack-workers/src/wire.rs
@@ -151,7 +151,7 @@
 /// Answer to one command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub(crate) enum Done {
+pub(crate) enum Effect {
     Done,
     Known,
     Refused,
@@ -162,7 +162,7 @@
 #[derive(Debug, Deserialize)]
 pub(crate) struct Results {
     pub now_ms: u64,
-    pub results: Vec<Done>,
+    pub results: Vec<Effect>,
 }
 
 /// Answer to `GET /v1/tasks`.
--- /dev/null
+++ b/crates/coriandertack-workers/tests/control.rs
@@ -0,0 +1,233 @@
+//! Tests of the task of a worker against the stand-in, in virtual time.
+
+mod setup;
+
+use std::time::Duration;
+
+use {
+    coriandertack_core::{
+        message::{EndCause, WorkerCommand, WorkerEvent},
+        record::{Entry, Record},
+    },
+    coriandertack_workers::news::{Finish, WorkerNews},
+    tokio::time::{Instant, sleep},
+};
+
+use setup::{Bench, lease};
+
+/// Guards against a start that never runs or an end that never arrives.
+#[tokio::test(start_paused = true)]
+async fn start_runs_and_end_is_reported() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    assert_eq!(task.listed().await, Vec::new());
+    task.send(bench.start_of(lease(1, 0), "run_ms=200"));
+    assert_eq!(task.event().await, WorkerEvent::Started(lease(1, 0)));
+    let (cause, run_ms) = task.end_of(lease(1, 0)).await;
+    assert_eq!((cause, run_ms), (EndCause::Succeeded, 200));
+}
+
+/// Guards against tasks that die because nobody renews their leases, and against leases that outlive
+/// the task that renews them.
+#[tokio::test(start_paused = true)]
+async fn leases_are_renewed_while_owned() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    task.send(bench.start_of(lease(1, 0), ""));
+    sleep(Duration::from_secs(200)).await;
+    assert_eq!(bench.worker.running(), 1);
+    task.abort().await;
+    sleep(Duration::from_secs(31)).await;
+    assert_eq!(bench.worker.running(), 0);
+}
+
+/// Guards against an outage of the log that ends running tasks, and against starts without a valid
+/// copy of the state.
+#[tokio::test(start_paused = true)]
+async fn outage_keeps_tasks_and_refuses_starts() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    task.send(bench.start_of(lease(1, 0), ""));
+    assert_eq!(task.event().await, WorkerEvent::Started(lease(1, 0)));
+    bench.cut_log();
+    sleep(Duration::from_secs(120)).await;
+    assert_eq!(bench.worker.running(), 1);
+    task.send(bench.start_of(lease(2, 0), ""));
+    assert_eq!(task.end_of(lease(2, 0)).await.0, EndCause::Refused);
+    assert_eq!(bench.worker.audit().stretches.len(), 1);
+}
+
+/// Guards against renewals that go on for ever when the log does not come back.
+#[tokio::test(start_paused = true)]
+async fn renewals_end_after_the_outage_limit() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    task.send(bench.start_of(lease(1, 0), ""));
+    assert_eq!(task.event().await, WorkerEvent::Started(lease(1, 0)));
+    bench.cut_log();
+    sleep(Duration::from_secs(2 * 60 * 60 + 60)).await;
+    assert_eq!(bench.worker.running(), 0);
+}
+
+/// Guards against a successor that kills or loses the tasks of its predecessor.
+#[tokio::test(start_paused = true)]
+async fn successor_adopts_running_tasks_and_ends() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    task.send(bench.start_of(lease(1, 0), ""));
+    task.send(bench.start_of(lease(2, 0), "run_ms=50"));
+    task.end_of(lease(2, 0)).await;
+    task.abort().await;
+
+    let mut task = bench.control();
+    let WorkerNews::Listed { running, ended } = task.news().await else {
+        panic!("the list comes first");
+    };
+    assert_eq!(running.iter().map(|task| task.lease).collect::<Vec<_>>(), [lease(1, 0)]);
+    assert_eq!(ended.iter().map(|end| end.lease).collect::<Vec<_>>(), [lease(2, 0)]);
+    assert_eq!(task.end_of(lease(2, 0)).await.0, EndCause::Succeeded);
+    task.send(WorkerCommand::AckEnd(lease(2, 0)));
+    sleep(Duration::from_secs(60)).await;
+    assert_eq!(bench.worker.running(), 1);
+    assert_eq!(bench.worker.audit().stretches.len(), 2);
+}
+
+/// Guards against a former owner that goes on after the worker has met its successor.
+#[tokio::test(start_paused = true)]
+async fn higher_epoch_stops_the_task() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    bench.raise_epoch(u64::MAX / 2).await;
+    task.send(bench.start_of(lease(1, 0), ""));
+    assert_eq!(task.finish().await, Finish::Superseded);
+    assert_eq!(bench.worker.running(), 0);
+    assert!(bench.worker.audit().stale > 0);
+}
+
+/// Guards against a task that goes on for a worker that has left the list.
+#[tokio::test(start_paused = true)]
+async fn removed_worker_ends_the_task() {
+    let mut bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    let record = Record::WorkersGone(vec![bench.worker.name().to_owned()]);
+    bench.apply(vec![Entry { actor: "test".into(), at_ms: 0, record }]);
+    assert_eq!(task.finish().await, Finish::Gone);
+}
+
+/// Guards against a fenced VM that keeps renewing what it no longer owns.
+#[tokio::test(start_paused = true)]
+async fn fenced_vm_stops_at_once() {
+    let mut bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    bench.fence();
+    task.send(bench.start_of(lease(1, 0), ""));
+    assert_eq!(task.finish().await, Finish::Disowned);
+    assert_eq!(bench.worker.running(), 0);
+}
+
+/// Guards against acting before the former owner's permission has certainly ended.
+#[tokio::test(start_paused = true)]
+async fn hold_off_delays_first_contact() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    bench.delay_ready(Duration::from_millis(3_300));
+    let ready = Instant::now() + Duration::from_millis(3_300);
+    task.listed().await;
+    assert!(Instant::now() >= ready);
+}
+
+/// Guards against a start that runs although it was reported as refused, when the worker was paused
+/// while it was sent.
+#[tokio::test(start_paused = true)]
+async fn paused_worker_refuses_late_start() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    bench.worker.pause(true);
+    task.send(bench.start_of(lease(1, 0), ""));
+    let lease_end = task.unreachable().await;
+    assert!(lease_end >= Instant::now() + Duration::from_secs(25));
+    assert!(lease_end <= Instant::now() + Duration::from_secs(35));
+    sleep(Duration::from_secs(5)).await;
+    bench.worker.pause(false);
+    assert_eq!(task.end_of(lease(1, 0)).await.0, EndCause::Refused);
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(bench.worker.audit().stretches.len(), 0);
+}
+
+/// Guards against a start that is reported as refused although it took effect and only its answer
+/// was lost.
+#[tokio::test(start_paused = true)]
+async fn start_with_a_lost_answer_is_found_in_the_list() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    // The renewal that follows the list must not be the request whose answer is lost.
+    sleep(Duration::from_secs(1)).await;
+    bench.worker.lose_answers(1);
+    task.send(bench.start_of(lease(1, 0), ""));
+    let running = task.listed().await;
+    assert_eq!(running.iter().map(|task| task.lease).collect::<Vec<_>>(), [lease(1, 0)]);
+    assert!(task.is_started(lease(1, 0)).await);
+    sleep(Duration::from_secs(60)).await;
+    assert_eq!(bench.worker.running(), 1);
+    assert_eq!(bench.worker.audit().stretches.len(), 1);
+}
+
+/// Guards against tasks that stay bound to a worker that has lost them in a crash.
+#[tokio::test(start_paused = true)]
+async fn crash_ends_what_ran() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    task.send(bench.start_of(lease(1, 0), ""));
+    assert!(task.is_started(lease(1, 0)).await);
+    bench.worker.crash().await;
+    task.unreachable().await;
+    bench.worker.restart().await.unwrap();
+    assert_eq!(task.listed().await, Vec::new());
+    assert_eq!(task.end_of(lease(1, 0)).await.0, EndCause::LeaseExpired);
+}
+
+/// Guards against stops, throttles and acknowledgements that are lost with an answer.
+#[tokio::test(start_paused = true)]
+async fn commands_survive_a_pause() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    task.send(bench.start_of(lease(1, 0), ""));
+    assert!(task.is_started(lease(1, 0)).await);
+    bench.worker.pause(true);
+    task.send(WorkerCommand::Stop(lease(1, 0)));
+    task.unreachable().await;
+    bench.worker.pause(false);
+    assert_eq!(task.end_of(lease(1, 0)).await.0, EndCause::Stopped);
+}
+
+/// Guards against usage that is lost, and checks what the owner has to cope with: doubled, late and
+/// reordered intervals that still add up.
+#[tokio::test(start_paused = true)]
+async fn usage_arrives_in_full() {
+    let bench = Bench::start_with(|config| {
+        config.interval_ms = 100;
+        config.usage_delay_ms = 50;
+        config.usage_jitter_ms = 700;
+        config.doubled = 0.5;
+    })
+    .await;
+    let mut task = bench.control();
+    task.listed().await;
+    task.send(bench.start_of(lease(1, 0), "run_ms=2050 use_millicores=333"));
+    let usage = task.usage_of(lease(1, 0)).await;
+    assert!(usage.doubled > 0, "no interval came twice");
+    assert!(usage.reordered > 0, "no interval came out of order");
+    assert_eq!(usage.core_ms, bench.worker.used("1.0.0").core_ms);
+    assert_eq!(usage.core_ms, 2_050 * 333 / 1_000);
+}
