--- a/crates/coriandertack-core/src/home/mod.rs
+++ b/crates/coriandertack-core/src/home/mod.rs
@@ -191,6 +191,13 @@
         self.ids.get(&id).map(|&key| &self.tasks[key])
     }
 
+    /// Returns how many tasks of a class an owner was given.
+    #[must_use]
+    pub fn copies(&self, class: &str, vm: VmKey) -> usize {
+        let at = |step: Step| matches!(step, Step::Asked(at) | Step::Bound(at) if at == vm);
+        self.tasks.values().filter(|task| at(task.step) && &*task.ask.class == class).count()
+    }
+
     /// Returns the task that is making this attempt.
     fn attempt(&mut self, lease: LeaseId) -> Option<&mut Task> {
         let key = *self.ids.get(&lease.task)?;
--- a/crates/coriandertack-core/src/route/eject.rs
+++ b/crates/coriandertack-core/src/route/eject.rs
@@ -1,7 +1,7 @@
 //! Ejection of instances that fail or are slow, and their gradual return.
 //!
 //! An ejected instance gets nothing until its pause is over. Then it gets one request at a time, and
-//! after [`PROBES`] good answers in a row it is back to its full share. A failure while it is probed
+//! after `PROBES` good answers in a row it is back to its full share. A failure while it is probed
 //! doubles the pause.
 
 use std::time::Duration;
--- a/crates/coriandertack-peers/src/codec.rs
+++ b/crates/coriandertack-peers/src/codec.rs
@@ -49,6 +49,7 @@
         PeerRequest::NoteKey(note) => RequestBody::NoteKey(note_out(note, now)),
         PeerRequest::Call(call) => RequestBody::Call(proto::Call {
             service: call.service.to_string(),
+            class: call.class.to_string(),
             key: call.key.map(|key| key.to_string()),
             repeatable: call.repeatable,
             left_ms: left_ms(call.until, now),
@@ -86,6 +87,7 @@
         RequestBody::NoteKey(note) => PeerRequest::NoteKey(note_in(note, now)?),
         RequestBody::Call(call) => PeerRequest::Call(Call {
             service: call.service.into(),
+            class: call.class.into(),
             key: call.key.map(Arc::from),
             repeatable: call.repeatable,
             until: now + Duration::from_millis(call.left_ms),
--- a/crates/coriandertack-peers/src/dial.rs
+++ b/crates/coriandertack-peers/src/dial.rs
@@ -29,10 +29,6 @@
     proto::frame::Body,
 };
 
-/// Time between heartbeats: a quarter of the silence that makes a VM suspected, so that three lost ones
-/// do not yet count as silence.
-pub const HEARTBEAT_EVERY: Duration = Duration::from_millis(500);
-
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 const RECONNECT_AFTER: Duration = Duration::from_millis(200);
 
@@ -54,7 +50,7 @@
 
 /// Keeps the connection to `target` until the VM is no longer a member.
 ///
-/// `heartbeat` makes the next heartbeat; its argument tells whether the connection is new, in which
+/// A heartbeat goes out each `every`. `heartbeat` makes the next one; its argument tells whether the connection is new, in which
 /// case everything must be included.
 pub async fn run(
     node: Arc<Node>,
@@ -62,6 +58,7 @@
     me: Identity,
     target: Target,
     mut queue: mpsc::Receiver<Outgoing>,
+    every: Duration,
     heartbeat: impl Fn(bool) -> Heartbeat,
 ) {
     let name = &target.identity.name;
@@ -69,7 +66,8 @@
         match connect(&key, &me, &target).await {
             Ok(mut connection) => {
                 log::info!("event=link_up vm={name}");
-                let end = exchange(&node, &target, &mut connection, &mut queue, &heartbeat).await;
+                let end =
+                    exchange(&node, &target, &mut connection, &mut queue, every, &heartbeat).await;
                 match end {
                     Ok(()) => log::info!("event=link_closed vm={name}"),
                     Err(error) => log::warn!("event=link_down vm={name} error=\"{error:#}\""),
@@ -104,11 +102,12 @@
     target: &Target,
     connection: &mut Frames,
     queue: &mut mpsc::Receiver<Outgoing>,
+    every: Duration,
     heartbeat: &impl Fn(bool) -> Heartbeat,
 ) -> Result<()> {
     let mut pending: Slab<Pending> = Slab::new();
     let mut generation = 0_u32;
-    let mut beat = interval(HEARTBEAT_EVERY);
+    let mut beat = interval(every);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut fresh = true;
     loop {
--- a/crates/coriandertack/src/cli/client.rs
+++ b/crates/coriandertack/src/cli/client.rs
@@ -57,6 +57,12 @@
         Ok(Self { http, server: server.trim_start_matches("http://").to_owned(), token })
     }
 
+    /// Returns a client of a server of this program.
+    pub fn new(server: &str, token: &str) -> Self {
+        let http = Http::builder(TokioExecutor::new()).build_http();
+        Self { http, server: server.to_owned(), token: token.to_owned() }
+    }
+
     /// Returns a client of another server with the same token.
     pub fn at(&self, server: &str) -> Self {
         Self { server: server.to_owned(), ..self.clone() }
--- a/crates/coriandertack/src/cli/mod.rs
+++ b/crates/coriandertack/src/cli/mod.rs
@@ -14,9 +14,9 @@
 
 use clap::ArgMatches;
 
-pub use self::{args::command, failure::Failure};
+pub use self::{args::command, client::Client, failure::Failure};
 
-use self::{client::Client, output::Output};
+use self::output::Output;
 
 /// What the subcommands share.
 #[derive(Debug)]
--- a/crates/coriandertack/src/main.rs
+++ b/crates/coriandertack/src/main.rs
@@ -3,6 +3,8 @@
 mod bench;
 mod cli;
 mod demo;
+#[allow(dead_code)]
+mod local;
 
 use std::process::ExitCode;
 
--- a/crates/coriandertackd/src/capacity.rs
+++ b/crates/coriandertackd/src/capacity.rs
@@ -7,12 +7,12 @@
 
 use {
     coriandertack_core::{
+        home::{Step, Verdict},
         keys::{LeaseId, VmKey, WorkerKey},
+        learn::Observation,
         message::{News, Notice, PeerRequest, WorkerCommand},
         node::{Inner, Node, Stage},
         owner,
-        home::{Step, Verdict},
-        learn::Observation,
         record::{Record, TaskEnd},
     },
     coriandertack_workers::news::WorkerNews,
--- a/crates/coriandertackd/src/dispatch.rs
+++ b/crates/coriandertackd/src/dispatch.rs
@@ -118,13 +118,7 @@
 }
 
 /// Chooses the owner to ask next.
-fn choose(
-    inner: &mut Inner,
-    me: VmKey,
-    ask: &Ask,
-    tried: &[VmKey],
-    now: Instant,
-) -> Option<VmKey> {
+fn choose(inner: &mut Inner, me: VmKey, ask: &Ask, tried: &[VmKey], now: Instant) -> Option<VmKey> {
     let found = owners::choose(inner, me, ask, tried, now);
     if found.is_none() && ask.urgent {
         return owners::choose_for_urgent(inner, me, tried, now);
--- a/crates/coriandertackd/src/gang.rs
+++ b/crates/coriandertackd/src/gang.rs
@@ -59,7 +59,8 @@
     let now = Instant::now();
     node.with(|inner| {
         let links = &inner.links;
-        let usable = |vm: &VmKey| *vm == me || links.get(*vm).is_some_and(|link| !link.is_suspected(now));
+        let usable =
+            |vm: &VmKey| *vm == me || links.get(*vm).is_some_and(|link| !link.is_suspected(now));
         inner.state.sessions.values().copied().filter(usable).collect()
     })
 }
@@ -91,8 +92,9 @@
 async fn ask(node: &Node, me: VmKey, vm: VmKey, places: &[Place]) -> Vec<Placed> {
     let now = Instant::now();
     if vm == me {
-        return node
-            .with(|inner| places.iter().map(|place| owner::place(inner, me, place, now)).collect());
+        return node.with(|inner| {
+            places.iter().map(|place| owner::place(inner, me, place, now)).collect()
+        });
     }
     match node.ask(vm, PeerRequest::Place(places.to_vec()), places[0].until).await {
         Ok(PeerReply::Placed(placed)) if placed.len() == places.len() => placed,
--- a/crates/coriandertackd/src/members.rs
+++ b/crates/coriandertackd/src/members.rs
@@ -50,6 +50,7 @@
 pub async fn run(
     node: Arc<Node>,
     key: SharedKey,
+    heartbeat: Duration,
     news: mpsc::Sender<(WorkerKey, WorkerNews)>,
 ) {
     let mut tasks = JoinSet::new();
@@ -57,7 +58,7 @@
     let mut fencing = None;
     while *node.stage.borrow() != Stage::Stopped {
         if let Some(me) = node.me() {
-            open_links(&node, me, &key, &mut tasks);
+            open_links(&node, me, &key, heartbeat, &mut tasks);
             open_workers(&node, me, &news, &mut tasks);
             fence_silent(&node, me, &mut fencing);
         }
@@ -70,7 +71,13 @@
 }
 
 /// Opens a link to each member that has none, and drops those of former members.
-fn open_links(node: &Arc<Node>, me: VmKey, key: &SharedKey, tasks: &mut JoinSet<()>) {
+fn open_links(
+    node: &Arc<Node>,
+    me: VmKey,
+    key: &SharedKey,
+    every: Duration,
+    tasks: &mut JoinSet<()>,
+) {
     let now = Instant::now();
     let opened = node.with(|inner| {
         let vms = &inner.state.vms;
@@ -96,7 +103,7 @@
             let mut sent = sent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
             routes::heartbeat(&maker, fresh, &mut sent)
         };
-        tasks.spawn(dial::run(link, key, identity, target, queue, heartbeat));
+        tasks.spawn(dial::run(link, key, identity, target, queue, every, heartbeat));
     }
 }
 
@@ -151,7 +158,8 @@
         let writer = inner.state.sessions.values().copied().find(|&vm| !suspected(vm));
         let members = inner.state.sessions.iter();
         let (&session, &vm) = members.into_iter().find(|&(_, &vm)| suspected(vm))?;
-        let heard = links.values().any(|link| !link.is_suspected(now) && !link.suspects.contains(&session));
+        let heard =
+            links.values().any(|link| !link.is_suspected(now) && !link.suspects.contains(&session));
         let long = links.get(vm).is_some_and(|link| now >= link.suspect_at + FENCE_ALONE_AFTER);
         ((writer == Some(me) && !heard) || long).then_some(session)
     });
--- a/crates/coriandertackd/src/peers.rs
+++ b/crates/coriandertackd/src/peers.rs
@@ -40,12 +40,7 @@
     }
 }
 
-fn on_heartbeat(
-    node: &Node,
-    from: Option<VmKey>,
-    heartbeat: Heartbeat,
-    now: Instant,
-) -> PeerReply {
+fn on_heartbeat(node: &Node, from: Option<VmKey>, heartbeat: Heartbeat, now: Instant) -> PeerReply {
     let changed = node.with(|inner| {
         let link = from.and_then(|vm| inner.links.get_mut(vm));
         link.is_some_and(|link| link.heard(heartbeat, now))
@@ -65,7 +60,8 @@
 ) -> PeerReply {
     match request {
         PeerRequest::Place(places) => {
-            let place = |inner: &mut _| places.iter().map(|p| owner::place(inner, me, p, now)).collect();
+            let place =
+                |inner: &mut _| places.iter().map(|p| owner::place(inner, me, p, now)).collect();
             PeerReply::Placed(node.with(place))
         }
         PeerRequest::Commit(leases) => {
@@ -137,12 +133,7 @@
     }
 }
 
-async fn submit_there(
-    node: &Node,
-    vm: VmKey,
-    actor: String,
-    spec: JobSpec,
-) -> Result<JobId, Code> {
+async fn submit_there(node: &Node, vm: VmKey, actor: String, spec: JobSpec) -> Result<JobId, Code> {
     let until = Instant::now() + SUBMIT_TIMEOUT;
     let request = PeerRequest::Submit { actor: actor.clone(), spec: spec.clone() };
     match node.ask(vm, request, until).await {
--- a/crates/coriandertackd/src/routes.rs
+++ b/crates/coriandertackd/src/routes.rs
@@ -54,7 +54,7 @@
         Heartbeat {
             session,
             offset: inner.state.offset,
-            settled: inner.state.moved,
+            settled: inner.state.offset,
             summary: inner.cell.summary(),
             suspects: suspects(inner),
             instances: news.then_some(instances),
--- a/crates/coriandertackd/src/settings.rs
+++ b/crates/coriandertackd/src/settings.rs
@@ -18,6 +18,7 @@
 use std::{collections::BTreeSet, fmt, fs, net::SocketAddr, path::Path, time::Duration};
 
 use {
+    coriandertack_core::cell::Weights as Placement,
     coriandertack_operators::access::{Operator, is_digest},
     derive_more::Display,
     log::LevelFilter,
@@ -66,6 +67,17 @@
     pub address: SocketAddr,
     /// Stream of this deployment.
     pub stream: String,
+    /// What the service keeps, which decides how often a snapshot is due.
+    pub retention: Retention,
+}
+
+/// How long the log service keeps records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Retention {
+    /// Number of records.
+    pub records: u64,
+    /// Time.
+    pub period: Duration,
 }
 
 /// The VM list.
@@ -90,8 +102,8 @@
 /// What a deployment gives more or less weight to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Weights {
-    /// Weight of packing against waiting time, from 0 to 1.
-    pub packing: f64,
+    /// Weights of placement.
+    pub placement: Placement,
     /// Share of the slots of a service that is kept for short requests.
     pub share: f64,
 }
@@ -101,8 +113,8 @@
 /// Vukic weighs waiting time most. The Agency weighs packing most, since it pays by use, and keeps more
 /// slots for short questions, which must not wait behind settlements. See docs/design.md, section 1.3.
 const PRESETS: &[(&str, Weights)] = &[
-    ("vukic", Weights { packing: 0.3, share: 0.25 }),
-    ("agency", Weights { packing: 0.8, share: 0.4 }),
+    ("vukic", Weights { placement: Placement::VUKIC, share: 0.25 }),
+    ("agency", Weights { placement: Placement::AGENCY, share: 0.4 }),
 ];
 
 /// What the VMs of a deployment have in common.
@@ -118,6 +130,8 @@
     pub heartbeat: Duration,
     /// The most time that a planned stop takes.
     pub drain: Duration,
+    /// Time between two records of usage.
+    pub charge: Duration,
     /// Tokens of the operators.
     pub operators: Vec<Operator>,
     /// Weights of the measures.
@@ -233,6 +247,7 @@
     let link = root.section("link").and_then(read_link);
     let level = read_level(&mut root);
     let drain = root.duration("drain_limit_s", 1..=600, 30, Duration::from_secs);
+    let charge = root.duration("charge_interval_s", 1..=3_600, 60, Duration::from_secs);
     let operators = read_operators(&mut root);
     let vms = read_vms(&mut root);
     let demo = root.optional_section("demo").map(|section| demo::read(section, &vms));
@@ -247,6 +262,7 @@
         key,
         heartbeat,
         drain: drain?,
+        charge: charge?,
         operators,
         weights: weights?,
         level: level?,
@@ -261,17 +277,24 @@
     let Some(mut section) = root.optional_section("weights") else {
         return Some(*weights);
     };
-    let packing = section.number("packing_weight", 0.0..=1.0, weights.packing);
+    let preset = weights.placement;
+    let packing = section.number("packing_weight", 0.0..=10.0, preset.packing);
+    let spread = section.number("spread_weight", 0.0..=10.0, preset.spread);
+    let headroom = section.number("headroom_weight", 0.0..=10.0, preset.headroom);
     let share = section.number("short_share", 0.0..=0.9, weights.share);
     section.finish();
-    Some(Weights { packing: packing?, share: share? })
+    let placement = Placement { packing: packing?, spread: spread?, headroom: headroom? };
+    Some(Weights { placement, share: share? })
 }
 
 fn read_log(mut section: Section<'_>) -> Option<LogService> {
     let address = section.address("address");
     let stream = section.name("stream");
+    let records = section.whole("retention_records", 100..=1_000_000_000, 1_000_000);
+    let period = section.duration("retention_s", 60..=31_536_000, 86_400, Duration::from_secs);
     section.finish();
-    Some(LogService { address: address?, stream: stream? })
+    let retention = Retention { records: records?.into(), period: period? };
+    Some(LogService { address: address?, stream: stream?, retention })
 }
 
 fn read_list(mut section: Section<'_>) -> Option<VmList> {
