Test the resource API over a fake of the log at the channel

The tests call the routes without a network and in virtual time. Unknown parameters of a query are refused now, since a misspelt dry_run would make the change.

--- a/crates/coriandertack-operators/src/api.rs
+++ b/crates/coriandertack-operators/src/api.rs
@@ -1,9 +1,6 @@
 //! What the handlers share.
 
-use std::sync::{
-    Arc, Mutex, PoisonError,
-    atomic::{AtomicU64, Ordering},
-};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use {
     coriandertack_core::{
@@ -14,14 +11,14 @@
         state::{Applied, State, Verdict},
     },
     futures::future::BoxFuture,
-    tokio::{sync::mpsc, time::Instant},
+    tokio::time::Instant,
 };
 
 use crate::{
     access::{Caller, Operator},
     metrics::Metrics,
     rates::{Rate, Rates},
-    refusals::{self, Refused},
+    refusals::Refusals,
     reply::Fault,
     settings_schema::Live,
     watch::{self, Ring},
@@ -35,9 +32,6 @@
 /// Refuses a job that no worker could ever hold.
 pub type Admit = Box<dyn Fn(&State, &JobSpec) -> Result<(), Code> + Send + Sync>;
 
-/// Refusals that wait for the audit trail; more are counted and dropped.
-const REFUSAL_QUEUE: usize = 64;
-
 /// What the handlers of the resource API share.
 pub struct Api {
     /// This VM.
@@ -49,13 +43,10 @@
     /// Recent changes, for those who watch.
     pub(crate) ring: Ring,
     /// Refusals on the way to the audit trail.
-    pub(crate) refused: mpsc::Sender<Refused>,
-    /// Refusals that the audit trail does not show, because there were too many.
-    pub(crate) dropped: AtomicU64,
+    pub(crate) refusals: Refusals,
     submit: Submit,
     admit: Admit,
     rates: Mutex<Rates<Caller>>,
-    refusals: Mutex<Option<mpsc::Receiver<Refused>>>,
 }
 
 impl Api {
@@ -65,18 +56,15 @@
     /// offset that is applied when this is called.
     #[must_use]
     pub fn new(node: Arc<Node>, operators: Vec<Operator>, metrics: Arc<Metrics>) -> Self {
-        let (refused, refusals) = mpsc::channel(REFUSAL_QUEUE);
         Self {
             ring: Ring::of(&node),
             node,
             operators,
             metrics,
-            refused,
-            dropped: AtomicU64::new(0),
+            refusals: Refusals::default(),
             submit: Box::new(|node, actor, spec| Box::pin(submit_here(node, actor, spec))),
             admit: Box::new(|_, _| Ok(())),
             rates: Mutex::default(),
-            refusals: Mutex::new(Some(refusals)),
         }
     }
 
@@ -98,9 +86,7 @@
     ///
     /// Only the first call does so; a later one returns at once.
     pub async fn run(self: Arc<Self>) {
-        let refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner).take();
-        let Some(refusals) = refusals else { return };
-        tokio::join!(watch::follow(&self.ring), refusals::write(&self.node, refusals));
+        tokio::join!(watch::follow(&self.ring), self.refusals.write(&self.node));
     }
 
     /// Takes one request out of the caller's allowance.
@@ -111,13 +97,6 @@
         rates.take(caller, rate, Instant::now())
     }
 
-    /// Queues a refused change for the audit trail, or counts it if the queue is full.
-    pub(crate) fn note_refused(&self, refused: Refused) {
-        if self.refused.try_send(refused).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-
     /// Checks that this VM may accept a change now.
     pub(crate) fn require_serving(&self) -> Result<(), Fault> {
         match *self.node.stage.borrow() {
--- a/crates/coriandertack-operators/src/call.rs
+++ b/crates/coriandertack-operators/src/call.rs
@@ -22,7 +22,7 @@
 use crate::{
     access::{Caller, authenticate},
     api::Api,
-    refusals::Refused,
+    refusals::{ANONYMOUS, Refused},
     reply::{Answer, Fault, Reply},
     routes::Endpoint,
 };
@@ -178,12 +178,24 @@
     endpoint: &'static Endpoint,
     mut request: Request,
 ) -> Response {
-    let answer = match admit(&api, &request) {
-        Ok(caller) => run(&api, endpoint, &mut request, caller).await,
-        Err(fault) => Err(fault),
+    let refused = Refused {
+        actor: ANONYMOUS.into(),
+        action: format!("{} {}", endpoint.operation, shorten(request.path())),
+        code: Code::Done,
     };
-    let code = answer.as_ref().map_or_else(|fault| fault.code, |reply| reply.code);
-    api.metrics.answered(code);
+    let is_dry = request.query_string().is_some_and(|query| query.contains("dry_run=true"));
+    let is_change = endpoint.method != Method::GET && !is_dry;
+    let (actor, answer) = match admit(&api, &request) {
+        Ok(caller) => (caller.to_string(), run(&api, endpoint, &mut request, caller).await),
+        Err(fault) => (refused.actor.clone(), Err(fault)),
+    };
+    api.metrics.answered(answer.as_ref().map_or_else(|fault| fault.code, |reply| reply.code));
+    if let Err(fault) = &answer
+        && is_change
+        && !is_audited(fault)
+    {
+        api.refusals.note(Refused { actor, code: fault.code, ..refused });
+    }
     answer.map_or_else(Fault::response, Reply::response)
 }
 
@@ -198,50 +210,34 @@
     Ok(caller)
 }
 
+/// Reads the request and runs the handler, if the caller may use the endpoint.
 async fn run(
     api: &Arc<Api>,
     endpoint: &'static Endpoint,
     request: &mut Request,
     caller: Caller,
 ) -> Answer {
-    let actor = caller.to_string();
-    let path = request.uri().path().to_owned();
-    let answer = match read(request, endpoint, caller).await {
-        Ok(call) => guarded(api, endpoint, call).await,
-        Err(fault) => Err(fault),
-    };
-    if let Err(fault) = &answer
-        && endpoint.method != Method::GET
-        && !is_audited(fault.code)
-    {
-        let action = format!("{} {}", endpoint.operation, shorten(&path));
-        api.note_refused(Refused { actor, action, code: fault.code });
-    }
-    answer
-}
-
-/// Runs the handler if the caller may use the endpoint.
-async fn guarded(api: &Arc<Api>, endpoint: &'static Endpoint, call: Call) -> Answer {
     if endpoint.operator_only {
-        call.caller.require_operator()?;
+        caller.require_operator()?;
     }
+    let call = read(request, endpoint, caller).await?;
     (endpoint.handler)(Arc::clone(api), call).await
 }
 
-/// Tells whether the log has a refused change already, or cannot take it.
+/// Tells whether the trail has a refused change already, or should not have it.
 ///
-/// A conflict found by the log is in the trail. A conflict found here is not, but it is not told from the other
-/// one, and it is the least surprising of the refusals.
-fn is_audited(code: Code) -> bool {
-    matches!(
-        code,
-        Code::Conflict
+/// A request beyond the rate was not looked at. The other codes mean that the log cannot take records
+/// now.
+fn is_audited(fault: &Fault) -> bool {
+    let is_unfit = matches!(
+        fault.code,
+        Code::TooManyRequests
             | Code::LogUnavailable
             | Code::NotReady
             | Code::Stopping
             | Code::Fenced
-            | Code::OutcomeUnknown
-    )
+    );
+    fault.is_void || is_unfit
 }
 
 fn shorten(path: &str) -> &str {
@@ -250,6 +246,11 @@
 
 async fn read(request: &mut Request, endpoint: &Endpoint, caller: Caller) -> Result<Call, Fault> {
     let query = read_query(request)?;
+    if let Some(name) = query.keys().find(|name| !endpoint.query.contains(&name.as_str())) {
+        let known = endpoint.query.join(", ");
+        let reason = format!("unknown parameter `{}`; known: {known}", shorten(name));
+        return Err(Fault::new(Code::Malformed, reason));
+    }
     let expect = read_expect(request, &query)?;
     let name = read_name(request)?;
     let key = request.header::<_, String>("idempotency-key");
--- a/crates/coriandertack-operators/src/changes.rs
+++ b/crates/coriandertack-operators/src/changes.rs
@@ -25,7 +25,10 @@
     };
     match verdict {
         Ok(applied) => Ok(reply(applied, dry_run)),
-        Err(code) => Err(api.node.with(|inner| explain(&inner.state, &record, code))),
+        Err(code) => {
+            let fault = api.node.with(|inner| explain(&inner.state, &record, code));
+            Err(if dry_run { fault } else { fault.void() })
+        }
     }
 }
 
--- a/crates/coriandertack-operators/src/health.rs
+++ b/crates/coriandertack-operators/src/health.rs
@@ -1,6 +1,6 @@
 //! Health and metrics, without a token: they show no team's work.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::sync::Arc;
 
 use {
     coriandertack_core::{
@@ -59,7 +59,7 @@
 
 fn metrics(api: &Api) -> Response {
     api.metrics.observe(&api.node);
-    api.metrics.dropped(api.dropped.swap(0, Ordering::Relaxed));
+    api.metrics.dropped(api.refusals.take_dropped());
     match api.metrics.text() {
         Ok(text) => respond(Code::Done, "text/plain; version=0.0.4", text.into_bytes()),
         Err(error) => Fault::new(Code::Internal, error.to_string()).response(),
--- a/crates/coriandertack-operators/src/jobs.rs
+++ b/crates/coriandertack-operators/src/jobs.rs
@@ -99,7 +99,8 @@
         return Ok(Reply::new(Code::Done).with("dry_run", true));
     }
     let submitted = api.submit(call.caller.to_string(), spec);
-    match in_time(async { submitted.await.map(Applied::Job) }).await? {
+    let verdict = in_time(async { submitted.await.map(Applied::Job) }).await;
+    match verdict.map_err(|code| Fault::from(code).void())? {
         Applied::Job(job) => Ok(Reply::new(Code::Accepted).with("job", job)),
         _ => Err(Code::Internal.into()),
     }
--- a/crates/coriandertack-operators/src/metrics.rs
+++ b/crates/coriandertack-operators/src/metrics.rs
@@ -61,8 +61,12 @@
     /// Fails if the exporter cannot be registered.
     pub fn new() -> anyhow::Result<Self> {
         let registry = Registry::new();
-        let exporter =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("coriandertack")
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("coriandertack");
         let count = |name: &'static str, text: &'static str| {
--- a/crates/coriandertack-operators/src/reply.rs
+++ b/crates/coriandertack-operators/src/reply.rs
@@ -74,13 +74,15 @@
     pub reason: String,
     /// Version of the object, if it would help the next attempt.
     pub version: Option<Version>,
+    /// Whether the log made the change void, so that the audit trail has it already.
+    pub is_void: bool,
 }
 
 impl Fault {
     /// Returns a fault with its reason.
     #[must_use]
     pub fn new(code: Code, reason: impl Into<String>) -> Self {
-        Self { code, reason: reason.into(), version: None }
+        Self { code, reason: reason.into(), version: None, is_void: false }
     }
 
     /// Adds the version that the object has now.
@@ -90,6 +92,13 @@
         self
     }
 
+    /// Marks a change that reached the log and is void there.
+    #[must_use]
+    pub fn void(mut self) -> Self {
+        self.is_void = true;
+        self
+    }
+
     /// Returns the HTTP response.
     #[must_use]
     pub fn response(self) -> Response {
--- a/crates/coriandertack-operators/src/routes.rs
+++ b/crates/coriandertack-operators/src/routes.rs
@@ -33,26 +33,39 @@
     pub operation: &'static str,
     /// Whether a team's token is refused.
     pub operator_only: bool,
+    /// Parameters of the query. Others are refused, so that a misspelt `dry_run` changes nothing.
+    pub query: &'static [&'static str],
     /// What it does.
     pub handler: Handler,
 }
 
+/// Parameters of a change that compares versions.
+const VERSIONED: &[&str] = &["expect", "dry_run"];
+
+/// Parameters of other changes.
+const CHANGE: &[&str] = &["dry_run"];
+
+/// Parameters of a list without filters.
+const PAGE: &[&str] = &["limit", "after"];
+
 const fn endpoint(
     method: Method,
     path: &'static str,
     operation: &'static str,
+    query: &'static [&'static str],
     handler: Handler,
 ) -> Endpoint {
-    Endpoint { method, path, operation, operator_only: false, handler }
+    Endpoint { method, path, operation, operator_only: false, query, handler }
 }
 
 const fn operators(
     method: Method,
     path: &'static str,
     operation: &'static str,
+    query: &'static [&'static str],
     handler: Handler,
 ) -> Endpoint {
-    Endpoint { method, path, operation, operator_only: true, handler }
+    Endpoint { method, path, operation, operator_only: true, query, handler }
 }
 
 macro_rules! run {
@@ -63,32 +76,69 @@
 
 /// Every route under `/v1/`.
 pub static ENDPOINTS: &[Endpoint] = &[
-    endpoint(Method::GET, "/v1/teams", "listTeams", run!(teams::list)),
-    endpoint(Method::GET, "/v1/teams/{team}", "getTeam", run!(teams::get)),
-    operators(Method::PUT, "/v1/teams/{team}", "putTeam", run!(teams::put)),
-    operators(Method::DELETE, "/v1/teams/{team}", "deleteTeam", run!(teams::delete)),
-    operators(Method::GET, "/v1/settings", "listSettings", run!(live::list)),
-    operators(Method::GET, "/v1/settings/{setting}", "getSetting", run!(live::get)),
-    operators(Method::PUT, "/v1/settings/{setting}", "putSetting", run!(live::put)),
-    operators(Method::DELETE, "/v1/settings/{setting}", "deleteSetting", run!(live::delete)),
-    endpoint(Method::GET, "/v1/jobs", "listJobs", run!(jobs::list)),
-    endpoint(Method::POST, "/v1/jobs", "submitJob", run!(jobs::submit)),
-    endpoint(Method::GET, "/v1/jobs/{job}", "getJob", run!(jobs::get)),
-    endpoint(Method::POST, "/v1/jobs/{job}/cancel", "cancelJob", run!(jobs::cancel)),
-    endpoint(Method::GET, "/v1/explain/{job}", "explainJob", run!(explain::explain)),
-    operators(Method::GET, "/v1/workers", "listWorkers", run!(members::workers)),
-    operators(Method::GET, "/v1/workers/{worker}", "getWorker", run!(members::worker)),
-    operators(Method::POST, "/v1/workers/{worker}/cordon", "cordonWorker", run!(members::cordon)),
+    endpoint(Method::GET, "/v1/teams", "listTeams", PAGE, run!(teams::list)),
+    endpoint(Method::GET, "/v1/teams/{team}", "getTeam", &[], run!(teams::get)),
+    operators(Method::PUT, "/v1/teams/{team}", "putTeam", VERSIONED, run!(teams::put)),
+    operators(Method::DELETE, "/v1/teams/{team}", "deleteTeam", VERSIONED, run!(teams::delete)),
+    operators(Method::GET, "/v1/settings", "listSettings", &[], run!(live::list)),
+    operators(Method::GET, "/v1/settings/{setting}", "getSetting", &[], run!(live::get)),
+    operators(Method::PUT, "/v1/settings/{setting}", "putSetting", VERSIONED, run!(live::put)),
+    operators(
+        Method::DELETE,
+        "/v1/settings/{setting}",
+        "deleteSetting",
+        VERSIONED,
+        run!(live::delete),
+    ),
+    endpoint(
+        Method::GET,
+        "/v1/jobs",
+        "listJobs",
+        &["limit", "after", "team", "name", "kind", "standing"],
+        run!(jobs::list),
+    ),
+    endpoint(Method::POST, "/v1/jobs", "submitJob", CHANGE, run!(jobs::submit)),
+    endpoint(Method::GET, "/v1/jobs/{job}", "getJob", &[], run!(jobs::get)),
+    endpoint(Method::POST, "/v1/jobs/{job}/cancel", "cancelJob", CHANGE, run!(jobs::cancel)),
+    endpoint(Method::GET, "/v1/explain/{job}", "explainJob", &[], run!(explain::explain)),
+    operators(
+        Method::GET,
+        "/v1/workers",
+        "listWorkers",
+        &["limit", "after", "zone", "owner"],
+        run!(members::workers),
+    ),
+    operators(Method::GET, "/v1/workers/{worker}", "getWorker", &[], run!(members::worker)),
+    operators(
+        Method::POST,
+        "/v1/workers/{worker}/cordon",
+        "cordonWorker",
+        CHANGE,
+        run!(members::cordon),
+    ),
     operators(
         Method::POST,
         "/v1/workers/{worker}/uncordon",
         "uncordonWorker",
+        CHANGE,
         run!(members::uncordon),
     ),
-    operators(Method::GET, "/v1/vms", "listVms", run!(members::vms)),
-    endpoint(Method::GET, "/v1/charges", "listCharges", run!(records::charges)),
-    operators(Method::GET, "/v1/audit", "listAudit", run!(records::audit)),
-    endpoint(Method::GET, "/v1/watch", "watch", run!(watch::watch)),
+    operators(Method::GET, "/v1/vms", "listVms", &[], run!(members::vms)),
+    endpoint(
+        Method::GET,
+        "/v1/charges",
+        "listCharges",
+        &["limit", "after", "team", "kind", "from_ms", "to_ms", "format"],
+        run!(records::charges),
+    ),
+    operators(
+        Method::GET,
+        "/v1/audit",
+        "listAudit",
+        &["limit", "after", "actor", "action", "result", "refused", "from_ms", "to_ms"],
+        run!(records::audit),
+    ),
+    endpoint(Method::GET, "/v1/watch", "watch", &["from", "wait_ms"], run!(watch::watch)),
 ];
 
 /// Returns the routes of the resource API, of health and of metrics.
--- /dev/null
+++ b/crates/coriandertack-operators/tests/common/mod.rs
@@ -0,0 +1,196 @@
+//! A resource API over a fake of the log at the channel, called without a network.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::sync::Arc;
+
+use {
+    coriandertack_core::{
+        keys::{Incarnation, Offset},
+        message::Submission,
+        node::{Due, Node, Stage, Waiting, now_ms},
+        record::{Batch, Entry, Join, Presence, Record, TeamChange, TeamSpec, WorkerInfo},
+        resources::Resources,
+        state::Verdict,
+    },
+    coriandertack_operators::{Api, Metrics, Operator, access::TokenDigest, routes},
+    http_body_util::BodyExt,
+    serde_json::Value,
+    tokio::{sync::mpsc, sync::watch, task::JoinHandle, time::Instant},
+    viz::{Body, Handler, Method, Request, Response, Tree, types::RouteInfo},
+};
+
+/// Token of the operator `ana`.
+pub const OPERATOR: &str = "operator-token";
+
+/// Tokens of the teams `vans` and `cheese`.
+pub const VANS: &str = "vans-token";
+/// Token of the team `cheese`.
+pub const CHEESE: &str = "cheese-token";
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Got {
+    /// HTTP status.
+    pub status: u16,
+    /// Number of the result code, 0 if there is none.
+    pub code: u64,
+    /// Content, null if it is not JSON.
+    pub json: Value,
+    /// Content as text.
+    pub text: String,
+}
+
+/// A resource API under test.
+pub struct Bed {
+    /// The node.
+    pub node: Arc<Node>,
+    /// The API.
+    pub api: Arc<Api>,
+    /// Whether the fake log applies what it is sent.
+    pub log_runs: watch::Sender<bool>,
+    /// Whether each call finds the permission to act extended.
+    pub is_valid: bool,
+    tree: Tree,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Bed {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl Bed {
+    /// Returns a serving VM with an operator, the teams `vans` and `cheese`, and three workers.
+    pub async fn start() -> Self {
+        Self::start_with(|api| api).await
+    }
+
+    /// Returns a serving VM whose API is changed by `prepare`.
+    pub async fn start_with(prepare: impl FnOnce(Api) -> Api) -> Self {
+        let info = Join {
+            name: "split-1".into(),
+            zone: "split".into(),
+            link: "127.0.0.1:7001".parse().unwrap(),
+            http: "127.0.0.1:7002".parse().unwrap(),
+        };
+        let (node, submissions) = Node::new(info.clone(), Incarnation(1));
+        let log_runs = watch::Sender::new(true);
+        let log = tokio::spawn(run_log(Arc::clone(&node), submissions, log_runs.subscribe()));
+        node.submit_one("system", Record::Join(info)).await.unwrap();
+        node.stage.send_replace(Stage::Serving);
+        let digest = TokenDigest::of(OPERATOR).as_hex().to_owned();
+        let operators = vec![Operator { name: "ana".into(), digest }];
+        let metrics = Arc::new(Metrics::new().unwrap());
+        let api = Arc::new(prepare(Api::new(Arc::clone(&node), operators, metrics)));
+        let run = tokio::spawn(Arc::clone(&api).run());
+        let tree = Tree::from(routes(Arc::clone(&api)));
+        let bed = Self { node, api, log_runs, is_valid: true, tree, tasks: vec![log, run] };
+        bed.add_team("vans", VANS).await;
+        bed.add_team("cheese", CHEESE).await;
+        bed.append("system", Record::Workers((1..=3).map(worker).collect())).await.unwrap();
+        bed
+    }
+
+    async fn add_team(&self, name: &str, token: &str) {
+        let tokens = vec![TokenDigest::of(token).as_hex().to_owned()];
+        let spec = Some(TeamSpec { quota: Resources::new(64_000, 131_072, 4), tokens });
+        let change = TeamChange { name: name.into(), expect: 0.into(), spec };
+        self.append("system", Record::Team(change)).await.unwrap();
+    }
+
+    /// Appends a record as another VM would.
+    pub async fn append(&self, actor: &str, record: Record) -> Verdict {
+        self.node.submit_one(actor, record).await
+    }
+
+    /// Sends a request.
+    pub async fn call(&self, method: Method, target: &str, token: &str, body: &str) -> Got {
+        let request = Request::builder()
+            .method(method)
+            .uri(target)
+            .header("authorization", format!("Bearer {token}"))
+            .body(Body::Full(body.to_owned().into()))
+            .unwrap();
+        self.send(request).await
+    }
+
+    /// Reads with a token.
+    pub async fn get(&self, target: &str, token: &str) -> Got {
+        self.call(Method::GET, target, token, "").await
+    }
+
+    /// Sends a request that was built elsewhere.
+    pub async fn send(&self, mut request: Request) -> Got {
+        if self.is_valid {
+            self.node.extend(Instant::now());
+        }
+        let path = request.uri().path().to_owned();
+        let method = request.method().clone();
+        let (handler, route) = self.tree.find(&method, &path).expect("a route");
+        request.extensions_mut().insert(Arc::new(RouteInfo {
+            id: *route.id,
+            pattern: route.pattern(),
+            params: route.params().into(),
+        }));
+        let response = handler.call(request).await.expect("a response");
+        got(response).await
+    }
+}
+
+async fn got(response: Response) -> Got {
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    let text = String::from_utf8(body.to_vec()).unwrap();
+    let json: Value = serde_json::from_str(&text).unwrap_or_default();
+    Got { status, code: json["code"].as_u64().unwrap_or(0), json, text }
+}
+
+/// Returns the worker with this number.
+pub fn worker(number: u32) -> WorkerInfo {
+    WorkerInfo {
+        name: format!("w{number}"),
+        address: format!("127.0.0.1:{}", 9_000 + number).parse().unwrap(),
+        zone: "split".into(),
+        rack: "r1".into(),
+        presence: Presence::Live,
+        capacity: Resources::new(16_000, 32_768, 0),
+    }
+}
+
+/// Returns a job as JSON.
+pub fn job(team: &str, name: &str) -> String {
+    format!(
+        r#"{{"team":"{team}","name":"{name}","kind":"batch","tasks":2,
+            "need":{{"millicores":500,"memory_mib":512}}}}"#
+    )
+}
+
+/// Applies submissions as soon as they come, while `runs` holds.
+async fn run_log(
+    node: Arc<Node>,
+    mut submissions: mpsc::Receiver<Submission>,
+    mut runs: watch::Receiver<bool>,
+) {
+    let mut offset = Offset(0);
+    while let Some(Submission { entries, reply }) = submissions.recv().await {
+        if runs.wait_for(|runs| *runs).await.is_err() {
+            return;
+        }
+        offset = offset.next();
+        let seq = node.with(|inner| {
+            inner.commits.seq += 1;
+            let seq = inner.commits.seq;
+            let due = Due { entries: entries.len(), reply };
+            inner.commits.waiting.push(Waiting { seq, replies: vec![due] });
+            seq
+        });
+        node.apply(offset, &Batch { author: node.author, seq, entries });
+    }
+}
+
+/// Returns an entry of the system.
+pub fn entry(record: Record) -> Entry {
+    Entry { actor: "system".into(), at_ms: now_ms(), record }
+}
--- /dev/null
+++ b/crates/coriandertack-operators/tests/reading.rs
@@ -0,0 +1,241 @@
+//! Lists, pages, charges, explanations, health and metrics.
+
+mod common;
+
+use {
+    common::{Bed, CHEESE, OPERATOR, VANS, job, worker},
+    coriandertack_core::{
+        code::Code,
+        keys::{JobId, LeaseId, TaskId},
+        node::Stage,
+        record::{Outcome, Record, Span, TaskEnd, Usage},
+        state::PERIOD_MS,
+    },
+    expect_test::expect,
+    serde_json::Value,
+    std::time::Duration,
+    viz::Method,
+};
+
+async fn submit(bed: &Bed, team: &str, token: &str, name: &str) -> u64 {
+    let got = bed.call(Method::POST, "/v1/jobs", token, &job(team, name)).await;
+    got.json["job"].as_u64().unwrap()
+}
+
+/// Reads a list page by page and returns the values of `key`.
+async fn read_all(bed: &Bed, path: &str, field: &str, key: &str, token: &str) -> Vec<Value> {
+    let mut found = Vec::new();
+    let mut after = String::new();
+    loop {
+        let got = bed.get(&format!("{path}limit=2{after}"), token).await;
+        assert_eq!(got.code, 2000, "{}", got.text);
+        let page = got.json[field].as_array().unwrap();
+        assert!(page.len() <= 2);
+        found.extend(page.iter().map(|object| object[key].clone()));
+        after = match &got.json["next"] {
+            Value::Null => return found,
+            Value::String(text) => format!("&after={text}"),
+            next => format!("&after={next}"),
+        };
+    }
+}
+
+/// Guards against objects that are lost or repeated at the border of two pages.
+#[tokio::test(start_paused = true)]
+async fn pages_show_each_object_once() {
+    let bed = Bed::start().await;
+    let mut own = Vec::new();
+    let mut all = Vec::new();
+    for index in 0..7 {
+        let id = submit(&bed, "vans", VANS, &format!("run{index}")).await;
+        own.push(Value::from(id));
+        all.push(Value::from(id));
+        all.push(Value::from(submit(&bed, "cheese", CHEESE, "settle").await));
+    }
+    assert_eq!(read_all(&bed, "/v1/jobs?", "jobs", "job", OPERATOR).await, all);
+    assert_eq!(read_all(&bed, "/v1/jobs?", "jobs", "job", VANS).await, own);
+    assert_eq!(read_all(&bed, "/v1/jobs?team=vans&", "jobs", "job", OPERATOR).await, own);
+    assert_eq!(read_all(&bed, "/v1/jobs?name=run3&", "jobs", "job", VANS).await, own[3..4]);
+    let workers = read_all(&bed, "/v1/workers?", "workers", "name", OPERATOR).await;
+    assert_eq!(workers, ["w1", "w2", "w3"]);
+    assert_eq!(read_all(&bed, "/v1/workers?zone=x&", "workers", "name", OPERATOR).await.len(), 0);
+    assert_eq!(read_all(&bed, "/v1/teams?", "teams", "name", OPERATOR).await, ["cheese", "vans"]);
+    let trail = read_all(&bed, "/v1/audit?", "entries", "position", OPERATOR).await;
+    assert_eq!(trail.len(), bed.node.with(|inner| inner.state.audit.entries.len()));
+    for limit in ["0", "501", "x"] {
+        let got = bed.get(&format!("/v1/jobs?limit={limit}"), VANS).await;
+        assert!([4020, 4000].contains(&got.code), "{limit}");
+    }
+}
+
+/// Guards against a standing that does not follow the ends of the tasks.
+#[tokio::test(start_paused = true)]
+async fn a_job_shows_where_it_stands() {
+    let bed = Bed::start().await;
+    let id = submit(&bed, "vans", VANS, "plan").await;
+    let path = format!("/v1/jobs/{id}");
+    assert_eq!(bed.get(&path, VANS).await.json["job"]["standing"], "active");
+    let end = |index, outcome| {
+        let task = TaskId { job: JobId(id), index };
+        Record::Ended(vec![TaskEnd { task, outcome, worker: "w1".into() }])
+    };
+    bed.append("system", end(0, Outcome::Succeeded)).await.unwrap();
+    bed.call(Method::POST, &format!("{path}/cancel"), VANS, "").await;
+    assert_eq!(bed.get(&path, VANS).await.json["job"]["standing"], "cancelling");
+    bed.append("system", end(1, Outcome::Cancelled)).await.unwrap();
+    let shown = bed.get(&path, VANS).await.json["job"].take();
+    assert_eq!((&shown["standing"], &shown["succeeded"]), (&"ended".into(), &1.into()));
+    assert_eq!(read_all(&bed, "/v1/jobs?standing=ended&", "jobs", "job", VANS).await, [id]);
+    assert_eq!(read_all(&bed, "/v1/jobs?standing=active&", "jobs", "job", VANS).await.len(), 0);
+}
+
+/// Guards against charges whose form hides the team, kind or period that they belong to.
+#[tokio::test(start_paused = true)]
+async fn charges_are_the_same_in_json_and_csv() {
+    let bed = Bed::start().await;
+    for (team, token) in [("vans", VANS), ("cheese", CHEESE)] {
+        let job = JobId(submit(&bed, team, token, "plan").await);
+        let lease = LeaseId { task: TaskId { job, index: 0 }, attempt: 1 };
+        for interval in 0..2 {
+            let usage = Usage { core_ms: 1_500, mib_s: 512, acc_ms: 0 };
+            let end_ms = PERIOD_MS * 490_000 + u64::from(interval) * PERIOD_MS + 5;
+            let span = Span { lease, from: interval, to: interval + 1, usage, end_ms };
+            bed.append("system", Record::Usage(vec![span])).await.unwrap();
+        }
+    }
+    let table = bed.get("/v1/charges?format=csv", OPERATOR).await;
+    expect![[r#"
+        period,start_ms,team,kind,core_ms,mib_s,acc_ms
+        2025-11-24T16:00:00Z,1764000000000,cheese,batch,1500,512,0
+        2025-11-24T16:00:00Z,1764000000000,vans,batch,1500,512,0
+        2025-11-24T17:00:00Z,1764003600000,cheese,batch,1500,512,0
+        2025-11-24T17:00:00Z,1764003600000,vans,batch,1500,512,0
+    "#]]
+    .assert_eq(&table.text);
+    let own = bed.get("/v1/charges", VANS).await;
+    let lines = own.json["charges"].as_array().unwrap();
+    assert_eq!(lines.len(), 2);
+    assert!(lines.iter().all(|line| line["team"] == "vans" && line["core_ms"] == 1_500));
+    let later = bed.get("/v1/charges?from_ms=1764000000001&team=vans", OPERATOR).await;
+    assert_eq!(later.json["charges"].as_array().unwrap().len(), 1);
+    let none = bed.get("/v1/charges?format=csv&kind=gang", OPERATOR).await;
+    assert_eq!(none.text, "period,start_ms,team,kind,core_ms,mib_s,acc_ms\n");
+    assert_eq!(bed.get("/v1/charges?format=xml", OPERATOR).await.code, 4000);
+    assert_eq!(read_all(&bed, "/v1/charges?", "charges", "team", OPERATOR).await.len(), 4);
+}
+
+/// Guards against an explanation that names no reason.
+#[tokio::test(start_paused = true)]
+async fn a_waiting_job_has_its_reasons() {
+    let bed = Bed::start_with(|api| {
+        api.with_admit(Box::new(|state, spec| {
+            let is_large = |key| spec.need.fits(state.workers[key].info.capacity);
+            let fits = state.workers.keys().any(is_large);
+            if fits || state.workers.is_empty() { Ok(()) } else { Err(Code::Impossible) }
+        }))
+    })
+    .await;
+    let id = submit(&bed, "vans", VANS, "plan").await;
+    bed.call(Method::POST, "/v1/workers/w1/cordon", OPERATOR, "").await;
+    let mut small = worker(2);
+    small.capacity.millicores = 100;
+    bed.append("system", Record::Workers(vec![small])).await.unwrap();
+    let me = bed.node.me().unwrap();
+    let now = tokio::time::Instant::now();
+    bed.node.with(|inner| inner.homes.sync(&inner.state, me, now));
+    let got = bed.get(&format!("/v1/explain/{id}"), VANS).await;
+    let shown = serde_json::json!({
+        "home": got.json["home"], "steps": got.json["steps"], "reasons": got.json["reasons"],
+    });
+    expect![[r#"
+        {
+          "home": {
+            "here": true,
+            "http": "127.0.0.1:7002",
+            "vm": "split-1"
+          },
+          "reasons": [
+            "of 3 workers, 2 take new work and 1 of these are large enough",
+            "tasks wait for capacity or for room in the team's quota"
+          ],
+          "steps": [
+            {
+              "step": "queued",
+              "tasks": 2
+            }
+          ]
+        }"#]]
+    .assert_eq(&serde_json::to_string_pretty(&shown).unwrap());
+}
+
+/// Guards against a load balancer that sends work to a VM which cannot take it.
+#[tokio::test(start_paused = true)]
+async fn only_a_valid_serving_vm_is_ready() {
+    let mut bed = Bed::start().await;
+    let mut seen = Vec::new();
+    for stage in [Stage::Starting, Stage::Serving, Stage::Draining, Stage::Stopped] {
+        bed.node.stage.send_replace(stage);
+        let got = bed.get("/readyz", "").await;
+        seen.push((stage, got.status, got.code));
+        assert_eq!(bed.get("/healthz", "").await.status, 200);
+    }
+    let expected = [
+        (Stage::Starting, 503, 5029),
+        (Stage::Serving, 200, 2000),
+        (Stage::Draining, 503, 5034),
+        (Stage::Stopped, 503, 5034),
+    ];
+    assert_eq!(seen, expected);
+    bed.node.stage.send_replace(Stage::Serving);
+    bed.is_valid = false;
+    tokio::time::advance(Duration::from_secs(4)).await;
+    let got = bed.get("/readyz", "").await;
+    assert_eq!((got.status, got.code), (503, 5030));
+    assert_eq!(got.json["reason"], "the tail of the log was not read for 3 s");
+    bed.is_valid = true;
+    bed.append("system", Record::Leave).await.unwrap();
+    assert_eq!(bed.get("/readyz", "").await.code, 5035);
+}
+
+/// Guards against an instrument that is lost on the way to the export.
+#[tokio::test(start_paused = true)]
+async fn every_instrument_is_exported() {
+    let bed = Bed::start().await;
+    submit(&bed, "vans", VANS, "plan").await;
+    let me = bed.node.me().unwrap();
+    let now = tokio::time::Instant::now();
+    bed.node.with(|inner| inner.homes.sync(&inner.state, me, now));
+    bed.get("/v1/jobs", "wrong").await;
+    let metrics = &bed.api.metrics;
+    metrics.waited(Duration::from_millis(3));
+    metrics.decided(Duration::from_micros(30));
+    metrics.appended(Duration::from_millis(5));
+    metrics.granted(2);
+    metrics.called(Code::Overloaded);
+    metrics.control("log", 120);
+    let text = bed.get("/metrics", "").await.text;
+    let wanted =
+        |line: &&str| !line.starts_with('#') && !line.contains("_bucket") && !line.ends_with(" 0");
+    let lines: Vec<&str> = text.lines().filter(wanted).collect();
+    expect![[r#"
+        coriandertack_calls_total{code="5031"} 1
+        coriandertack_control_bytes_total{peer="log"} 120
+        coriandertack_decision_seconds_sum 0.00003
+        coriandertack_decision_seconds_count 1
+        coriandertack_grants_total 2
+        coriandertack_log_append_seconds_sum 0.005
+        coriandertack_log_append_seconds_count 1
+        coriandertack_log_offset 5
+        coriandertack_members{type="job"} 1
+        coriandertack_members{type="team"} 2
+        coriandertack_members{type="vm"} 1
+        coriandertack_members{type="worker"} 3
+        coriandertack_ready 1
+        coriandertack_requests_total{code="2001"} 1
+        coriandertack_requests_total{code="4001"} 1
+        coriandertack_tasks{step="queued"} 2
+        coriandertack_waiting_seconds_sum 0.003
+        coriandertack_waiting_seconds_count 1
+    "#]]
+    .assert_eq(&(lines.join("\n") + "\n"));
+}
--- a/crates/coriandertackd/src/logging.rs
+++ b/crates/coriandertackd/src/logging.rs
@@ -28,7 +28,6 @@
 }
 
 /// Returns the form and the filter of the log lines, without a place to write them to.
-#[must_use]
 pub fn dispatch() -> Dispatch {
     // The level in force is that of `log::set_max_level`, so that it can change.
     Dispatch::new().level(LevelFilter::Trace).filter(is_wanted).format(|out, message, record| {
