Check the settings of the VMs and hold the documents of the API to the code

docs/openapi.json and docs/RESULT-CODES.md are compared with the routes and the codes. Code::ALL said that it is in ascending order and was not; two lines moved. Faults that only follow from a VM which could not be read are no longer reported.

--- a/crates/coriandertack-core/src/code.rs
+++ b/crates/coriandertack-core/src/code.rs
@@ -65,11 +65,11 @@
     PositionTooOld = 4010, 410, "watch position too old";
     TooLarge = 4013, 413, "request too large";
     OutOfRange = 4020, 422, "value out of range";
+    TooManyRequests = 4029, 429, "rate limit of the team reached, not run";
+    QuotaExceeded = 4030, 422, "work is larger than the team's quota";
     Impossible = 4220, 422, "no worker could ever hold this work";
     KeyReused = 4222, 422, "idempotency key used for another request";
     KeyExpired = 4223, 422, "idempotency key too old, not run";
-    TooManyRequests = 4029, 429, "rate limit of the team reached, not run";
-    QuotaExceeded = 4030, 422, "work is larger than the team's quota";
     Internal = 5000, 500, "internal error";
     OutcomeUnknown = 5002, 504, "outcome unknown, may have run";
     CorruptLog = 5010, 503, "corrupt or unknown record in the log";
--- /dev/null
+++ b/crates/coriandertack-operators/tests/documents.rs
@@ -0,0 +1,102 @@
+//! The documents of the API, held to the code.
+
+use std::{collections::BTreeSet, fs};
+
+use {
+    coriandertack_core::code::Code, coriandertack_operators::routes::ENDPOINTS, serde_json::Value,
+};
+
+fn document(name: &str) -> String {
+    let path = format!("{}/../../docs/{name}", env!("CARGO_MANIFEST_DIR"));
+    fs::read_to_string(&path).unwrap_or_else(|error| panic!("{path}: {error}"))
+}
+
+/// One line for each route with all that the description must say of it.
+fn described(document: &Value) -> BTreeSet<String> {
+    let mut lines = BTreeSet::new();
+    for (path, operations) in document["paths"].as_object().unwrap() {
+        for (method, operation) in operations.as_object().unwrap() {
+            let parameters = operation["parameters"].as_array().unwrap();
+            let names = |place: &str| {
+                let named = parameters.iter().filter(|parameter| parameter["in"] == place);
+                let names: Vec<&str> =
+                    named.map(|parameter| parameter["name"].as_str().unwrap()).collect();
+                names.join(",")
+            };
+            assert!(path.contains('{') != names("path").is_empty(), "{path}");
+            lines.insert(format!(
+                "{} {path} {} operator_only={} query={}",
+                method.to_uppercase(),
+                operation["operationId"].as_str().unwrap(),
+                operation["x-operator-only"],
+                names("query"),
+            ));
+        }
+    }
+    lines
+}
+
+/// Guards against a route, a parameter or an access rule that the OpenAPI description does not show.
+#[test]
+fn the_openapi_description_has_exactly_the_routes() {
+    let document: Value = serde_json::from_str(&document("openapi.json")).unwrap();
+    let routes: BTreeSet<String> = ENDPOINTS
+        .iter()
+        .map(|endpoint| {
+            format!(
+                "{} {} {} operator_only={} query={}",
+                endpoint.method,
+                endpoint.path,
+                endpoint.operation,
+                endpoint.operator_only,
+                endpoint.query.join(","),
+            )
+        })
+        .collect();
+    assert_eq!(routes.len(), ENDPOINTS.len());
+    assert_eq!(described(&document), routes);
+}
+
+/// Guards against a reference to a schema that is not there.
+#[test]
+fn every_reference_of_the_openapi_description_exists() {
+    let text = document("openapi.json");
+    let document: Value = serde_json::from_str(&text).unwrap();
+    let mut count = 0;
+    for part in text.split("\"$ref\": \"#").skip(1) {
+        let pointer = part.split('"').next().unwrap();
+        assert!(document.pointer(pointer).is_some(), "{pointer}");
+        count += 1;
+    }
+    assert!(count > 20);
+}
+
+/// Guards against a code that operators cannot look up, and against a page that says something else.
+#[test]
+fn the_page_of_result_codes_has_exactly_the_codes() {
+    let page = document("RESULT-CODES.md");
+    let rows = page.lines().filter(|line| {
+        line.strip_prefix("| ").is_some_and(|row| row.starts_with(|c: char| c.is_ascii_digit()))
+    });
+    let listed: Vec<[String; 4]> = rows
+        .map(|row| {
+            let cells: Vec<&str> = row.trim_matches('|').split('|').map(str::trim).collect();
+            assert_eq!(cells.len(), 6, "{row}");
+            assert!(cells.iter().all(|cell| !cell.is_empty()), "{row}");
+            [cells[0].into(), cells[1].into(), cells[2].into(), cells[3].into()]
+        })
+        .collect();
+    let expected: Vec<[String; 4]> = Code::ALL
+        .iter()
+        .map(|code| {
+            let not_run = if code.is_not_run() { "yes" } else { "no" };
+            [
+                code.number().to_string(),
+                code.http_status().to_string(),
+                code.text().into(),
+                not_run.into(),
+            ]
+        })
+        .collect();
+    assert_eq!(listed, expected);
+}
--- a/crates/coriandertackd/src/settings.rs
+++ b/crates/coriandertackd/src/settings.rs
@@ -218,8 +218,11 @@
     let before = text.get(..span.start).unwrap_or_default();
     let line = before.matches('\n').count() + 1;
     let key = text.get(span).map(str::trim).filter(|key| !key.is_empty() && key.len() < 64);
-    let key = key.map_or_else(|| format!("line {line}"), |key| key.replace('\n', " "));
-    let reason = format!("line {line}: {}", error.message());
+    let reason = error.message();
+    let (key, reason) = match key {
+        Some(key) => (key.replace('\n', " "), format!("line {line}: {reason}")),
+        None => (format!("line {line}"), reason.to_owned()),
+    };
     Fault { file: file.to_owned(), key, reason }
 }
 
@@ -235,9 +238,13 @@
     let drain = root.duration("drain_limit_s", 1..=600, 30, Duration::from_secs);
     let operators = read_operators(&mut root);
     let vms = read_vms(&mut root);
-    let demo = root.optional_section("demo").map(|section| demo::read(section, &vms));
+    // What refers to the VMs is checked only if all of them could be read.
+    let known = (vms.len() == root.count("vm")).then_some(vms.as_slice());
+    let demo = root.optional_section("demo").map(|section| demo::read(section, known));
     root.finish();
-    if own.as_ref().is_some_and(|own| !vms.iter().any(|vm| vm.name == *own)) {
+    if let (Some(own), Some(vms)) = (&own, known)
+        && !vms.iter().any(|vm| vm.name == *own)
+    {
         faults.add("vm_name", "no [[vm]] has this name");
     }
     let (key, heartbeat) = link?;
--- a/crates/coriandertackd/src/settings/demo.rs
+++ b/crates/coriandertackd/src/settings/demo.rs
@@ -38,8 +38,8 @@
     }
 }
 
-/// Reads the section `demo`.
-pub fn read(mut section: Section<'_>, vms: &[Vm]) -> Option<Demo> {
+/// Reads the section `demo`. The zones of the racks are checked against those of `vms`, if given.
+pub fn read(mut section: Section<'_>, vms: Option<&[Vm]>) -> Option<Demo> {
     let millicores = section.whole("worker_millicores", 1..=1_000_000, 16_000);
     let memory_mib = section.whole("worker_memory_mib", 1..=16_777_216, 32_768);
     let accelerators = section.whole("worker_accelerators", 0..=64, 0);
@@ -51,14 +51,16 @@
     Some(Demo { racks, capacity, slots: slots?, connections: connections? })
 }
 
-fn read_racks(section: &mut Section<'_>, vms: &[Vm]) -> Vec<Rack> {
+fn read_racks(section: &mut Section<'_>, vms: Option<&[Vm]>) -> Vec<Rack> {
     let mut names = BTreeSet::new();
     let mut racks = Vec::new();
     for mut section in section.sections("racks", 1, 512) {
         let name = section.name("name");
         let zone = section.name("zone");
         let workers = section.whole("workers", 1..=64, 1);
-        if zone.as_ref().is_some_and(|zone| !vms.iter().any(|vm| vm.zone == *zone)) {
+        if let (Some(zone), Some(vms)) = (&zone, vms)
+            && !vms.iter().any(|vm| vm.zone == *zone)
+        {
             section.fault("zone", "no [[vm]] is in this zone");
         }
         if let (Some(name), Some(zone)) = (&name, &zone)
--- a/crates/coriandertackd/src/settings/section.rs
+++ b/crates/coriandertackd/src/settings/section.rs
@@ -194,6 +194,11 @@
         Some(Section { path: self.path(key), table, faults: self.faults, known: BTreeSet::new() })
     }
 
+    /// Returns the number of entries of a list.
+    pub fn count(&self, key: &str) -> usize {
+        self.table.get(key).and_then(Value::as_array).map_or(0, Vec::len)
+    }
+
     /// Returns a list of tables, whose number must be in bounds.
     pub fn sections(&mut self, key: &'static str, least: usize, most: usize) -> Vec<Section<'a>> {
         let list = match self.value(key) {
--- /dev/null
+++ b/crates/coriandertackd/tests/settings.rs
@@ -0,0 +1,322 @@
+//! Settings files: the two deployments, and every kind of fault.
+
+use {
+    coriandertackd::{
+        args,
+        settings::{self, Deployment, check, parse},
+    },
+    expect_test::{Expect, expect},
+    std::time::Duration,
+};
+
+fn path(name: &str) -> String {
+    format!("{}/../../settings/{name}.toml", env!("CARGO_MANIFEST_DIR"))
+}
+
+fn text(name: &str) -> String {
+    std::fs::read_to_string(path(name)).unwrap()
+}
+
+/// Changes the text of a correct file and compares the faults.
+fn expect_faults(change: impl Fn(&str) -> String, expected: &Expect) {
+    let good = text("vukic");
+    let changed = change(&good);
+    assert_ne!(changed, good, "the change must change something");
+    let faults = parse("f.toml", &changed).expect_err("faults");
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    expected.assert_eq(&(lines.join("\n") + "\n"));
+}
+
+fn replaced(from: &'static str, to: &'static str) -> impl Fn(&str) -> String {
+    move |good| good.replacen(from, to, 1)
+}
+
+fn appended(end: &'static str) -> impl Fn(&str) -> String {
+    move |good| format!("{good}\n{end}\n")
+}
+
+/// Guards against a deployment file of the repository that no process can use.
+#[test]
+fn the_two_deployments_have_no_faults() {
+    for (name, zones, rack) in [("vukic", 3, 8), ("agency", 4, 6)] {
+        assert_eq!(check(path(name)), []);
+        let deployment = settings::read(path(name)).unwrap();
+        let mut found: Vec<&str> = deployment.vms.iter().map(|vm| vm.zone.as_str()).collect();
+        found.dedup();
+        assert_eq!((deployment.vms.len(), found.len()), (8, zones), "{name}");
+        let demo = deployment.demo.as_ref().unwrap();
+        assert!(demo.racks.iter().all(|one| one.workers == rack), "{name}");
+        assert_eq!(demo.workers(), 48, "{name}");
+        assert_eq!((demo.capacity.millicores, demo.capacity.memory_mib), (16_000, 32_768));
+    }
+}
+
+/// Guards against a deployment that runs with the weights of the other.
+#[test]
+fn weights_come_from_the_preset_and_single_ones_can_be_overridden() {
+    let weights = |text: &str| parse("f.toml", text).unwrap().common.weights;
+    let (vukic, agency) = (weights(&text("vukic")), weights(&text("agency")));
+    assert!(vukic.packing < agency.packing);
+    let changed = weights(&format!("{}\n[weights]\npacking_weight = 1\n", text("vukic")));
+    assert!((changed.packing - 1.0).abs() < f64::EPSILON);
+    assert!((changed.share - vukic.share).abs() < f64::EPSILON);
+}
+
+/// Guards against a process that runs as another VM than was meant.
+#[test]
+fn a_process_picks_its_own_vm() {
+    let deployment = settings::read(path("vukic")).unwrap();
+    assert_eq!(deployment.select(Some("zadar-2")).unwrap().vm.zone, "zadar");
+    let fault = |deployment: &Deployment, name| deployment.select(name).unwrap_err().reason;
+    expect!["name one of several VMs with --vm: split-1, split-2, split-3, zadar-1, zadar-2, zadar-3, dubrovnik-1, dubrovnik-2"]
+        .assert_eq(&fault(&deployment, None));
+    assert!(fault(&deployment, Some("rome-1")).starts_with("no [[vm]] has the name `rome-1`"));
+    let named = format!("vm_name = \"zadar-1\"\n{}", text("vukic"));
+    let named = parse("f.toml", &named).unwrap();
+    assert_eq!(named.select(None).unwrap().vm.name, "zadar-1");
+    assert_eq!(named.select(Some("split-1")).unwrap().vm.name, "split-1");
+    let mut single = deployment;
+    single.vms.truncate(1);
+    assert_eq!(single.select(None).unwrap().vm.name, "split-1");
+}
+
+/// Guards against defaults that differ from the documented ones.
+#[test]
+fn what_is_left_out_has_its_default() {
+    let shorter = text("vukic")
+        .replace("drain_limit_s = 30", "")
+        .replace("poll_interval_ms = 1000", "")
+        .replace("heartbeat_interval_ms = 500", "")
+        .replace("[logging]\nlevel = \"info\"", "");
+    let (full, shorter) =
+        (parse("f.toml", &text("vukic")).unwrap(), parse("f.toml", &shorter).unwrap());
+    assert_eq!(full, shorter);
+    assert_eq!(full.common.drain, Duration::from_secs(30));
+}
+
+/// Guards against a file that cannot be read and is taken for an empty one.
+#[test]
+fn a_missing_file_is_a_fault() {
+    let faults = check("/nonexistent/f.toml");
+    assert_eq!(faults.len(), 1);
+    assert_eq!((faults[0].file.as_str(), faults[0].key.as_str()), ("/nonexistent/f.toml", "-"));
+}
+
+/// Guards against misspelt keys that seem to be in force.
+#[test]
+fn unknown_keys_are_faults_in_every_table() {
+    expect_faults(
+        |good| {
+            good.replacen("drain_limit_s", "drain_limits_s", 1)
+                .replacen("poll_interval_ms", "poll_interval", 1)
+                .replacen("[link]", "[link]\nsecret = 1", 1)
+                .replacen("[logging]", "[logging]\nfile = \"x\"", 1)
+                .replacen("[[operators]]", "[[operators]]\nrole = \"x\"", 1)
+                .replacen("zone = \"zadar\"", "zone = \"zadar\"\nregion = \"x\"", 1)
+                .replacen("[demo]", "[demo]\nseed = 1", 1)
+                .replacen("workers = 8", "workers = 8\ncolour = 1", 1)
+                + "\n[weights]\npacking = 0.5\n[tuning]\nx = 1\n"
+        },
+        &expect![[r#"
+            f.toml: weights.packing: unknown key
+            f.toml: vm_list.poll_interval: unknown key
+            f.toml: link.secret: unknown key
+            f.toml: logging.file: unknown key
+            f.toml: operators[0].role: unknown key
+            f.toml: vm[3].region: unknown key
+            f.toml: demo.racks[0].colour: unknown key
+            f.toml: demo.seed: unknown key
+            f.toml: drain_limits_s: unknown key
+            f.toml: tuning: unknown key
+        "#]],
+    );
+}
+
+/// Guards against values outside their bounds.
+#[test]
+fn values_out_of_range_are_faults() {
+    expect_faults(
+        |good| {
+            good.replacen("drain_limit_s = 30", "drain_limit_s = 0", 1)
+                .replacen("poll_interval_ms = 1000", "poll_interval_ms = 99999", 1)
+                .replacen("heartbeat_interval_ms = 500", "heartbeat_interval_ms = -1", 1)
+                .replacen("level = \"info\"", "level = \"loud\"", 1)
+                .replacen("worker_slots = 8", "worker_slots = 0", 1)
+                .replacen("workers = 8", "workers = 65", 1)
+                .replacen("stream = \"vukic-control\"", "stream = \"a b\"", 1)
+                + "\n[weights]\npacking_weight = 1.5\nshort_share = 1.0\n"
+        },
+        &expect![[r#"
+            f.toml: weights.packing_weight: must be a number from 0 to 1
+            f.toml: weights.short_share: must be a number from 0 to 0.9
+            f.toml: log.stream: must be 1 to 63 letters of ASCII, digits, `-`, `_` or `.`
+            f.toml: vm_list.poll_interval_ms: must be a whole number from 100 to 10000
+            f.toml: link.heartbeat_interval_ms: must be a whole number from 50 to 600
+            f.toml: logging.level: must be one of: error, warn, info, debug, trace
+            f.toml: drain_limit_s: must be a whole number from 1 to 600
+            f.toml: demo.worker_slots: must be a whole number from 1 to 1024
+            f.toml: demo.racks[0].workers: must be a whole number from 1 to 64
+        "#]],
+    );
+}
+
+/// Guards against values of another type than the key has.
+#[test]
+fn values_of_another_type_are_faults() {
+    expect_faults(
+        |good| {
+            good.replacen("deployment = \"vukic\"", "deployment = 1", 1)
+                .replacen("drain_limit_s = 30", "drain_limit_s = \"30\"", 1)
+                .replacen("[log]\naddress", "log = 1\n[logs]\naddress", 1)
+                .replacen("link = \"127.0.0.1:21101\"", "link = 21101", 1)
+        },
+        &expect![[r#"
+            f.toml: deployment: must be a text
+            f.toml: log: must be a table
+            f.toml: drain_limit_s: must be a whole number from 1 to 600
+            f.toml: vm[0].link: must be a text
+            f.toml: logs: unknown key
+        "#]],
+    );
+}
+
+/// Guards against addresses that nobody can reach.
+#[test]
+fn addresses_have_their_form() {
+    expect_faults(
+        |good| {
+            good.replacen("127.0.0.1:21000", "localhost:21000", 1)
+                .replacen("127.0.0.1:21001", "127.0.0.1", 1)
+                .replacen("127.0.0.1:21101", "127.0.0.1:0", 1)
+                .replacen("127.0.0.1:21201", "0.0.0.0:21201", 1)
+                .replacen("127.0.0.1:21102", "127.0.0.1:99999", 1)
+                .replacen("127.0.0.1:21202", "224.0.0.1:21202", 1)
+        },
+        &expect![[r#"
+            f.toml: log.address: must be an address of the form IP:PORT
+            f.toml: vm_list.address: must be an address of the form IP:PORT
+            f.toml: vm[0].link: the port must not be 0
+            f.toml: vm[0].http: must be an address that others can reach
+            f.toml: vm[1].link: must be an address of the form IP:PORT
+            f.toml: vm[1].http: must be an address that others can reach
+        "#]],
+    );
+}
+
+/// Guards against two VMs, operators or racks that are taken for one.
+#[test]
+fn names_addresses_and_tokens_are_unique() {
+    expect_faults(
+        |good| {
+            let operator =
+                good.split("[[operators]]").nth(1).unwrap().split("[[vm]]").next().unwrap();
+            let doubled = format!("[[operators]]{operator}");
+            good.replacen("name = \"split-2\"", "name = \"split-1\"", 1)
+                .replacen("127.0.0.1:21103", "127.0.0.1:21101", 1)
+                .replacen("127.0.0.1:21203", "127.0.0.1:21101", 1)
+                .replacen("name = \"split-r2\"", "name = \"split-r1\"", 1)
+                .replacen(&doubled, &format!("{doubled}{doubled}"), 1)
+        },
+        &expect![[r#"
+            f.toml: operators[1].name: is used twice
+            f.toml: operators[1].token_sha256: is used twice
+            f.toml: vm[1].name: is used twice
+            f.toml: vm[2].link: the address is used twice
+            f.toml: vm[2].http: the address is used twice
+            f.toml: demo.racks[1].name: is used twice in this zone
+        "#]],
+    );
+}
+
+/// Guards against secrets that are missing, short or not hexadecimal.
+#[test]
+fn secrets_have_their_form() {
+    expect_faults(
+        |good| {
+            let line = |start: &str| good.lines().find(|line| line.starts_with(start)).unwrap();
+            good.replacen(line("key ="), "key = \"abc\"", 1).replacen(
+                line("token_sha256 ="),
+                "token_sha256 = \"XYZ\"",
+                1,
+            )
+        },
+        &expect![[r#"
+            f.toml: link.key: must be 64 hexadecimal digits
+            f.toml: operators[0].token_sha256: must be 64 lowercase hexadecimal digits
+        "#]],
+    );
+}
+
+/// Guards against required keys that are left out.
+#[test]
+fn missing_keys_are_faults() {
+    let faults =
+        parse("f.toml", "vm_name = \"a\"\n[[vm]]\n[log]\n[vm_list]\n[link]\n").unwrap_err();
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    expect![[r#"
+        f.toml: deployment: is missing
+        f.toml: log.address: is missing
+        f.toml: log.stream: is missing
+        f.toml: vm_list.address: is missing
+        f.toml: link.key: is missing
+        f.toml: operators: must have 1 to 64 entries, not 0
+        f.toml: vm[0].name: is missing
+        f.toml: vm[0].zone: is missing
+        f.toml: vm[0].link: is missing
+        f.toml: vm[0].http: is missing"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+/// Guards against a demo whose workers are in a zone without a VM.
+#[test]
+fn a_rack_is_in_the_zone_of_a_vm() {
+    expect_faults(
+        replaced("zone = \"split\"\nworkers", "zone = \"rome\"\nworkers"),
+        &expect![[r#"
+            f.toml: demo.racks[0].zone: no [[vm]] is in this zone
+        "#]],
+    );
+}
+
+/// Guards against a key given twice, of which one would be ignored.
+#[test]
+fn a_key_given_twice_is_a_fault_with_its_line() {
+    expect_faults(
+        replaced("drain_limit_s = 30", "drain_limit_s = 30\ndrain_limit_s = 31"),
+        &expect![[r#"
+            f.toml: drain_limit_s: line 15: duplicate key
+        "#]],
+    );
+    expect_faults(
+        appended("[log]"),
+        &expect![[r#"
+        f.toml: log: line 122: duplicate key
+    "#]],
+    );
+    expect_faults(
+        appended("x = "),
+        &expect![[r#"
+            f.toml: line 122: string values must be quoted, expected literal string
+        "#]],
+    );
+}
+
+/// Guards against secrets that a log line or a panic shows.
+#[test]
+fn the_key_of_the_link_is_not_shown() {
+    let deployment = settings::read(path("vukic")).unwrap();
+    assert!(format!("{deployment:?}").contains("key: LinkKey,"));
+}
+
+/// Guards against a command line that does not reach the settings.
+#[test]
+fn the_command_line_names_the_file_and_the_vm() {
+    let read = |vm: &[&str]| {
+        let path = path("agency");
+        let line = ["coriandertackd", "--settings", &path].into_iter().chain(vm.iter().copied());
+        args::settings(&args::command().try_get_matches_from(line).unwrap())
+    };
+    assert_eq!(read(&["--vm", "thies-2"]).unwrap().vm.zone, "thies");
+    assert_eq!(read(&["--vm", "split-1"]).unwrap_err()[0].key, "vm");
+    assert_eq!(read(&[]).unwrap_err().len(), 1);
+}
