Encode lists after the lock of the state is released

A list of 500 jobs was encoded while the state was locked, and the charges were copied before they were filtered. Lists are copied under the lock and encoded after it; charges are read by ranges with a bound. Requests that wait for changes are bounded at 256 for each VM. Tables have no margin.

--- a/crates/coriandertack-operators/src/access.rs
+++ b/crates/coriandertack-operators/src/access.rs
@@ -122,23 +122,33 @@
     text.len() == DIGEST_CHARS && text.bytes().all(is_hex)
 }
 
-/// Finds out who holds the token in an `Authorization` header.
+/// Reads the token of an `Authorization` header.
 ///
 /// # Errors
 ///
-/// Fails with [`Code::Unauthenticated`] if the header is missing, malformed or unknown.
-pub fn authenticate(
-    header: Option<&str>,
-    operators: &[Operator],
-    state: &State,
-) -> Result<Caller, Fault> {
+/// Fails with [`Code::Unauthenticated`] if the header is missing or malformed.
+pub fn read_token(header: Option<&str>) -> Result<TokenDigest, Fault> {
     let refuse = |reason: &str| Fault::new(Code::Unauthenticated, reason);
     let header = header.ok_or_else(|| refuse("send `Authorization: Bearer TOKEN`"))?;
     let token = header.strip_prefix("Bearer ").ok_or_else(|| refuse("not a bearer token"))?;
     if token.is_empty() || token.len() > MAX_TOKEN_BYTES {
         return Err(refuse("not a token"));
     }
-    find(&TokenDigest::of(token), operators, state).ok_or_else(|| refuse("unknown token"))
+    Ok(TokenDigest::of(token))
+}
+
+/// Finds out who holds a token.
+///
+/// # Errors
+///
+/// Fails with [`Code::Unauthenticated`] if nobody does.
+pub fn authenticate(
+    digest: &TokenDigest,
+    operators: &[Operator],
+    state: &State,
+) -> Result<Caller, Fault> {
+    let unknown = || Fault::new(Code::Unauthenticated, "unknown token");
+    find(digest, operators, state).ok_or_else(unknown)
 }
 
 /// Compares with every known digest, and does not stop at the one that matches.
--- a/crates/coriandertack-operators/src/call.rs
+++ b/crates/coriandertack-operators/src/call.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    access::{Caller, authenticate},
+    access::{Caller, authenticate, read_token},
     api::Api,
     refusals::{ANONYMOUS, Refused},
     reply::{Answer, Fault, Reply},
@@ -203,7 +203,9 @@
 fn admit(api: &Api, request: &Request) -> Result<Caller, Fault> {
     let header = request.headers().get(header::AUTHORIZATION);
     let header = header.and_then(|value| value.to_str().ok());
-    let caller = api.node.with(|inner| authenticate(header, &api.operators, &inner.state))?;
+    // The token is hashed before the state is locked.
+    let digest = read_token(header)?;
+    let caller = api.node.with(|inner| authenticate(&digest, &api.operators, &inner.state))?;
     if !api.allow(&caller) {
         return Err(Code::TooManyRequests.into());
     }
--- a/crates/coriandertack-operators/src/jobs.rs
+++ b/crates/coriandertack-operators/src/jobs.rs
@@ -49,14 +49,14 @@
 
 /// A job as it is answered.
 #[derive(Debug, Serialize)]
-struct View<'a> {
+struct View {
     job: JobId,
     standing: Standing,
     at_ms: u64,
     succeeded: usize,
     failed: usize,
     cancelled: usize,
-    spec: &'a JobSpec,
+    spec: JobSpec,
 }
 
 fn standing(job: &Job) -> Standing {
@@ -67,7 +67,7 @@
     }
 }
 
-fn view(job: &Job) -> View<'_> {
+fn view(job: &Job) -> View {
     View {
         job: job.id,
         standing: standing(job),
@@ -75,7 +75,7 @@
         succeeded: job.count(Outcome::Succeeded),
         failed: job.count(Outcome::Failed),
         cancelled: job.count(Outcome::Cancelled),
-        spec: &job.spec,
+        spec: job.spec.clone(),
     }
 }
 
@@ -197,24 +197,37 @@
     let limit = call.limit()?;
     let after = JobId(call.number("after")?.unwrap_or(0));
     let filter = Filter::of(&call);
-    api.node.with(|inner| {
-        let jobs = &inner.state.jobs;
-        let range = jobs.ids.range((Bound::Excluded(after), Bound::Unbounded));
-        let mut found = Vec::new();
-        let mut next = None;
-        for (scanned, (&id, &key)) in range.enumerate() {
-            if found.len() == limit || scanned == MAX_SCAN {
-                next = Some(JobId(id.0 - 1));
-                break;
-            }
-            let job = &jobs.arena[key];
-            if filter.matches(job) {
-                found.push(view(job));
-            }
+    // The jobs are copied under the lock of the state, and encoded after it.
+    let (position, found, next) = api.node.with(|inner| {
+        let (found, next) = select(&inner.state, after, limit, |job| filter.matches(job));
+        (inner.state.offset, found, next)
+    });
+    let reply = Reply::new(Code::Done).with("position", position);
+    Ok(reply.with("next", next).with("jobs", found))
+}
+
+/// Returns jobs after an identifier, and the identifier to go on after if there may be more.
+fn select(
+    state: &State,
+    after: JobId,
+    limit: usize,
+    matches: impl Fn(&Job) -> bool,
+) -> (Vec<View>, Option<JobId>) {
+    let jobs = &state.jobs;
+    let mut found = Vec::new();
+    let mut last = after;
+    let range = jobs.ids.range((Bound::Excluded(after), Bound::Unbounded));
+    for (scanned, (&id, &key)) in range.enumerate() {
+        if found.len() == limit || scanned == MAX_SCAN {
+            return (found, Some(last));
         }
-        let reply = Reply::new(Code::Done).with("position", inner.state.offset);
-        Ok(reply.with("next", next).with("jobs", found))
-    })
+        last = id;
+        let job = &jobs.arena[key];
+        if matches(job) {
+            found.push(view(job));
+        }
+    }
+    (found, None)
 }
 
 /// Cancels a job.
--- a/crates/coriandertack-operators/src/members.rs
+++ b/crates/coriandertack-operators/src/members.rs
@@ -21,11 +21,11 @@
 
 /// A worker as it is answered.
 #[derive(Debug, Serialize)]
-struct WorkerView<'a> {
+struct WorkerView {
     #[serde(flatten)]
-    info: &'a WorkerInfo,
+    info: WorkerInfo,
     cordoned: bool,
-    owner: Option<&'a str>,
+    owner: Option<String>,
     epoch: Epoch,
 }
 
@@ -40,36 +40,42 @@
     here: bool,
 }
 
-fn view<'a>(state: &'a State, worker: &'a Worker) -> WorkerView<'a> {
-    let owner = worker.owner.vm.and_then(|vm| state.vms.get(vm));
+fn view(state: &State, worker: &Worker) -> WorkerView {
     WorkerView {
-        info: &worker.info,
+        info: worker.info.clone(),
         cordoned: worker.cordoned,
-        owner: owner.map(|vm| vm.info.name.as_str()),
+        owner: owner(state, worker).map(str::to_owned),
         epoch: worker.owner.epoch,
     }
 }
 
+fn owner<'a>(state: &'a State, worker: &Worker) -> Option<&'a str> {
+    let owner = worker.owner.vm.and_then(|vm| state.vms.get(vm));
+    owner.map(|vm| vm.info.name.as_str())
+}
+
 /// Lists workers in the order of names.
 pub(crate) async fn workers(api: Arc<Api>, call: Call) -> Answer {
     let limit = call.limit()?;
     let after = call.text("after").unwrap_or_default();
-    let (zone, owner) = (call.text("zone"), call.text("owner"));
-    api.node.with(|inner| {
+    let (zone, wanted) = (call.text("zone"), call.text("owner"));
+    let (position, mut found) = api.node.with(|inner| {
         let state = &inner.state;
         let range = state.worker_names.range::<str, _>((Bound::Excluded(after), Bound::Unbounded));
-        let mut found: Vec<WorkerView<'_>> = range
-            .map(|(_, &key)| view(state, &state.workers[key]))
+        let found: Vec<WorkerView> = range
+            .map(|(_, &key)| &state.workers[key])
             .filter(|worker| zone.is_none_or(|zone| zone == worker.info.zone))
-            .filter(|worker| owner.is_none_or(|owner| Some(owner) == worker.owner))
+            .filter(|worker| wanted.is_none_or(|wanted| Some(wanted) == owner(state, worker)))
             .take(limit + 1)
+            .map(|worker| view(state, worker))
             .collect();
-        let is_more = found.len() > limit;
-        found.truncate(limit);
-        let next = found.last().filter(|_| is_more).map(|worker| worker.info.name.as_str());
-        let reply = Reply::new(Code::Done).with("position", state.offset).with("next", next);
-        Ok(reply.with("workers", found))
-    })
+        (state.offset, found)
+    });
+    let is_more = found.len() > limit;
+    found.truncate(limit);
+    let next = found.last().filter(|_| is_more).map(|worker| worker.info.name.clone());
+    let reply = Reply::new(Code::Done).with("position", position).with("next", next);
+    Ok(reply.with("workers", found))
 }
 
 /// Answers with one worker.
--- a/crates/coriandertack-operators/src/records.rs
+++ b/crates/coriandertack-operators/src/records.rs
@@ -1,13 +1,13 @@
 //! Charges and the audit trail.
 
-use std::sync::Arc;
+use std::{ops::Bound, sync::Arc};
 
 use {
     coriandertack_core::{
         code::Code,
         keys::Offset,
         record::Kind,
-        state::{AuditEntry, Line, PERIOD_MS},
+        state::{AuditEntry, Line, LineKey, PERIOD_MS, State},
     },
     jiff::Timestamp,
     serde::Serialize,
@@ -22,6 +22,12 @@
 /// The most lines of an answer as CSV, which has no pages.
 const MAX_LINES: usize = 100_000;
 
+/// Lines of CSV that are copied under one lock of the state.
+const PART: usize = 1_000;
+
+/// The most sums that one page looks at, so that the state is not locked for long.
+const MAX_SCAN: usize = 5_000;
+
 /// A sum of charges as it is answered.
 #[derive(Debug, Serialize)]
 struct ChargeView {
@@ -62,29 +68,107 @@
         "csv" => true,
         _ => return Err(Fault::new(Code::Malformed, "format must be `json` or `csv`")),
     };
-    let (from_ms, to_ms) = period(&call)?;
-    let (team, kind) = (call.text("team"), call.text("kind"));
-    let skip = usize::try_from(call.number("after")?.unwrap_or(0)).unwrap_or(usize::MAX);
-    let limit = if is_csv { MAX_LINES } else { call.limit()? };
-    let (position, mut lines) = api.node.with(|inner| {
-        let lines = inner.state.ledger.lines();
-        let own = lines
-            .filter(|line| call.caller.is_over(&line.key.team))
-            .filter(|line| (from_ms..to_ms).contains(&line.key.start_ms))
-            .filter(|line| team.is_none_or(|team| team == line.key.team))
-            .filter(|line| kind.is_none_or(|kind| kind == line.key.kind.to_string()));
-        let lines: Vec<ChargeView> = own.skip(skip).take(limit + 1).map(ChargeView::of).collect();
-        (inner.state.offset, lines)
-    });
-    let next = (lines.len() > limit).then_some(skip + limit);
-    lines.truncate(limit);
+    let filter = Filter::of(&call)?;
+    let after = call.text("after").map(line_key).transpose()?;
     if is_csv {
+        let lines = all(&api, &filter, after);
         return csv_of(&lines).map(|body| Reply::table("text/csv; charset=utf-8", body));
     }
-    let reply = Reply::new(Code::Done).with("position", position).with("next", next);
+    let limit = call.limit()?;
+    let page = api.node.with(|inner| filter.page(&inner.state, after.as_ref(), limit));
+    let lines: Vec<ChargeView> = page.lines.into_iter().map(ChargeView::of).collect();
+    let reply = Reply::new(Code::Done).with("position", page.position).with("next", page.next);
     Ok(reply.with("period_ms", PERIOD_MS).with("charges", lines))
 }
 
+/// Which charges a list shows.
+struct Filter<'a> {
+    call: &'a Call,
+    from_ms: u64,
+    to_ms: u64,
+    team: Option<&'a str>,
+    kind: Option<&'a str>,
+}
+
+/// A part of the charges.
+struct Page {
+    position: Offset,
+    lines: Vec<Line>,
+    next: Option<String>,
+}
+
+impl<'a> Filter<'a> {
+    fn of(call: &'a Call) -> Result<Self, Fault> {
+        let (from_ms, to_ms) = period(call)?;
+        Ok(Self { call, from_ms, to_ms, team: call.text("team"), kind: call.text("kind") })
+    }
+
+    fn matches(&self, key: &LineKey) -> bool {
+        self.call.caller.is_over(&key.team)
+            && self.team.is_none_or(|team| team == key.team)
+            && self.kind.is_none_or(|kind| kind == key.kind.to_string())
+    }
+
+    /// Returns charges after a key, and looks at a bounded number of sums.
+    fn page(&self, state: &State, after: Option<&LineKey>, limit: usize) -> Page {
+        let first = LineKey { start_ms: self.from_ms, team: String::new(), kind: Kind::Service };
+        let from = match after.filter(|after| after.start_ms >= self.from_ms) {
+            Some(after) => Bound::Excluded(after),
+            None => Bound::Included(&first),
+        };
+        let mut page = Page { position: state.offset, lines: Vec::new(), next: None };
+        let mut last = None;
+        let range = state.ledger.sums.range::<LineKey, _>((from, Bound::Unbounded));
+        for (scanned, (key, &usage)) in range.enumerate() {
+            if key.start_ms >= self.to_ms {
+                break;
+            }
+            if page.lines.len() == limit || scanned == MAX_SCAN {
+                page.next = last.map(key_text);
+                break;
+            }
+            last = Some(key);
+            if self.matches(key) {
+                page.lines.push(Line { key: key.clone(), usage });
+            }
+        }
+        page
+    }
+}
+
+/// Returns all charges up to [`MAX_LINES`]. The state is locked for one part at a time.
+fn all(api: &Api, filter: &Filter<'_>, mut after: Option<LineKey>) -> Vec<ChargeView> {
+    let mut lines = Vec::new();
+    loop {
+        let limit = (MAX_LINES - lines.len()).min(PART);
+        let page = api.node.with(|inner| filter.page(&inner.state, after.as_ref(), limit));
+        lines.extend(page.lines.into_iter().map(ChargeView::of));
+        after = page.next.as_deref().and_then(|next| line_key(next).ok());
+        if after.is_none() || lines.len() >= MAX_LINES {
+            return lines;
+        }
+    }
+}
+
+/// Returns the place of a sum, `START_MS/TEAM/KIND`.
+fn key_text(key: &LineKey) -> String {
+    format!("{}/{}/{}", key.start_ms, key.team, key.kind)
+}
+
+/// Reads the place of a sum.
+fn line_key(text: &str) -> Result<LineKey, Fault> {
+    let refuse = || Fault::new(Code::Malformed, "`after` must be the `next` of a page");
+    let parts: Vec<&str> = text.split('/').collect();
+    let [start, team, kind] = parts[..] else { return Err(refuse()) };
+    let kind = match kind {
+        "service" => Kind::Service,
+        "batch" => Kind::Batch,
+        "gang" => Kind::Gang,
+        _ => return Err(refuse()),
+    };
+    Ok(LineKey { start_ms: start.parse().map_err(|_| refuse())?, team: team.to_owned(), kind })
+}
+
 fn period(call: &Call) -> Result<(u64, u64), Fault> {
     let from_ms = call.number("from_ms")?.unwrap_or(0);
     Ok((from_ms, call.number("to_ms")?.unwrap_or(u64::MAX)))
@@ -105,27 +189,27 @@
 
 /// An entry of the trail as it is answered.
 #[derive(Debug, Serialize)]
-struct AuditView<'a> {
+struct AuditView {
     position: String,
     time: String,
     at_ms: u64,
-    actor: &'a str,
-    action: &'a str,
-    before: &'a str,
-    after: &'a str,
+    actor: String,
+    action: String,
+    before: String,
+    after: String,
     result: u16,
 }
 
-impl<'a> AuditView<'a> {
-    fn of(entry: &'a AuditEntry) -> Self {
+impl AuditView {
+    fn of(entry: AuditEntry) -> Self {
         Self {
-            position: format!("{}.{}", entry.offset, entry.index),
+            position: place_text(&entry),
             time: time(entry.at_ms),
             at_ms: entry.at_ms,
-            actor: &entry.actor,
-            action: &entry.action,
-            before: &entry.before,
-            after: &entry.after,
+            actor: entry.actor,
+            action: entry.action,
+            before: entry.before,
+            after: entry.after,
             result: entry.code,
         }
     }
@@ -139,9 +223,9 @@
     let (actor, action) = (call.text("actor"), call.text("action"));
     let result = call.number("result")?;
     let is_refused = call.flag("refused")?;
-    api.node.with(|inner| {
+    let (position, mut found) = api.node.with(|inner| {
         let trail = inner.state.audit.entries.iter();
-        let mut found: Vec<AuditView<'_>> = trail
+        let found: Vec<AuditEntry> = trail
             .filter(|entry| after.is_none_or(|after| (entry.offset, entry.index) > after))
             .filter(|entry| (from_ms..to_ms).contains(&entry.at_ms))
             .filter(|entry| actor.is_none_or(|actor| actor == entry.actor))
@@ -149,14 +233,21 @@
             .filter(|entry| result.is_none_or(|result| result == u64::from(entry.code)))
             .filter(|entry| !is_refused || entry.code != Code::Done.number())
             .take(limit + 1)
-            .map(AuditView::of)
+            .cloned()
             .collect();
-        let is_more = found.len() > limit;
-        found.truncate(limit);
-        let next = found.last().filter(|_| is_more).map(|entry| entry.position.clone());
-        let reply = Reply::new(Code::Done).with("position", inner.state.offset);
-        Ok(reply.with("next", next).with("entries", found))
-    })
+        (inner.state.offset, found)
+    });
+    let is_more = found.len() > limit;
+    found.truncate(limit);
+    let next = found.last().filter(|_| is_more).map(place_text);
+    let entries: Vec<AuditView> = found.into_iter().map(AuditView::of).collect();
+    let reply = Reply::new(Code::Done).with("position", position);
+    Ok(reply.with("next", next).with("entries", entries))
+}
+
+/// Returns the place of an entry, `OFFSET.INDEX`.
+fn place_text(entry: &AuditEntry) -> String {
+    format!("{}.{}", entry.offset, entry.index)
 }
 
 /// Reads the place of an entry, `OFFSET.INDEX`.
--- a/crates/coriandertack-operators/src/teams.rs
+++ b/crates/coriandertack-operators/src/teams.rs
@@ -1,10 +1,11 @@
 //! Teams: quotas and tokens.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, ops::Bound, sync::Arc};
 
 use {
     coriandertack_core::{
         code::Code,
+        keys::Version,
         record::{Record, TeamChange, TeamSpec},
         resources::Resources,
         state::{State, Team},
@@ -28,13 +29,13 @@
 
 /// A team as it is answered.
 #[derive(Debug, Serialize)]
-struct View<'a> {
-    name: &'a str,
-    version: u64,
+struct View {
+    name: String,
+    version: Version,
     quota: Resources,
     /// Digests, for operators only; a team gets an empty list.
-    tokens: &'a [String],
-    home: Option<&'a str>,
+    tokens: Vec<String>,
+    home: Option<String>,
 }
 
 /// A team as it is declared.
@@ -46,30 +47,29 @@
     tokens: Vec<String>,
 }
 
-fn view<'a>(state: &'a State, team: &'a Team, caller: &Caller) -> View<'a> {
-    let home = team.home.vm.and_then(|vm| state.vms.get(vm)).map(|vm| vm.info.name.as_str());
-    let tokens = if caller.team().is_none() { team.spec.tokens.as_slice() } else { &[] };
-    View { name: &team.name, version: team.version.0, quota: team.spec.quota, tokens, home }
+fn view(state: &State, team: &Team, caller: &Caller) -> View {
+    let home = team.home.vm.and_then(|vm| state.vms.get(vm)).map(|vm| vm.info.name.clone());
+    let tokens = if caller.team().is_none() { team.spec.tokens.clone() } else { Vec::new() };
+    View { name: team.name.clone(), version: team.version, quota: team.spec.quota, tokens, home }
 }
 
 /// Lists the teams that the caller may see, in the order of names.
 pub(crate) async fn list(api: Arc<Api>, call: Call) -> Answer {
     let limit = call.limit()?;
     let after = call.text("after").unwrap_or_default();
-    api.node.with(|inner| {
+    let (position, mut teams) = api.node.with(|inner| {
         let state = &inner.state;
-        let named = state.team_names.iter().filter(|(name, _)| name.as_str() > after);
-        let own = named.filter(|(name, _)| call.caller.is_over(name));
-        let mut teams: Vec<View<'_>> = own
-            .take(limit + 1)
-            .map(|(_, &key)| view(state, &state.teams[key], &call.caller))
-            .collect();
-        let is_more = teams.len() > limit;
-        teams.truncate(limit);
-        let next = teams.last().filter(|_| is_more).map(|team| team.name);
-        let reply = Reply::new(Code::Done).with("position", state.offset).with("next", next);
-        Ok(reply.with("teams", teams))
-    })
+        let range = state.team_names.range::<str, _>((Bound::Excluded(after), Bound::Unbounded));
+        let own = range.filter(|(name, _)| call.caller.is_over(name)).take(limit + 1);
+        let teams: Vec<View> =
+            own.map(|(_, &key)| view(state, &state.teams[key], &call.caller)).collect();
+        (state.offset, teams)
+    });
+    let is_more = teams.len() > limit;
+    teams.truncate(limit);
+    let next = teams.last().filter(|_| is_more).map(|team| team.name.clone());
+    let reply = Reply::new(Code::Done).with("position", position).with("next", next);
+    Ok(reply.with("teams", teams))
 }
 
 /// Answers with one team.
--- a/crates/coriandertack-operators/src/watch.rs
+++ b/crates/coriandertack-operators/src/watch.rs
@@ -21,7 +21,7 @@
     },
     serde::Serialize,
     tokio::{
-        sync::{broadcast, watch},
+        sync::{Semaphore, broadcast, watch},
         time::{Duration, Instant, timeout_at},
     },
 };
@@ -45,8 +45,11 @@
 /// Longest wait for a change.
 const MAX_WAIT_MS: u64 = 30_000;
 
+/// The most requests that wait for a change at one VM, so that idle connections stay few.
+const MAX_WAITING: usize = 256;
+
 /// Longest wait for the ring to take in what is applied.
-const CATCH_UP_TIME: Duration = Duration::from_millis(500);
+const CATCH_UP_TIME: Duration = Duration::from_secs(5);
 
 /// Recent changes.
 pub struct Ring {
@@ -54,6 +57,8 @@
     /// Last offset whose changes are in the ring.
     position: watch::Sender<Offset>,
     steps: Mutex<Option<broadcast::Receiver<Arc<Step>>>>,
+    /// Room for requests that wait.
+    room: Semaphore,
 }
 
 #[derive(Debug)]
@@ -76,6 +81,7 @@
             kept: Mutex::new(Kept::starting_at(start)),
             position: watch::Sender::new(start),
             steps: Mutex::new(Some(steps)),
+            room: Semaphore::new(MAX_WAITING),
         }
     }
 
@@ -94,7 +100,7 @@
 
     /// Waits until the ring has taken in what the node has applied, so that a reader sees what it has changed.
     ///
-    /// The wait is short and bounded, since only the load of a snapshot makes the ring stay behind.
+    /// The wait is bounded, since the ring stays behind after the load of a snapshot, until the next batch.
     async fn catch_up(&self, node: &Node) {
         let target = node.with(|inner| inner.state.offset);
         let mut position = self.position.subscribe();
@@ -200,6 +206,8 @@
 
 /// Answers with the changes after a position, or waits for one.
 pub(crate) async fn watch(api: Arc<Api>, call: Call) -> Answer {
+    let busy = |_| Fault::new(Code::TooManyRequests, "too many requests wait for changes here");
+    let _room = api.ring.room.try_acquire().map_err(busy)?;
     api.ring.catch_up(&api.node).await;
     let from = match call.text("from").unwrap_or("oldest") {
         "oldest" => api.ring.lock().floor,
--- a/crates/coriandertack-operators/tests/common/mod.rs
+++ b/crates/coriandertack-operators/tests/common/mod.rs
@@ -20,7 +20,7 @@
         net::TcpListener,
         sync::{mpsc, watch},
         task::JoinHandle,
-        time::{Duration, Instant, sleep},
+        time::{Duration, Instant},
     },
     viz::{Body, Handler, Method, Request, Response, Tree, types::RouteInfo},
 };
@@ -130,13 +130,8 @@
     pub async fn listen(&mut self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let node = Arc::clone(&self.node);
-        self.tasks.push(tokio::spawn(async move {
-            loop {
-                node.extend(Instant::now());
-                sleep(Duration::from_millis(200)).await;
-            }
-        }));
+        // The test must not depend on how long it takes.
+        self.node.extend(Instant::now() + Duration::from_secs(3_600));
         let server = viz::serve(listener, routes(Arc::clone(&self.api)));
         self.tasks.push(tokio::spawn(async move { server.await.unwrap() }));
         address
--- a/crates/coriandertack-operators/tests/watching.rs
+++ b/crates/coriandertack-operators/tests/watching.rs
@@ -176,3 +176,22 @@
     let too_long = bed.get("/v1/watch?from=now&wait_ms=9999999", OPERATOR).await;
     assert_eq!((too_long.code, start.elapsed()), (2000, Duration::from_secs(50)));
 }
+
+/// Guards against idle connections without a bound.
+#[tokio::test(start_paused = true)]
+async fn the_number_of_requests_that_wait_is_bounded() {
+    let bed = Bed::start().await;
+    let set = |expect| {
+        let change = SettingChange { name: "api.burst".into(), expect, value: Some("1000".into()) };
+        Record::Setting(change)
+    };
+    bed.append("system", set(0.into())).await.unwrap();
+    let path = "/v1/watch?from=now&wait_ms=30000";
+    let mut waits: Vec<_> = (0..257).map(|_| Box::pin(bed.get(path, OPERATOR))).collect();
+    let last = waits.pop().unwrap();
+    let held = futures::future::join_all(waits);
+    let (held, refused) = tokio::join!(held, last);
+    assert!(held.iter().all(|got| got.code == 2000));
+    assert_eq!(refused.code, 4029);
+    assert_eq!(bed.get("/v1/watch?from=now", OPERATOR).await.code, 2000);
+}
--- a/crates/coriandertack/src/cli/apply.rs
+++ b/crates/coriandertack/src/cli/apply.rs
@@ -58,8 +58,10 @@
     let path = args::text(matches, "file").unwrap_or_default();
     let text = fs::read_to_string(path)
         .map_err(|error| Failure::usage(format!("{path}: {error}; check the name of the file")))?;
-    let file: File = toml::from_str(&text)
-        .map_err(|error| Failure::usage(format!("{path}: {error}\ncorrect the file")))?;
+    let file: File = toml::from_str(&text).map_err(|error| {
+        let error = error.to_string();
+        Failure::usage(format!("{path}: {}\ncorrect the file", error.trim_end()))
+    })?;
     let dry_run = matches.get_flag("dry-run");
     for (name, team) in &file.teams {
         let path = format!("/v1/teams/{name}");
--- a/crates/coriandertack/src/cli/output.rs
+++ b/crates/coriandertack/src/cli/output.rs
@@ -69,11 +69,20 @@
 
 fn table(columns: &[Column], objects: &[Value]) -> String {
     let mut table = Table::new();
-    table.load_style(NOTHING).set_content_arrangement(ContentArrangement::Disabled);
+    table.load_style(NOTHING);
     table.set_header(columns.iter().map(|(title, _)| *title));
     for object in objects {
         table.add_row(columns.iter().map(|(_, at)| cell(object.pointer(at))));
     }
+    plain(&mut table)
+}
+
+/// Returns the lines without a margin, and without wrapping, so that scripts can cut them.
+fn plain(table: &mut Table) -> String {
+    table.set_content_arrangement(ContentArrangement::Disabled);
+    table.column_iter_mut().for_each(|column| {
+        column.set_padding((0, 2));
+    });
     table.trim_fmt()
 }
 
@@ -87,9 +96,9 @@
 
 fn pairs(object: &Value) -> String {
     let mut table = Table::new();
-    table.load_style(NOTHING).set_content_arrangement(ContentArrangement::Disabled);
+    table.load_style(NOTHING);
     add_pairs(&mut table, "", object);
-    table.trim_fmt()
+    plain(&mut table)
 }
 
 fn add_pairs(table: &mut Table, path: &str, value: &Value) {
--- a/crates/coriandertack/tests/command_line.rs
+++ b/crates/coriandertack/tests/command_line.rs
@@ -110,12 +110,17 @@
     let shell = Shell { server: bed.listen().await, token: OPERATOR };
     let path = file("applied.toml", APPLIED);
     let apply = format!("apply -f {}", path.display());
-    shell.expect(&format!("{apply} --dry-run"), expect![[r#"
+    shell
+        .expect(
+            &format!("{apply} --dry-run"),
+            expect![[r#"
         team boats: done
         setting log.level: done
         setting placement.packing_weight: done
         job boats/confirm: not checked, its team is new
-    "#]]).await;
+    "#]],
+        )
+        .await;
     assert_eq!(shell.run("get teams boats").await.exit, 4);
     shell
         .expect(
@@ -384,9 +389,9 @@
         2 | quota = 1
           |         ^
         invalid type: integer `1`, expected struct Resources
-
         correct the file
-    "#]].assert_eq(&ran.err.replace(&broken.display().to_string(), "FILE"));
+    "#]]
+    .assert_eq(&ran.err.replace(&broken.display().to_string(), "FILE"));
     let closed = Shell { server: "127.0.0.1:1".parse().unwrap(), token: OPERATOR };
     closed
         .expect_failure(
