--- a/crates/coriandertack-operators/src/watch.rs
+++ b/crates/coriandertack-operators/src/watch.rs
@@ -21,7 +21,7 @@
     },
     serde::Serialize,
     tokio::{
-        sync::{broadcast, watch},
+        sync::{Semaphore, broadcast, watch},
         time::{Duration, Instant, timeout_at},
     },
 };
@@ -45,12 +45,20 @@
 /// Longest wait for a change.
 const MAX_WAIT_MS: u64 = 30_000;
 
+/// The most requests that wait for a change at one VM, so that idle connections stay few.
+const MAX_WAITING: usize = 256;
+
+/// Longest wait for the ring to take in what is applied.
+const CATCH_UP_TIME: Duration = Duration::from_secs(5);
+
 /// Recent changes.
 pub struct Ring {
     kept: Mutex<Kept>,
     /// Last offset whose changes are in the ring.
     position: watch::Sender<Offset>,
     steps: Mutex<Option<broadcast::Receiver<Arc<Step>>>>,
+    /// Room for requests that wait.
+    room: Semaphore,
 }
 
 #[derive(Debug)]
@@ -73,6 +81,7 @@
             kept: Mutex::new(Kept::starting_at(start)),
             position: watch::Sender::new(start),
             steps: Mutex::new(Some(steps)),
+            room: Semaphore::new(MAX_WAITING),
         }
     }
 
@@ -89,6 +98,17 @@
         self.position.send_replace(last);
     }
 
+    /// Waits until the ring has taken in what the node has applied, so that a reader sees what it has changed.
+    ///
+    /// The wait is bounded, since the ring stays behind after the load of a snapshot, until the next batch.
+    async fn catch_up(&self, node: &Node) {
+        let target = node.with(|inner| inner.state.offset);
+        let mut position = self.position.subscribe();
+        let caught_up = position.wait_for(|position| *position >= target);
+        // If the time is over, the answer is the one of a reader that came a little earlier.
+        let _ = timeout_at(Instant::now() + CATCH_UP_TIME, caught_up).await;
+    }
+
     /// Returns the changes after `from` that `is_visible` lets through, and the position after them.
     fn after(&self, from: Offset, is_visible: impl Fn(&Change) -> bool) -> Result<Page, Fault> {
         let kept = self.lock();
@@ -186,6 +206,9 @@
 
 /// Answers with the changes after a position, or waits for one.
 pub(crate) async fn watch(api: Arc<Api>, call: Call) -> Answer {
+    let busy = |_| Fault::new(Code::TooManyRequests, "too many requests wait for changes here");
+    let _room = api.ring.room.try_acquire().map_err(busy)?;
+    api.ring.catch_up(&api.node).await;
     let from = match call.text("from").unwrap_or("oldest") {
         "oldest" => api.ring.lock().floor,
         "now" => *api.ring.position.borrow(),
--- a/crates/coriandertackd/src/lib.rs
+++ b/crates/coriandertackd/src/lib.rs
@@ -5,6 +5,7 @@
 //! ([`capacity`]), the keeper of links and workers' tasks ([`members`]), and the requests of other VMs
 //! ([`peers`]).
 
+pub mod args;
 pub mod capacity;
 pub mod dispatch;
 pub mod gang;
