--- a/crates/coriandertack-core/src/learn.rs
+++ b/crates/coriandertack-core/src/learn.rs
@@ -79,7 +79,8 @@
 
 /// Adds a value, and halves all counts once there are [`WINDOW`].
 fn note(histogram: &mut Histogram<u32>, value: u64) {
-    histogram.saturating_record(value);
+    // The histogram grows as needed; only a value that no memory could index is refused.
+    let _ = histogram.record(value);
     if histogram.len() < WINDOW {
         return;
     }
