Keep accelerators before nearness of gangs, and weigh scarcity relative to the scarcest

Cause: gangs took workers with accelerators because one rack went first, and in an empty cell all scarcities were near 0, so that evenness alone decided and opened new workers. Change: gangs search workers without accelerators first; scarcities are divided by the largest.

--- a/crates/coriandertack-core/src/cell/choose.rs
+++ b/crates/coriandertack-core/src/cell/choose.rs
@@ -94,15 +94,17 @@
         self.weights.packing * (open + uneven) + self.weights.headroom * busy
     }
 
-    /// Returns how much of each resource of the whole cell is granted.
+    /// Returns how much of each resource of the whole cell is granted, relative to the scarcest one.
     fn scarcity(&self) -> [f64; 3] {
         let share = |granted: u64, all: u64| granted as f64 / all.max(1) as f64;
         let (granted, all) = (self.granted, self.capacity);
-        [
+        let shares = [
             share(granted.millicores, all.millicores),
             share(granted.memory_mib, all.memory_mib),
             share(granted.accelerators, all.accelerators),
-        ]
+        ];
+        let most = shares.into_iter().fold(f64::MIN_POSITIVE, f64::max);
+        shares.map(|share| share / most)
     }
 
     /// Chooses the worker with the fewest copies of the class in its zone, then in its rack, then on
@@ -131,7 +133,7 @@
                 let Some(at) = self.index.position(worker).filter(|at| at.takes(ask.need)) else {
                     continue;
                 };
-                if accelerated != (at.capacity.accelerators > 0) {
+                if accelerated != at.is_accelerated() {
                     continue;
                 }
                 let on_worker = copies.workers.get(&worker).copied().unwrap_or(0);
--- a/crates/coriandertack-core/src/cell/gang.rs
+++ b/crates/coriandertack-core/src/cell/gang.rs
@@ -14,6 +14,22 @@
     resources::Resources,
 };
 
+/// The tasks of a gang and the workers that are searched.
+#[derive(Clone, Copy, Debug)]
+struct Search<'a> {
+    asks: &'a [Ask],
+    /// Whether workers with accelerators are searched.
+    accelerated: bool,
+}
+
+/// A rack, with an upper bound of the tasks that it has room for.
+#[derive(Clone, Copy, Debug)]
+struct Near {
+    rack: RackKey,
+    zone: ZoneKey,
+    count: usize,
+}
+
 /// A choice of workers that is not granted yet.
 #[derive(Debug)]
 struct Draft {
@@ -42,62 +58,70 @@
         Ok(workers)
     }
 
+    /// Chooses workers for all tasks.
+    ///
+    /// Keeping workers with accelerators for work that needs them goes before nearness.
     fn draft(&self, asks: &[Ask]) -> Option<Vec<WorkerKey>> {
+        let plain = asks.iter().all(|ask| ask.need.accelerators == 0);
+        let kept = plain.then(|| self.draft_near(asks, false)).flatten();
+        kept.or_else(|| self.draft_near(asks, true))
+    }
+
+    /// Chooses workers near each other, with `accelerated` also such that have accelerators.
+    fn draft_near(&self, asks: &[Ask], accelerated: bool) -> Option<Vec<WorkerKey>> {
         let Some(least) = asks.iter().map(|ask| ask.need).reduce(Resources::min) else {
             return Some(Vec::new());
         };
         let able = self.index.racks.iter().filter(|(_, rack)| least.fits(rack.most));
-        // Racks with many takers first, so that few are needed.
-        let mut racks: Vec<(RackKey, ZoneKey, usize)> =
-            able.map(|(key, rack)| (key, rack.zone, self.count_in(key, least))).collect();
-        racks.sort_by_key(|&(_, _, count)| Reverse(count));
-        self.in_one_rack(asks, &racks)
-            .or_else(|| self.in_one_zone(asks, &racks))
-            .or_else(|| self.in_racks(asks, racks.iter().map(|&(rack, _, _)| rack)))
+        let counted = able.map(|(key, rack)| {
+            let count = self.count_in(key, least, accelerated);
+            Near { rack: key, zone: rack.zone, count }
+        });
+        let mut racks: Vec<Near> = counted.filter(|near| near.count > 0).collect();
+        // Racks with room for many tasks first, so that few are needed.
+        racks.sort_by_key(|near| Reverse(near.count));
+        let search = Search { asks, accelerated };
+        self.in_one_rack(search, &racks)
+            .or_else(|| self.in_one_zone(search, &racks))
+            .or_else(|| self.in_racks(search, racks.iter()))
     }
 
     /// Tries the racks with the least room to spare first.
-    fn in_one_rack(
-        &self,
-        asks: &[Ask],
-        racks: &[(RackKey, ZoneKey, usize)],
-    ) -> Option<Vec<WorkerKey>> {
-        let able = racks.iter().rev().filter(|(_, _, count)| *count >= asks.len());
-        let mut drafts = able.map(|&(rack, _, _)| self.in_racks(asks, std::iter::once(rack)));
-        drafts.find_map(|draft| draft)
+    fn in_one_rack(&self, search: Search<'_>, racks: &[Near]) -> Option<Vec<WorkerKey>> {
+        let mut able = racks.iter().rev().filter(|near| near.count >= search.asks.len());
+        able.find_map(|near| self.in_racks(search, std::iter::once(near)))
     }
 
-    fn in_one_zone(
-        &self,
-        asks: &[Ask],
-        racks: &[(RackKey, ZoneKey, usize)],
-    ) -> Option<Vec<WorkerKey>> {
-        let mut zones: Vec<ZoneKey> = racks.iter().map(|&(_, zone, _)| zone).collect();
+    fn in_one_zone(&self, search: Search<'_>, racks: &[Near]) -> Option<Vec<WorkerKey>> {
+        let mut zones: Vec<ZoneKey> = racks.iter().map(|near| near.zone).collect();
         zones.sort_unstable();
         zones.dedup();
         zones.into_iter().find_map(|zone| {
-            let own = racks.iter().filter(|(_, other, _)| *other == zone);
-            if own.clone().map(|(_, _, count)| count).sum::<usize>() < asks.len() {
+            let own = racks.iter().filter(|near| near.zone == zone);
+            let room = own.clone().fold(0, |sum: usize, near| sum.saturating_add(near.count));
+            if room < search.asks.len() {
                 return None;
             }
-            self.in_racks(asks, own.map(|&(rack, _, _)| rack))
+            self.in_racks(search, own)
         })
     }
 
     /// Returns an upper bound of the tasks of `need` that a rack has room for.
-    fn count_in(&self, rack: RackKey, need: Resources) -> usize {
+    fn count_in(&self, rack: RackKey, need: Resources, accelerated: bool) -> usize {
         let workers = &self.index.racks[rack].workers;
         let open = workers.iter().filter_map(|&worker| self.index.position(worker));
-        let counts = open.filter(|at| at.takes(need)).map(|at| need.count_in(at.free) as usize);
+        let open = open.filter(|at| at.takes(need) && (accelerated || !at.is_accelerated()));
+        let counts = open.map(|at| need.count_in(at.free) as usize);
         counts.fold(0, usize::saturating_add)
     }
 
     /// Fills the racks in order, with the largest tasks first.
-    fn in_racks(
+    fn in_racks<'a>(
         &self,
-        asks: &[Ask],
-        racks: impl Iterator<Item = RackKey>,
+        search: Search<'_>,
+        racks: impl Iterator<Item = &'a Near>,
     ) -> Option<Vec<WorkerKey>> {
+        let asks = search.asks;
         let mut order: Vec<usize> = (0..asks.len()).collect();
         let size = |&at: &usize| {
             let need = asks[at].need;
@@ -105,8 +129,8 @@
         };
         order.sort_by_key(size);
         let mut draft = Draft { left: SecondaryMap::new(), chosen: vec![None; asks.len()] };
-        for rack in racks {
-            order.retain(|&at| !self.draft_one(&mut draft, rack, at, asks[at].need));
+        for near in racks {
+            order.retain(|&at| !self.draft_one(search, &mut draft, near.rack, at));
             if order.is_empty() {
                 return draft.chosen.into_iter().collect();
             }
@@ -115,10 +139,13 @@
     }
 
     /// Adds one task to the draft on the tightest worker of a rack, if one has room.
-    fn draft_one(&self, draft: &mut Draft, rack: RackKey, at: usize, need: Resources) -> bool {
+    fn draft_one(&self, search: Search<'_>, draft: &mut Draft, rack: RackKey, at: usize) -> bool {
+        let need = search.asks[at].need;
         let workers = self.index.racks[rack].workers.iter();
         let known = workers.filter_map(|&worker| Some((worker, self.index.position(worker)?)));
-        let open = known.filter(|(_, position)| position.takes(need));
+        let open = known.filter(|(_, position)| {
+            position.takes(need) && (search.accelerated || !position.is_accelerated())
+        });
         let rooms = open.map(|(worker, position)| {
             let left = draft.left.get(worker).copied().unwrap_or(position.free);
             (worker, left, position.capacity)
--- a/crates/coriandertack-core/src/cell/index.rs
+++ b/crates/coriandertack-core/src/cell/index.rs
@@ -73,6 +73,11 @@
     pub(super) fn takes(&self, need: Resources) -> bool {
         self.bucket.is_some() && need.fits(self.free)
     }
+
+    /// Tells whether the worker has accelerators, free or not.
+    pub(super) fn is_accelerated(&self) -> bool {
+        self.capacity.accelerators > 0
+    }
 }
 
 /// A rack with its workers.
