Fill workers in use with services up to 80%, and tell home about accelerators

Cause: the preset for waiting put services on empty workers, and a home could not see whether an owner has room on workers without accelerators. Change: the load term prefers workers in use and charges for more than 80%; Summary gains two rooms of fixed size.

--- a/crates/coriandertack-core/src/cell/choose.rs
+++ b/crates/coriandertack-core/src/cell/choose.rs
@@ -108,7 +108,7 @@
     }
 
     /// Chooses the worker with the fewest copies of the class in its zone, then in its rack, then on
-    /// itself. Among equals the load decides, and the weights say in which direction.
+    /// itself. Among equals the load decides.
     fn choose_spread(&self, ask: &Ask) -> Option<WorkerKey> {
         let plain = ask.need.accelerators == 0;
         let kept = plain.then(|| self.choose_among(ask, false)).flatten();
@@ -137,7 +137,7 @@
                     continue;
                 }
                 let on_worker = copies.workers.get(&worker).copied().unwrap_or(0);
-                let found = ((rank, on_worker, self.load(at)), worker);
+                let found = ((rank, on_worker, self.load(at, ask.need)), worker);
                 if best.is_none_or(|known| is_before(found.0, known.0)) {
                     best = Some(found);
                 }
@@ -146,10 +146,14 @@
         best.map(|(_, worker)| worker)
     }
 
-    /// Returns the load of a worker, with the sign that makes the preferred worker the lowest.
-    fn load(&self, at: &Position) -> f64 {
-        let used = at.capacity.saturating_sub(at.free).dominant_share(at.capacity);
-        used * (self.weights.spread - self.weights.packing)
+    /// Returns the cost of the load that a worker would have; the lowest is best.
+    ///
+    /// A service gets a worker that is in use already, but one with processors left for bursts.
+    fn load(&self, at: &Position, need: Resources) -> f64 {
+        let left = at.free.saturating_sub(need);
+        let used = at.capacity.saturating_sub(left).dominant_share(at.capacity);
+        let crowded = (used - BUSY).max(0.0) / (1.0 - BUSY);
+        self.weights.packing * (1.0 - used) + self.weights.spread * crowded
     }
 
     pub(super) fn count_copy(&mut self, worker: WorkerKey, ask: &Ask) {
--- a/crates/coriandertack-core/src/cell/mod.rs
+++ b/crates/coriandertack-core/src/cell/mod.rs
@@ -330,6 +330,11 @@
             let free = host.free();
             summary.free += free;
             summary.workers += 1;
+            let room = match host.capacity.accelerators {
+                0 => &mut summary.plain,
+                _ => &mut summary.accelerated,
+            };
+            room.add(free);
             if free.millicores > summary.largest.millicores {
                 summary.largest = free;
             }
--- a/crates/coriandertack-core/src/message.rs
+++ b/crates/coriandertack-core/src/message.rs
@@ -223,6 +223,9 @@
 }
 
 /// Free capacity of an owner's workers.
+///
+/// It has a fixed size, since it is part of every heartbeat. Workers with accelerators are told apart,
+/// because a home must see whether an owner has room without them.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Summary {
     /// Sum over the workers that take work.
@@ -231,6 +234,33 @@
     pub largest: Resources,
     /// Workers that take work.
     pub workers: u32,
+    /// Room on workers without accelerators.
+    pub plain: Room,
+    /// Room on workers with accelerators.
+    pub accelerated: Room,
+}
+
+/// Free capacity of some workers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    /// Sum over the workers.
+    pub free: Resources,
+    /// What one worker has free: the one with the most accelerators, then processors.
+    pub largest: Resources,
+    /// The most of each resource that some worker has free. What exceeds it fits nowhere.
+    pub most: Resources,
+}
+
+impl Room {
+    /// Adds a worker.
+    pub fn add(&mut self, free: Resources) {
+        let rank = |one: Resources| (one.accelerators, one.millicores, one.memory_mib);
+        self.free += free;
+        self.most = self.most.max(free);
+        if rank(free) > rank(self.largest) {
+            self.largest = free;
+        }
+    }
 }
 
 /// One running copy of a service that can answer callers.
