Let a home forbid an owner the use of accelerated workers

Cause: with 8 owners, the owner that a home asked used workers with accelerators for plain work while other owners had plain workers left, because summaries are old and gangs go to one owner first. Change: Reach::Kept restricts a placement to workers without accelerators; rank_owners returns owner and reach.

--- a/crates/coriandertack-core/src/cell/choose.rs
+++ b/crates/coriandertack-core/src/cell/choose.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     cell::{
-        Cell,
-        index::{Position, RackKey, ZoneKey},
+        Cell, Reach,
+        index::{Position, RackKey, Side, ZoneKey},
     },
     keys::WorkerKey,
     message::Ask,
@@ -57,38 +57,33 @@
 }
 
 impl Cell {
-    /// Returns the worker that suits a task best, if one has room.
-    pub(super) fn choose(&self, ask: &Ask) -> Option<WorkerKey> {
+    /// Returns the worker that suits a task best, if one within reach has room.
+    pub(super) fn choose(&self, ask: &Ask, reach: Reach) -> Option<WorkerKey> {
         if let Some(worker) = self.due_trial(ask, Instant::now()) {
             return Some(worker);
         }
         match ask.kind {
-            Kind::Service => self.choose_spread(ask),
-            Kind::Batch | Kind::Gang => self.choose_packed(ask.need),
+            Kind::Service => reach.find(ask.need, |side| self.choose_spread(ask, side)),
+            Kind::Batch | Kind::Gang => {
+                reach.find(ask.need, |side| self.choose_packed(ask.need, side))
+            }
         }
     }
 
     /// Chooses the worker on which least capacity is stranded.
-    ///
-    /// Workers with accelerators are kept for work that needs them while others have room.
-    fn choose_packed(&self, need: Resources) -> Option<WorkerKey> {
-        let best = |accelerated| {
-            let fitting = self.index.fitting(need, accelerated, COMPARED);
-            let ranked = fitting.map(|(worker, at)| (self.cost(at, need), worker));
-            ranked.min_by(|one, two| one.0.total_cmp(&two.0)).map(|(_, worker)| worker)
-        };
-        let plain = if need.accelerators == 0 { best(false) } else { None };
-        plain.or_else(|| best(true))
+    fn choose_packed(&self, need: Resources, side: Side) -> Option<WorkerKey> {
+        let scarcity = self.scarcity();
+        let fitting = self.index.fitting(need, side, COMPARED);
+        let ranked = fitting.map(|(worker, at)| (self.cost(at, need, scarcity), worker));
+        ranked.min_by(|one, two| one.0.total_cmp(&two.0)).map(|(_, worker)| worker)
     }
 
     /// Returns the cost of a placement for the weights of the cell; the lowest is best.
-    fn cost(&self, at: &Position, need: Resources) -> f64 {
+    fn cost(&self, at: &Position, need: Resources, scarcity: [f64; 3]) -> f64 {
         let left = at.free.saturating_sub(need);
-        let [processors, memory, accelerators] = shares(left, at.capacity);
-        let [scarce_processors, scarce_memory, scarce_accelerators] = self.scarcity();
-        let open = processors * scarce_processors
-            + memory * scarce_memory
-            + accelerators * scarce_accelerators;
+        let left = shares(left, at.capacity);
+        let open: f64 = left.iter().zip(scarcity).map(|(left, scarce)| left * scarce).sum();
+        let [processors, memory, _] = left;
         let uneven = (processors - memory).abs();
         let busy = (1.0 - processors - BUSY).max(0.0);
         self.weights.packing * (open + uneven) + self.weights.headroom * busy
@@ -109,13 +104,7 @@
 
     /// Chooses the worker with the fewest copies of the class in its zone, then in its rack, then on
     /// itself. Among equals the load decides.
-    fn choose_spread(&self, ask: &Ask) -> Option<WorkerKey> {
-        let plain = ask.need.accelerators == 0;
-        let kept = plain.then(|| self.choose_among(ask, false)).flatten();
-        kept.or_else(|| self.choose_among(ask, true))
-    }
-
-    fn choose_among(&self, ask: &Ask, accelerated: bool) -> Option<WorkerKey> {
+    fn choose_spread(&self, ask: &Ask, side: Side) -> Option<WorkerKey> {
         let none = Copies::default();
         let copies = self.copies.get(&ask.class).unwrap_or(&none);
         let mut best = None;
@@ -130,12 +119,10 @@
                 continue;
             }
             for &worker in &rack.workers {
-                let Some(at) = self.index.position(worker).filter(|at| at.takes(ask.need)) else {
+                let Some(at) = self.index.position(worker).filter(|at| at.takes(ask.need, side))
+                else {
                     continue;
                 };
-                if accelerated != at.is_accelerated() {
-                    continue;
-                }
                 let on_worker = copies.workers.get(&worker).copied().unwrap_or(0);
                 let found = ((rank, on_worker, self.load(at, ask.need)), worker);
                 if best.is_none_or(|known| is_before(found.0, known.0)) {
--- a/crates/coriandertack-core/src/cell/gang.rs
+++ b/crates/coriandertack-core/src/cell/gang.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     cell::{
-        Cell, Phase, Refusal,
-        index::{RackKey, ZoneKey},
+        Cell, Phase, Reach, Refusal,
+        index::{RackKey, Side, ZoneKey},
     },
     keys::WorkerKey,
     message::Ask,
@@ -18,8 +18,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Search<'a> {
     asks: &'a [Ask],
-    /// Whether workers with accelerators are searched.
-    accelerated: bool,
+    side: Side,
 }
 
 /// A rack, with an upper bound of the tasks that it has room for.
@@ -47,11 +46,25 @@
     ///
     /// Fails without any grant if not all have room, or if a lease already has capacity.
     pub fn place_all(&mut self, asks: &[Ask], phase: Phase) -> Result<Vec<WorkerKey>, Refusal> {
+        self.place_all_within(asks, phase, Reach::Any)
+    }
+
+    /// Grants capacity as [`Cell::place_all`] does, on workers within reach only.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Cell::place_all`] does.
+    pub fn place_all_within(
+        &mut self,
+        asks: &[Ask],
+        phase: Phase,
+        reach: Reach,
+    ) -> Result<Vec<WorkerKey>, Refusal> {
         let mut leases = HashSet::new();
         if asks.iter().any(|ask| self.is_known(ask.lease) || !leases.insert(ask.lease)) {
             return Err(Refusal::Duplicate);
         }
-        let workers = self.draft(asks).ok_or(Refusal::Full)?;
+        let workers = self.draft(asks, reach).ok_or(Refusal::Full)?;
         for (ask, &worker) in asks.iter().zip(&workers) {
             self.insert(worker, ask.clone(), phase);
         }
@@ -61,26 +74,32 @@
     /// Chooses workers for all tasks.
     ///
     /// Keeping workers with accelerators for work that needs them goes before nearness.
-    fn draft(&self, asks: &[Ask]) -> Option<Vec<WorkerKey>> {
-        let plain = asks.iter().all(|ask| ask.need.accelerators == 0);
-        let kept = plain.then(|| self.draft_near(asks, false)).flatten();
-        kept.or_else(|| self.draft_near(asks, true))
+    fn draft(&self, asks: &[Ask], reach: Reach) -> Option<Vec<WorkerKey>> {
+        let most = asks.iter().map(|ask| ask.need).fold(Resources::ZERO, Resources::max);
+        if most.accelerators > 0 {
+            // Tasks without accelerators stay near those of their gang that have some.
+            return self.draft_near(asks, Side::Both);
+        }
+        self.draft_near(asks, Side::Plain).or_else(|| match reach {
+            Reach::Kept => None,
+            Reach::Any => self.draft_near(asks, Side::Both),
+        })
     }
 
-    /// Chooses workers near each other, with `accelerated` also such that have accelerators.
-    fn draft_near(&self, asks: &[Ask], accelerated: bool) -> Option<Vec<WorkerKey>> {
+    /// Chooses workers of a side near each other.
+    fn draft_near(&self, asks: &[Ask], side: Side) -> Option<Vec<WorkerKey>> {
         let Some(least) = asks.iter().map(|ask| ask.need).reduce(Resources::min) else {
             return Some(Vec::new());
         };
         let able = self.index.racks.iter().filter(|(_, rack)| least.fits(rack.most));
         let counted = able.map(|(key, rack)| {
-            let count = self.count_in(key, least, accelerated);
+            let count = self.count_in(key, least, side);
             Near { rack: key, zone: rack.zone, count }
         });
         let mut racks: Vec<Near> = counted.filter(|near| near.count > 0).collect();
         // Racks with room for many tasks first, so that few are needed.
         racks.sort_by_key(|near| Reverse(near.count));
-        let search = Search { asks, accelerated };
+        let search = Search { asks, side };
         self.in_one_rack(search, &racks)
             .or_else(|| self.in_one_zone(search, &racks))
             .or_else(|| self.in_racks(search, racks.iter()))
@@ -107,10 +126,10 @@
     }
 
     /// Returns an upper bound of the tasks of `need` that a rack has room for.
-    fn count_in(&self, rack: RackKey, need: Resources, accelerated: bool) -> usize {
+    fn count_in(&self, rack: RackKey, need: Resources, side: Side) -> usize {
         let workers = &self.index.racks[rack].workers;
         let open = workers.iter().filter_map(|&worker| self.index.position(worker));
-        let open = open.filter(|at| at.takes(need) && (accelerated || !at.is_accelerated()));
+        let open = open.filter(|at| at.takes(need, side));
         let counts = open.map(|at| need.count_in(at.free) as usize);
         counts.fold(0, usize::saturating_add)
     }
@@ -143,9 +162,7 @@
         let need = search.asks[at].need;
         let workers = self.index.racks[rack].workers.iter();
         let known = workers.filter_map(|&worker| Some((worker, self.index.position(worker)?)));
-        let open = known.filter(|(_, position)| {
-            position.takes(need) && (search.accelerated || !position.is_accelerated())
-        });
+        let open = known.filter(|(_, position)| position.takes(need, search.side));
         let rooms = open.map(|(worker, position)| {
             let left = draft.left.get(worker).copied().unwrap_or(position.free);
             (worker, left, position.capacity)
--- a/crates/coriandertack-core/src/cell/index.rs
+++ b/crates/coriandertack-core/src/cell/index.rs
@@ -57,6 +57,17 @@
     steps as u8
 }
 
+/// Workers by whether they have accelerators, free or not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Side {
+    /// Workers without accelerators.
+    Plain,
+    /// Workers with accelerators.
+    Accelerated,
+    /// All workers.
+    Both,
+}
+
 /// What the index knows of a worker.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Position {
@@ -69,14 +80,14 @@
 }
 
 impl Position {
-    /// Tells whether the worker takes work and has room for `need`.
-    pub(super) fn takes(&self, need: Resources) -> bool {
-        self.bucket.is_some() && need.fits(self.free)
-    }
-
-    /// Tells whether the worker has accelerators, free or not.
-    pub(super) fn is_accelerated(&self) -> bool {
-        self.capacity.accelerators > 0
+    /// Tells whether the worker takes work, is on this side and has room for `need`.
+    pub(super) fn takes(&self, need: Resources, side: Side) -> bool {
+        let on_side = match side {
+            Side::Plain => self.capacity.accelerators == 0,
+            Side::Accelerated => self.capacity.accelerators > 0,
+            Side::Both => true,
+        };
+        on_side && self.bucket.is_some() && need.fits(self.free)
     }
 }
 
@@ -174,22 +185,25 @@
         self.positions.get(worker)
     }
 
-    /// Returns the workers that have room for `need`, at most `limit` of each bucket.
-    ///
-    /// With `accelerated`, they are workers with accelerators, otherwise workers without.
+    /// Returns the workers of a side that have room for `need`, at most `limit` of each bucket.
     pub(super) fn fitting(
         &self,
         need: Resources,
-        accelerated: bool,
+        side: Side,
         limit: usize,
     ) -> impl Iterator<Item = (WorkerKey, &Position)> {
         let low = Bucket::of(Resources::ZERO, need);
-        let (from, to) = match accelerated {
-            false => (0, 0),
-            true => (1 + step_of_accelerators(need.accelerators), u8::MAX),
+        let least = match need.accelerators {
+            0 => 0,
+            count => 1 + step_of_accelerators(count),
+        };
+        let (from, to) = match side {
+            Side::Plain => (least, 0),
+            Side::Accelerated => (least.max(1), u8::MAX),
+            Side::Both => (least, u8::MAX),
         };
         let from = Bucket { accelerators: from, ..low };
-        let to = Bucket { accelerators: to, processors: u8::MAX, memory: u8::MAX };
+        let to = Bucket { accelerators: to, processors: u8::MAX, memory: u8::MAX }.max(from);
         let able = move |bucket: &Bucket| {
             bucket.processors >= low.processors && bucket.memory >= low.memory
         };
--- a/crates/coriandertack-core/src/cell/mod.rs
+++ b/crates/coriandertack-core/src/cell/mod.rs
@@ -22,6 +22,7 @@
 mod index;
 mod preempt;
 mod quarantine;
+mod reach;
 mod throttle;
 mod weights;
 
@@ -36,6 +37,7 @@
     host::Host,
     preempt::{Claim, Victims},
     quarantine::{FAILURES, FIRST_DELAY, LAST_DELAY, QUICK, Report},
+    reach::Reach,
     throttle::TaskUse,
     weights::Weights,
 };
@@ -248,10 +250,24 @@
     ///
     /// Fails if no worker has room, or if the lease already has capacity.
     pub fn place(&mut self, ask: &Ask, phase: Phase) -> Result<WorkerKey, Refusal> {
+        self.place_within(ask, phase, Reach::Any)
+    }
+
+    /// Grants capacity as [`Cell::place`] does, on workers within reach only.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Cell::place`] does.
+    pub fn place_within(
+        &mut self,
+        ask: &Ask,
+        phase: Phase,
+        reach: Reach,
+    ) -> Result<WorkerKey, Refusal> {
         if self.is_known(ask.lease) {
             return Err(Refusal::Duplicate);
         }
-        let worker = self.choose(ask).ok_or(Refusal::Full)?;
+        let worker = self.choose(ask, reach).ok_or(Refusal::Full)?;
         self.insert(worker, ask.clone(), phase);
         Ok(worker)
     }
--- a/crates/coriandertack-core/src/home_choice.rs
+++ b/crates/coriandertack-core/src/home_choice.rs
@@ -4,29 +4,54 @@
 //! excludes none that may have room: a refusal makes the home ask the next one.
 
 use crate::{
+    cell::Reach,
     keys::VmKey,
-    message::{Ask, Summary},
+    message::{Ask, Room, Summary},
     record::Kind,
+    resources::Resources,
 };
 
+/// An owner to ask, and what it may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The owner.
+    pub vm: VmKey,
+    /// The workers that it may use.
+    pub reach: Reach,
+}
+
 /// Returns the owner to ask first, if any may have room.
 #[must_use]
-pub fn choose_owner(summaries: &[(VmKey, Summary)], ask: &Ask) -> Option<VmKey> {
-    rank_owners(summaries, ask).first().copied()
+pub fn choose_owner(summaries: &[(VmKey, Summary)], ask: &Ask) -> Option<Choice> {
+    rank_owners(summaries, std::slice::from_ref(ask)).first().copied()
 }
 
-/// Returns the owners in the order in which to ask them.
+/// Returns the owners in the order in which to ask them for all tasks of a list at once.
 ///
-/// Work without accelerators goes to owners with room on other workers first. Among those, for batch work and
-/// gangs it is the owner with the least room first, so that large holes elsewhere stay whole; for
-/// services it is the one with the most room. An owner whose summary shows no fitting hole, but
-/// does not rule one out, comes after those that show one.
+/// Work without accelerators goes to workers without them first, whichever owner has such room, so an owner
+/// can appear twice. Then the owner with the least room comes first for batch work and gangs, so that large holes
+/// elsewhere stay whole, and the one with the most room for services. An owner whose summary shows
+/// no fitting hole, but does not rule one out, comes after those that show one.
 #[must_use]
-pub fn rank_owners(summaries: &[(VmKey, Summary)], ask: &Ask) -> Vec<VmKey> {
-    let ranked = summaries.iter().filter_map(|(vm, summary)| Some((rank(summary, ask)?, *vm)));
-    let mut ranked: Vec<(Rank, VmKey)> = ranked.collect();
+pub fn rank_owners(summaries: &[(VmKey, Summary)], asks: &[Ask]) -> Vec<Choice> {
+    let largest = asks.iter().map(|ask| ask.need).fold(Resources::ZERO, Resources::max);
+    let total = asks.iter().map(|ask| ask.need).sum();
+    let service = asks.iter().any(|ask| ask.kind == Kind::Service);
+    let mut ranked: Vec<(Rank, Choice)> = Vec::with_capacity(2 * summaries.len());
+    for &(vm, summary) in summaries {
+        let rank = |room: Room, spoils| rank(room, largest, total, service, spoils);
+        if largest.accelerators == 0 {
+            let kept =
+                rank(summary.plain, false).map(|rank| (rank, Choice { vm, reach: Reach::Kept }));
+            ranked.extend(kept);
+        }
+        // An owner that may use all its workers takes those without accelerators first.
+        let room = if largest.accelerators == 0 { summary.all() } else { summary.accelerated };
+        let spoils = largest.accelerators == 0;
+        ranked.extend(rank(room, spoils).map(|rank| (rank, Choice { vm, reach: Reach::Any })));
+    }
     ranked.sort_by_key(|(rank, _)| *rank);
-    ranked.into_iter().map(|(_, vm)| vm).collect()
+    ranked.into_iter().map(|(_, choice)| choice).collect()
 }
 
 /// Order in which owners are asked: the lowest first.
@@ -40,19 +65,21 @@
     processors: i64,
 }
 
-/// Returns the rank of an owner, or nothing if it has no room.
-fn rank(summary: &Summary, ask: &Ask) -> Option<Rank> {
-    let plain = (ask.need.accelerators == 0).then_some((summary.plain, false));
-    let rooms = plain.into_iter().chain([(summary.accelerated, true)]);
-    let mut able = rooms.filter(|(room, _)| ask.need.fits(room.most));
-    let (room, accelerated) = able.next()?;
-    let sign = match ask.kind {
-        Kind::Service => -1,
-        Kind::Batch | Kind::Gang => 1,
-    };
+/// Returns the rank of a room, or nothing if it is certainly too small.
+fn rank(
+    room: Room,
+    largest: Resources,
+    total: Resources,
+    service: bool,
+    spoils: bool,
+) -> Option<Rank> {
+    if !largest.fits(room.most) || !total.fits(room.free) {
+        return None;
+    }
+    let sign = if service { -1 } else { 1 };
     Some(Rank {
-        spoils: accelerated && ask.need.accelerators == 0,
-        unsure: !ask.need.fits(room.largest),
+        spoils,
+        unsure: !largest.fits(room.largest),
         accelerators: sign * i64::from(room.free.accelerators),
         processors: sign * i64::from(room.free.millicores),
     })
--- a/crates/coriandertack-core/src/message.rs
+++ b/crates/coriandertack-core/src/message.rs
@@ -240,6 +240,18 @@
     pub accelerated: Room,
 }
 
+impl Summary {
+    /// Returns the room on all workers.
+    #[must_use]
+    pub fn all(&self) -> Room {
+        Room {
+            free: self.free,
+            largest: self.largest,
+            most: self.plain.most.max(self.accelerated.most),
+        }
+    }
+}
+
 /// Free capacity of some workers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Room {
--- a/crates/coriandertack/src/bench/packing.rs
+++ b/crates/coriandertack/src/bench/packing.rs
@@ -10,7 +10,7 @@
 
 use {
     coriandertack_core::{
-        cell::{Cell, Host, Phase, Refusal, Weights},
+        cell::{Cell, Host, Phase, Reach, Refusal, Weights},
         home_choice::rank_owners,
         keys::{JobId, LeaseId, TaskId, VmKey, WorkerKey},
         message::{Ask, Summary},
@@ -177,10 +177,10 @@
 }
 
 /// Places the tasks of one job in one cell.
-fn place_job(cell: &mut Cell, asks: &[Ask]) -> Result<(), Refusal> {
+fn place_job(cell: &mut Cell, asks: &[Ask], reach: Reach) -> Result<(), Refusal> {
     match asks {
-        [ask] => cell.place(ask, Phase::Running).map(drop),
-        _ => cell.place_all(asks, Phase::Running).map(drop),
+        [ask] => cell.place_within(ask, Phase::Running, reach).map(drop),
+        _ => cell.place_all_within(asks, Phase::Running, reach).map(drop),
     }
 }
 
@@ -283,11 +283,6 @@
         self.summaries = known.map(|(&vm, cell)| (vm, cell.summary())).collect();
     }
 
-    fn owner(&mut self, vm: VmKey) -> Option<&mut Cell> {
-        let at = self.vms.iter().position(|&other| other == vm)?;
-        self.cells.get_mut(at)
-    }
-
     /// Places a job as a home does: on the owner that the summaries suggest, then on the next.
     fn place(&mut self, asks: &[Ask]) -> Result<(), Refusal> {
         self.decisions += 1;
@@ -302,19 +297,34 @@
         self.try_job(asks)
     }
 
+    /// Tries the owners that may hold the whole job, then several together. Workers with accelerators
+    /// are used for other work only when that fails.
     fn try_job(&mut self, asks: &[Ask]) -> Result<(), Refusal> {
-        let owners = rank_owners(&self.summaries, &asks[0]);
-        let whole = owners
-            .iter()
-            .any(|&vm| self.owner(vm).is_some_and(|cell| place_job(cell, asks).is_ok()));
-        if whole { Ok(()) } else { self.try_parts(asks, &owners) }
+        let owners = rank_owners(&self.summaries, asks);
+        for reach in [Reach::Kept, Reach::Any] {
+            let mut own = owners.iter().filter(|choice| choice.reach == reach);
+            let whole = own.any(|choice| {
+                let cell = self.position(choice.vm).map(|at| &mut self.cells[at]);
+                cell.is_some_and(|cell| place_job(cell, asks, reach).is_ok())
+            });
+            if whole || self.try_parts(asks, reach).is_ok() {
+                return Ok(());
+            }
+        }
+        Err(Refusal::Full)
+    }
+
+    fn position(&self, vm: VmKey) -> Option<usize> {
+        self.vms.iter().position(|&other| other == vm)
     }
 
     /// Places the tasks of a gang on several owners, or none of them.
-    fn try_parts(&mut self, asks: &[Ask], owners: &[VmKey]) -> Result<(), Refusal> {
+    fn try_parts(&mut self, asks: &[Ask], reach: Reach) -> Result<(), Refusal> {
         for (at, ask) in asks.iter().enumerate() {
-            let placed = owners.iter().any(|&vm| {
-                self.owner(vm).is_some_and(|cell| cell.place(ask, Phase::Running).is_ok())
+            let owners = rank_owners(&self.summaries, std::slice::from_ref(ask));
+            let placed = owners.iter().filter(|choice| choice.reach == reach).any(|choice| {
+                let cell = self.position(choice.vm).map(|at| &mut self.cells[at]);
+                cell.is_some_and(|cell| cell.place_within(ask, Phase::Running, reach).is_ok())
             });
             if !placed {
                 for ask in &asks[..at] {
@@ -352,7 +362,7 @@
             measured += 1;
         }
         let began = Instant::now();
-        let placed = place_job(&mut cell, &asks);
+        let placed = place_job(&mut cell, &asks, Reach::Any);
         let nanos = u64::try_from(began.elapsed().as_nanos()).unwrap_or(u64::MAX);
         if placed.is_ok() {
             taken += cores(&asks);
@@ -431,7 +441,7 @@
             let whole = fleet(1_000);
             let one = |limit| {
                 let mut cell = cells(&whole, 1, weights).remove(0);
-                let placed = fill(jobs(), limit, |asks| place_job(&mut cell, asks));
+                let placed = fill(jobs(), limit, |asks| place_job(&mut cell, asks, Reach::Any));
                 (placed, used(&[cell]))
             };
             let name = format!("{preset}, {} scarce, 1 owner of 1000 workers", mix.name);
