Spread copies over owners and prefer workers in use

Cause: services went to the owner with the most room, which opened unused workers, and a home did not look at the copies that an owner already has. Change: Owner carries the copies bound there, Room the largest hole on workers in use.

--- a/crates/coriandertack-core/src/cell/mod.rs
+++ b/crates/coriandertack-core/src/cell/mod.rs
@@ -350,7 +350,7 @@
                 0 => &mut summary.plain,
                 _ => &mut summary.accelerated,
             };
-            room.add(free);
+            room.add(free, host.granted != Resources::ZERO);
             if free.millicores > summary.largest.millicores {
                 summary.largest = free;
             }
--- a/crates/coriandertack-core/src/home_choice.rs
+++ b/crates/coriandertack-core/src/home_choice.rs
@@ -11,6 +11,17 @@
     resources::Resources,
 };
 
+/// What a home knows of an owner.
+#[derive(Clone, Copy, Debug)]
+pub struct Owner {
+    /// The owner.
+    pub vm: VmKey,
+    /// Its last summary.
+    pub summary: Summary,
+    /// Copies of the service that the home has bound there; 0 for other work.
+    pub copies: u32,
+}
+
 /// An owner to ask, and what it may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -22,38 +33,48 @@
 
 /// Returns the owner to ask first, if any may have room.
 #[must_use]
-pub fn choose_owner(summaries: &[(VmKey, Summary)], ask: &Ask) -> Option<Choice> {
-    rank_owners(summaries, std::slice::from_ref(ask)).first().copied()
+pub fn choose_owner(owners: &[Owner], ask: &Ask) -> Option<Choice> {
+    rank_owners(owners, std::slice::from_ref(ask)).first().copied()
 }
 
 /// Returns the owners in the order in which to ask them for all tasks of a list at once.
 ///
-/// Work without accelerators goes to workers without them first, whichever owner has such room, so an owner
-/// can appear twice. Then the owner with the least room comes first for batch work and gangs, so that large holes
-/// elsewhere stay whole, and the one with the most room for services. An owner whose summary shows
-/// no fitting hole, but does not rule one out, comes after those that show one.
+/// Work without accelerators goes to workers without them first, whichever owner has such room, so an
+/// owner can appear twice. Copies of a service go to the owner with the fewest. Then come owners where no
+/// unused worker is needed. Then the owner with the least room comes first for batch work and gangs, so that large
+/// holes elsewhere stay whole, and the one with the most room for services. An owner whose summary
+/// shows no fitting hole, but does not rule one out, comes after those that show one.
 #[must_use]
-pub fn rank_owners(summaries: &[(VmKey, Summary)], asks: &[Ask]) -> Vec<Choice> {
-    let largest = asks.iter().map(|ask| ask.need).fold(Resources::ZERO, Resources::max);
-    let total = asks.iter().map(|ask| ask.need).sum();
-    let service = asks.iter().any(|ask| ask.kind == Kind::Service);
-    let mut ranked: Vec<(Rank, Choice)> = Vec::with_capacity(2 * summaries.len());
-    for &(vm, summary) in summaries {
-        let rank = |room: Room, spoils| rank(room, largest, total, service, spoils);
-        if largest.accelerators == 0 {
-            let kept =
-                rank(summary.plain, false).map(|rank| (rank, Choice { vm, reach: Reach::Kept }));
-            ranked.extend(kept);
+pub fn rank_owners(owners: &[Owner], asks: &[Ask]) -> Vec<Choice> {
+    let demand = Demand::of(asks);
+    let mut ranked: Vec<(Rank, Choice)> = Vec::with_capacity(2 * owners.len());
+    for owner in owners {
+        let Summary { plain, accelerated, .. } = owner.summary;
+        let mut offer = |room, reach, spoils| {
+            let rank = demand.rank(room, owner.copies, spoils);
+            ranked.extend(rank.map(|rank| (rank, Choice { vm: owner.vm, reach })));
+        };
+        if demand.largest.accelerators > 0 {
+            offer(accelerated, Reach::Any, false);
+        } else {
+            offer(plain, Reach::Kept, false);
+            offer(plain.with(accelerated), Reach::Any, true);
         }
-        // An owner that may use all its workers takes those without accelerators first.
-        let room = if largest.accelerators == 0 { summary.all() } else { summary.accelerated };
-        let spoils = largest.accelerators == 0;
-        ranked.extend(rank(room, spoils).map(|rank| (rank, Choice { vm, reach: Reach::Any })));
     }
     ranked.sort_by_key(|(rank, _)| *rank);
     ranked.into_iter().map(|(_, choice)| choice).collect()
 }
 
+/// What a list of tasks needs.
+#[derive(Clone, Copy, Debug)]
+struct Demand {
+    /// The most of each resource that one task needs.
+    largest: Resources,
+    total: Resources,
+    /// Whether the tasks are copies of a service.
+    service: bool,
+}
+
 /// Order in which owners are asked: the lowest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -61,26 +82,36 @@
     spoils: bool,
     /// Whether no fitting hole is shown.
     unsure: bool,
+    /// Copies of the service there.
+    copies: u32,
+    /// Whether an unused worker is needed.
+    opens: bool,
     accelerators: i64,
     processors: i64,
 }
 
-/// Returns the rank of a room, or nothing if it is certainly too small.
-fn rank(
-    room: Room,
-    largest: Resources,
-    total: Resources,
-    service: bool,
-    spoils: bool,
-) -> Option<Rank> {
-    if !largest.fits(room.most) || !total.fits(room.free) {
-        return None;
+impl Demand {
+    fn of(asks: &[Ask]) -> Self {
+        Self {
+            largest: asks.iter().map(|ask| ask.need).fold(Resources::ZERO, Resources::max),
+            total: asks.iter().map(|ask| ask.need).sum(),
+            service: asks.iter().any(|ask| ask.kind == Kind::Service),
+        }
+    }
+
+    /// Returns the rank of a room, or nothing if it is certainly too small.
+    fn rank(self, room: Room, copies: u32, spoils: bool) -> Option<Rank> {
+        if !self.largest.fits(room.most) || !self.total.fits(room.free) {
+            return None;
+        }
+        let sign = if self.service { -1 } else { 1 };
+        Some(Rank {
+            spoils,
+            unsure: !self.largest.fits(room.largest),
+            copies,
+            opens: !self.largest.fits(room.partial),
+            accelerators: sign * i64::from(room.free.accelerators),
+            processors: sign * i64::from(room.free.millicores),
+        })
     }
-    let sign = if service { -1 } else { 1 };
-    Some(Rank {
-        spoils,
-        unsure: !largest.fits(room.largest),
-        accelerators: sign * i64::from(room.free.accelerators),
-        processors: sign * i64::from(room.free.millicores),
-    })
 }
--- a/crates/coriandertack-core/src/message.rs
+++ b/crates/coriandertack-core/src/message.rs
@@ -240,18 +240,6 @@
     pub accelerated: Room,
 }
 
-impl Summary {
-    /// Returns the room on all workers.
-    #[must_use]
-    pub fn all(&self) -> Room {
-        Room {
-            free: self.free,
-            largest: self.largest,
-            most: self.plain.most.max(self.accelerated.most),
-        }
-    }
-}
-
 /// Free capacity of some workers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Room {
@@ -259,20 +247,39 @@
     pub free: Resources,
     /// What one worker has free: the one with the most accelerators, then processors.
     pub largest: Resources,
+    /// Like `largest`, among the workers that run something. A task that fits there opens no new one.
+    pub partial: Resources,
     /// The most of each resource that some worker has free. What exceeds it fits nowhere.
     pub most: Resources,
 }
 
 impl Room {
-    /// Adds a worker.
-    pub fn add(&mut self, free: Resources) {
-        let rank = |one: Resources| (one.accelerators, one.millicores, one.memory_mib);
+    /// Adds a worker with its free capacity.
+    pub fn add(&mut self, free: Resources, in_use: bool) {
         self.free += free;
         self.most = self.most.max(free);
-        if rank(free) > rank(self.largest) {
-            self.largest = free;
+        self.largest = larger(self.largest, free);
+        if in_use {
+            self.partial = larger(self.partial, free);
         }
     }
+
+    /// Returns the room on the workers of both.
+    #[must_use]
+    pub fn with(self, other: Self) -> Self {
+        Self {
+            free: self.free + other.free,
+            largest: larger(self.largest, other.largest),
+            partial: larger(self.partial, other.partial),
+            most: self.most.max(other.most),
+        }
+    }
+}
+
+/// Returns the hole with more accelerators, then processors, then memory.
+fn larger(one: Resources, two: Resources) -> Resources {
+    let rank = |hole: Resources| (hole.accelerators, hole.millicores, hole.memory_mib);
+    if rank(one) >= rank(two) { one } else { two }
 }
 
 /// One running copy of a service that can answer callers.
--- a/crates/coriandertack/src/bench/packing.rs
+++ b/crates/coriandertack/src/bench/packing.rs
@@ -6,12 +6,16 @@
 //! part divides the workers among owners that a home knows only by their summaries, and a third
 //! measures the time of a decision.
 
-use std::{collections::VecDeque, time::Instant};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Instant,
+};
 
 use {
     coriandertack_core::{
         cell::{Cell, Host, Phase, Reach, Refusal, Weights},
-        home_choice::rank_owners,
+        home_choice::{Owner, rank_owners},
         keys::{JobId, LeaseId, TaskId, VmKey, WorkerKey},
         message::{Ask, Summary},
         record::Kind,
@@ -263,7 +267,9 @@
 struct Split {
     cells: Vec<Cell>,
     vms: Vec<VmKey>,
-    summaries: Vec<(VmKey, Summary)>,
+    summaries: Vec<Summary>,
+    /// Copies of each service at each owner.
+    copies: HashMap<Arc<str>, Vec<u32>>,
     decisions: usize,
 }
 
@@ -272,15 +278,26 @@
         let cells = cells(fleet, OWNERS, weights);
         let mut keys: SlotMap<VmKey, ()> = SlotMap::with_key();
         let vms = (0..OWNERS).map(|_| keys.insert(())).collect();
-        let mut split = Self { cells, vms, summaries: Vec::new(), decisions: 0 };
+        let copies = HashMap::new();
+        let mut split = Self { cells, vms, summaries: Vec::new(), copies, decisions: 0 };
         split.hear();
         split
     }
 
     /// Takes the summaries of all owners, as from their heartbeats.
     fn hear(&mut self) {
-        let known = self.vms.iter().zip(&self.cells);
-        self.summaries = known.map(|(&vm, cell)| (vm, cell.summary())).collect();
+        self.summaries = self.cells.iter().map(Cell::summary).collect();
+    }
+
+    /// Returns what the home knows of the owners.
+    fn owners(&self, ask: &Ask) -> Vec<Owner> {
+        let copies = self.copies.get(&ask.class);
+        let owner = |at: usize| Owner {
+            vm: self.vms[at],
+            summary: self.summaries[at],
+            copies: copies.map_or(0, |copies| copies[at]),
+        };
+        (0..OWNERS).map(owner).collect()
     }
 
     /// Places a job as a home does: on the owner that the summaries suggest, then on the next.
@@ -300,20 +317,29 @@
     /// Tries the owners that may hold the whole job, then several together. Workers with accelerators
     /// are used for other work only when that fails.
     fn try_job(&mut self, asks: &[Ask]) -> Result<(), Refusal> {
-        let owners = rank_owners(&self.summaries, asks);
+        let owners = rank_owners(&self.owners(&asks[0]), asks);
         for reach in [Reach::Kept, Reach::Any] {
-            let mut own = owners.iter().filter(|choice| choice.reach == reach);
-            let whole = own.any(|choice| {
-                let cell = self.position(choice.vm).map(|at| &mut self.cells[at]);
-                cell.is_some_and(|cell| place_job(cell, asks, reach).is_ok())
-            });
-            if whole || self.try_parts(asks, reach).is_ok() {
+            let own = owners.iter().filter(|choice| choice.reach == reach);
+            for at in own.filter_map(|choice| self.position(choice.vm)).collect::<Vec<_>>() {
+                if place_job(&mut self.cells[at], asks, reach).is_ok() {
+                    self.count_copies(at, asks);
+                    return Ok(());
+                }
+            }
+            if self.try_parts(asks, reach).is_ok() {
                 return Ok(());
             }
         }
         Err(Refusal::Full)
     }
 
+    fn count_copies(&mut self, at: usize, asks: &[Ask]) {
+        for ask in asks.iter().filter(|ask| ask.kind == Kind::Service) {
+            let class = Arc::clone(&ask.class);
+            self.copies.entry(class).or_insert_with(|| vec![0; OWNERS])[at] += 1;
+        }
+    }
+
     fn position(&self, vm: VmKey) -> Option<usize> {
         self.vms.iter().position(|&other| other == vm)
     }
@@ -321,7 +347,7 @@
     /// Places the tasks of a gang on several owners, or none of them.
     fn try_parts(&mut self, asks: &[Ask], reach: Reach) -> Result<(), Refusal> {
         for (at, ask) in asks.iter().enumerate() {
-            let owners = rank_owners(&self.summaries, std::slice::from_ref(ask));
+            let owners = rank_owners(&self.owners(ask), std::slice::from_ref(ask));
             let placed = owners.iter().filter(|choice| choice.reach == reach).any(|choice| {
                 let cell = self.position(choice.vm).map(|at| &mut self.cells[at]);
                 cell.is_some_and(|cell| cell.place_within(ask, Phase::Running, reach).is_ok())
