--- /dev/null
+++ b/crates/coriandertack-core/tests/placement/learning.rs
@@ -0,0 +1,185 @@
+//! Guards against wrong declarations that overcommit workers, and against unbounded memory.
+
+use std::sync::Arc;
+
+use {
+    coriandertack_core::{
+        cell::{Phase, Weights},
+        code::Code,
+        feasible::{check_job, fits_any},
+        learn::{Learner, Observation},
+        message::{Ask, EndCause},
+        record::{JobSpec, Kind},
+        resources::Resources,
+        state::State,
+    },
+    proptest::prelude::*,
+};
+
+use crate::support::{Fleet, PLAIN, ask};
+
+const DECLARED: Resources = Resources::new(8_000, 16_384, 0);
+
+fn class(name: &str) -> Arc<str> {
+    name.into()
+}
+
+fn end(cause: EndCause, run_ms: u64, peak: Resources, grant: Resources) -> Observation {
+    Observation { cause, run_ms, peak, grant }
+}
+
+/// Returns a learner that saw `count` successes of one class.
+fn taught(count: u32, peak: Resources, run_ms: u64) -> Learner {
+    let mut learner = Learner::default();
+    learner.set_workers([PLAIN]);
+    for _ in 0..count {
+        let seen = end(EndCause::Succeeded, run_ms, peak, DECLARED);
+        learner.observe(&class("a.b"), &seen);
+    }
+    learner
+}
+
+#[test]
+fn an_oversized_declaration_shrinks_to_the_peaks_with_a_margin() {
+    let learner = taught(50, Resources::new(1_000, 1_000, 0), 10);
+    let grant = learner.grant_for("a.b", DECLARED);
+    assert!((1_200..=1_220).contains(&grant.millicores), "{grant}");
+    assert!((1_200..=1_220).contains(&grant.memory_mib), "{grant}");
+    assert_eq!(learner.grant_for("a.other", DECLARED), DECLARED);
+}
+
+#[test]
+fn a_few_ends_teach_nothing() {
+    let learner = taught(4, Resources::new(1_000, 1_000, 0), 10);
+    assert_eq!(learner.grant_for("a.b", DECLARED), DECLARED);
+    assert_eq!(learner.expected_run("a.b", 7_000), 7_000);
+}
+
+#[test]
+fn grants_stay_between_floor_and_declaration() {
+    let idle = taught(50, Resources::ZERO, 10);
+    assert_eq!(idle.grant_for("a.b", DECLARED), Resources::new(100, 64, 0));
+    let greedy = taught(50, Resources::new(60_000, 60_000, 0), 10);
+    assert_eq!(greedy.grant_for("a.b", DECLARED), DECLARED);
+    let accelerated = Resources { accelerators: 2, ..DECLARED };
+    assert_eq!(idle.grant_for("a.b", accelerated).accelerators, 2);
+}
+
+#[test]
+fn out_of_memory_raises_the_next_grant_up_to_the_largest_worker() {
+    let mut learner = Learner::default();
+    learner.set_workers([PLAIN]);
+    let mut grant = Resources::new(1_000, 4_096, 0);
+    let declared = grant;
+    for expected in [8_192, 16_384, 32_768, 32_768] {
+        learner.observe(&class("a.b"), &end(EndCause::OutOfMemory, 10, grant, grant));
+        grant = learner.grant_for("a.b", declared);
+        assert_eq!(grant, Resources { memory_mib: expected, ..declared });
+    }
+}
+
+#[test]
+fn a_class_that_changes_is_learned_anew() {
+    let mut learner = taught(600, Resources::new(4_000, 4_000, 0), 60_000);
+    for _ in 0..4_000 {
+        let seen = end(EndCause::Succeeded, 10, Resources::new(500, 500, 0), DECLARED);
+        learner.observe(&class("a.b"), &seen);
+    }
+    assert!(learner.grant_for("a.b", DECLARED).millicores < 700);
+    assert_eq!(learner.expected_run("a.b", 0), 10);
+    assert!(learner.is_short("a.b"));
+}
+
+#[test]
+fn stragglers_make_a_class_long() {
+    let mut learner = taught(80, Resources::ZERO, 10);
+    assert!(learner.is_short("a.b"));
+    assert!(!learner.is_short("a.unknown"));
+    for _ in 0..20 {
+        learner.observe(&class("a.b"), &end(EndCause::Succeeded, 60_000, PLAIN, PLAIN));
+    }
+    assert!(!learner.is_short("a.b"));
+}
+
+#[test]
+fn run_times_beyond_the_first_size_of_a_histogram_are_kept() {
+    let learner = taught(10, Resources::ZERO, 86_400_000);
+    let expected = learner.expected_run("a.b", 0);
+    assert!((86_400_000..87_400_000).contains(&expected), "{expected}");
+}
+
+#[test]
+fn the_least_recently_used_class_is_forgotten() {
+    let mut learner = Learner::default();
+    let seen = end(EndCause::Succeeded, 10, Resources::ZERO, DECLARED);
+    for _ in 0..5 {
+        learner.observe(&class("a.old"), &seen);
+    }
+    for at in 0..5_000 {
+        learner.observe(&class(&format!("a.{at}")), &seen);
+        if at < 4_000 {
+            learner.observe(&class("a.used"), &seen);
+        }
+    }
+    assert_eq!(learner.classes(), 1_024);
+    assert_eq!(learner.expected_run("a.old", 77), 77);
+    assert_eq!(learner.expected_run("a.used", 77), 10);
+}
+
+proptest! {
+    #[test]
+    fn wrong_declarations_never_overcommit(
+        tasks in prop::collection::vec((1_u32..40_000, 1_u32..80_000, 1_u32..40_000, 1_u32..80_000), 1..200),
+    ) {
+        let mut fleet = Fleet::new(Weights::VUKIC);
+        for _ in 0..4 {
+            fleet.add("z0", "r0", PLAIN);
+        }
+        let mut learner = Learner::default();
+        learner.set_workers([PLAIN]);
+        for (job, (cores, memory, used_cores, used_memory)) in (1..).zip(tasks) {
+            let declared = Resources::new(cores, memory, 0);
+            let grant = learner.grant_for("team.work", declared);
+            prop_assert!(grant.fits(declared.max(PLAIN)));
+            let ask: Ask = ask(job, Kind::Batch, grant);
+            let placed = fleet.cell.place(&ask, Phase::Running).is_ok();
+            prop_assert!(fleet.cell.hosts().all(|(_, host)| host.granted.fits(host.capacity)));
+            if !placed || job % 3 == 0 {
+                fleet.cell.release(ask.lease);
+                // The worker enforces the grant, so a larger use shows as a peak at the grant.
+                let peak = Resources::new(used_cores.min(grant.millicores), used_memory.min(grant.memory_mib), 0);
+                let cause = if used_memory > grant.memory_mib { EndCause::OutOfMemory } else { EndCause::Succeeded };
+                learner.observe(&ask.class, &end(cause, 10, peak, grant));
+            }
+        }
+    }
+}
+
+#[test]
+fn work_that_fits_no_worker_is_impossible() {
+    let large = Resources::new(16_001, 1_024, 0);
+    assert!(!fits_any([PLAIN, PLAIN], large, Kind::Batch, 1));
+    assert!(fits_any([PLAIN, PLAIN], PLAIN, Kind::Batch, 1_000));
+    assert!(fits_any([PLAIN, PLAIN], Resources::new(8_000, 1_024, 0), Kind::Gang, 4));
+    assert!(!fits_any([PLAIN, PLAIN], Resources::new(8_000, 1_024, 0), Kind::Gang, 5));
+    // The sum of 3 would fit, but no worker holds 2 of them.
+    assert!(!fits_any([PLAIN, PLAIN], Resources::new(9_000, 1_024, 0), Kind::Gang, 3));
+    assert!(!fits_any([PLAIN], Resources::new(1_000, 1_024, 1), Kind::Service, 1));
+}
+
+#[test]
+fn an_unread_worker_table_refuses_nothing() {
+    let spec = JobSpec {
+        team: "a".into(),
+        name: "b".into(),
+        kind: Kind::Gang,
+        tasks: u32::MAX,
+        need: Resources::new(u32::MAX, u32::MAX, u32::MAX),
+        run_ms: 0,
+        urgent: false,
+        retries: 0,
+        command: String::new(),
+        key: None,
+    };
+    assert_eq!(check_job(&State::default(), &spec), Ok::<(), Code>(()));
+}
