--- a/crates/coriandertack-core/src/cell/choose.rs
+++ b/crates/coriandertack-core/src/cell/choose.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     cell::{
-        Cell,
-        index::{Position, RackKey, ZoneKey},
+        Cell, Reach,
+        index::{Position, RackKey, Side, ZoneKey},
     },
     keys::WorkerKey,
     message::Ask,
@@ -57,63 +57,54 @@
 }
 
 impl Cell {
-    /// Returns the worker that suits a task best, if one has room.
-    pub(super) fn choose(&self, ask: &Ask) -> Option<WorkerKey> {
+    /// Returns the worker that suits a task best, if one within reach has room.
+    pub(super) fn choose(&self, ask: &Ask, reach: Reach) -> Option<WorkerKey> {
         if let Some(worker) = self.due_trial(ask, Instant::now()) {
             return Some(worker);
         }
         match ask.kind {
-            Kind::Service => self.choose_spread(ask),
-            Kind::Batch | Kind::Gang => self.choose_packed(ask.need),
+            Kind::Service => reach.find(ask.need, |side| self.choose_spread(ask, side)),
+            Kind::Batch | Kind::Gang => {
+                reach.find(ask.need, |side| self.choose_packed(ask.need, side))
+            }
         }
     }
 
     /// Chooses the worker on which least capacity is stranded.
-    ///
-    /// Workers with accelerators are kept for work that needs them while others have room.
-    fn choose_packed(&self, need: Resources) -> Option<WorkerKey> {
-        let best = |accelerated| {
-            let fitting = self.index.fitting(need, accelerated, COMPARED);
-            let ranked = fitting.map(|(worker, at)| (self.cost(at, need), worker));
-            ranked.min_by(|one, two| one.0.total_cmp(&two.0)).map(|(_, worker)| worker)
-        };
-        let plain = if need.accelerators == 0 { best(false) } else { None };
-        plain.or_else(|| best(true))
+    fn choose_packed(&self, need: Resources, side: Side) -> Option<WorkerKey> {
+        let scarcity = self.scarcity();
+        let fitting = self.index.fitting(need, side, COMPARED);
+        let ranked = fitting.map(|(worker, at)| (self.cost(at, need, scarcity), worker));
+        ranked.min_by(|one, two| one.0.total_cmp(&two.0)).map(|(_, worker)| worker)
     }
 
     /// Returns the cost of a placement for the weights of the cell; the lowest is best.
-    fn cost(&self, at: &Position, need: Resources) -> f64 {
+    fn cost(&self, at: &Position, need: Resources, scarcity: [f64; 3]) -> f64 {
         let left = at.free.saturating_sub(need);
-        let [processors, memory, accelerators] = shares(left, at.capacity);
-        let [scarce_processors, scarce_memory, scarce_accelerators] = self.scarcity();
-        let open = processors * scarce_processors
-            + memory * scarce_memory
-            + accelerators * scarce_accelerators;
+        let left = shares(left, at.capacity);
+        let open: f64 = left.iter().zip(scarcity).map(|(left, scarce)| left * scarce).sum();
+        let [processors, memory, _] = left;
         let uneven = (processors - memory).abs();
         let busy = (1.0 - processors - BUSY).max(0.0);
         self.weights.packing * (open + uneven) + self.weights.headroom * busy
     }
 
-    /// Returns how much of each resource of the whole cell is granted.
+    /// Returns how much of each resource of the whole cell is granted, relative to the scarcest one.
     fn scarcity(&self) -> [f64; 3] {
         let share = |granted: u64, all: u64| granted as f64 / all.max(1) as f64;
         let (granted, all) = (self.granted, self.capacity);
-        [
+        let shares = [
             share(granted.millicores, all.millicores),
             share(granted.memory_mib, all.memory_mib),
             share(granted.accelerators, all.accelerators),
-        ]
+        ];
+        let most = shares.into_iter().fold(f64::MIN_POSITIVE, f64::max);
+        shares.map(|share| share / most)
     }
 
     /// Chooses the worker with the fewest copies of the class in its zone, then in its rack, then on
-    /// itself. Among equals the load decides, and the weights say in which direction.
-    fn choose_spread(&self, ask: &Ask) -> Option<WorkerKey> {
-        let plain = ask.need.accelerators == 0;
-        let kept = plain.then(|| self.choose_among(ask, false)).flatten();
-        kept.or_else(|| self.choose_among(ask, true))
-    }
-
-    fn choose_among(&self, ask: &Ask, accelerated: bool) -> Option<WorkerKey> {
+    /// itself. Among equals the load decides.
+    fn choose_spread(&self, ask: &Ask, side: Side) -> Option<WorkerKey> {
         let none = Copies::default();
         let copies = self.copies.get(&ask.class).unwrap_or(&none);
         let mut best = None;
@@ -128,14 +119,12 @@
                 continue;
             }
             for &worker in &rack.workers {
-                let Some(at) = self.index.position(worker).filter(|at| at.takes(ask.need)) else {
+                let Some(at) = self.index.position(worker).filter(|at| at.takes(ask.need, side))
+                else {
                     continue;
                 };
-                if accelerated != (at.capacity.accelerators > 0) {
-                    continue;
-                }
                 let on_worker = copies.workers.get(&worker).copied().unwrap_or(0);
-                let found = ((rank, on_worker, self.load(at)), worker);
+                let found = ((rank, on_worker, self.load(at, ask.need)), worker);
                 if best.is_none_or(|known| is_before(found.0, known.0)) {
                     best = Some(found);
                 }
@@ -144,10 +133,14 @@
         best.map(|(_, worker)| worker)
     }
 
-    /// Returns the load of a worker, with the sign that makes the preferred worker the lowest.
-    fn load(&self, at: &Position) -> f64 {
-        let used = at.capacity.saturating_sub(at.free).dominant_share(at.capacity);
-        used * (self.weights.spread - self.weights.packing)
+    /// Returns the cost of the load that a worker would have; the lowest is best.
+    ///
+    /// A service gets a worker that is in use already, but one with processors left for bursts.
+    fn load(&self, at: &Position, need: Resources) -> f64 {
+        let left = at.free.saturating_sub(need);
+        let used = at.capacity.saturating_sub(left).dominant_share(at.capacity);
+        let crowded = (used - BUSY).max(0.0) / (1.0 - BUSY);
+        self.weights.packing * (1.0 - used) + self.weights.spread * crowded
     }
 
     pub(super) fn count_copy(&mut self, worker: WorkerKey, ask: &Ask) {
--- a/crates/coriandertack-core/src/message.rs
+++ b/crates/coriandertack-core/src/message.rs
@@ -223,6 +223,9 @@
 }
 
 /// Free capacity of an owner's workers.
+///
+/// It has a fixed size, since it is part of every heartbeat. Workers with accelerators are told apart,
+/// because a home must see whether an owner has room without them.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Summary {
     /// Sum over the workers that take work.
@@ -231,6 +234,52 @@
     pub largest: Resources,
     /// Workers that take work.
     pub workers: u32,
+    /// Room on workers without accelerators.
+    pub plain: Room,
+    /// Room on workers with accelerators.
+    pub accelerated: Room,
+}
+
+/// Free capacity of some workers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    /// Sum over the workers.
+    pub free: Resources,
+    /// What one worker has free: the one with the most accelerators, then processors.
+    pub largest: Resources,
+    /// Like `largest`, among the workers that run something. A task that fits there opens no new one.
+    pub partial: Resources,
+    /// The most of each resource that some worker has free. What exceeds it fits nowhere.
+    pub most: Resources,
+}
+
+impl Room {
+    /// Adds a worker with its free capacity.
+    pub fn add(&mut self, free: Resources, in_use: bool) {
+        self.free += free;
+        self.most = self.most.max(free);
+        self.largest = larger(self.largest, free);
+        if in_use {
+            self.partial = larger(self.partial, free);
+        }
+    }
+
+    /// Returns the room on the workers of both.
+    #[must_use]
+    pub fn with(self, other: Self) -> Self {
+        Self {
+            free: self.free + other.free,
+            largest: larger(self.largest, other.largest),
+            partial: larger(self.partial, other.partial),
+            most: self.most.max(other.most),
+        }
+    }
+}
+
+/// Returns the hole with more accelerators, then processors, then memory.
+fn larger(one: Resources, two: Resources) -> Resources {
+    let rank = |hole: Resources| (hole.accelerators, hole.millicores, hole.memory_mib);
+    if rank(one) >= rank(two) { one } else { two }
 }
 
 /// One running copy of a service that can answer callers.
