Test unanswered starts, validity and epochs of a worker's task

Change: 7 more tests; the stand-in can delay commands and numbers its events from 1 again after a crash.

--- a/crates/coriandertack-standins/src/worker.rs
+++ b/crates/coriandertack-standins/src/worker.rs
@@ -25,6 +25,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
 use {
@@ -130,6 +131,7 @@
     news: watch::Sender<u64>,
     paused: watch::Sender<bool>,
     lost: AtomicUsize,
+    delay: Mutex<Option<Duration>>,
     tasks: Mutex<Vec<JoinHandle<()>>>,
 }
 
@@ -195,6 +197,7 @@
             news: watch::Sender::new(0),
             paused: watch::Sender::new(false),
             lost: AtomicUsize::new(0),
+            delay: Mutex::default(),
             tasks: Mutex::default(),
         };
         let worker = Self { shared: Arc::new(shared) };
@@ -249,6 +252,12 @@
         self.shared.lost.store(count, Ordering::SeqCst);
     }
 
+    /// Carries out the next request with commands only after `delay`, even if the sender has closed
+    /// the connection by then.
+    pub fn delay_commands(&self, delay: Duration) {
+        *self.shared.delay.lock().unwrap_or_else(PoisonError::into_inner) = Some(delay);
+    }
+
     /// Drops all connections and tasks at once and refuses connections until [`Worker::restart`].
     pub async fn crash(&self) {
         let tasks: Vec<JoinHandle<()>> = self.shared.tasks().drain(..).collect();
--- a/crates/coriandertack-standins/src/worker/engine.rs
+++ b/crates/coriandertack-standins/src/worker/engine.rs
@@ -355,6 +355,7 @@
         self.events.clear();
         self.late.clear();
         self.epoch = 0;
+        self.seq = 0;
     }
 
     /// Returns the record of what was done, with the use up to now.
--- a/crates/coriandertack-standins/src/worker/http.rs
+++ b/crates/coriandertack-standins/src/worker/http.rs
@@ -3,7 +3,7 @@
 use std::{
     error::Error,
     fmt::{self, Display, Formatter},
-    sync::{Arc, atomic::Ordering},
+    sync::{Arc, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
@@ -26,7 +26,7 @@
 use super::{
     CONNECTIONS, SLOTS, Shared,
     slots::{Slot, Slots},
-    wire::Orders,
+    wire::{Orders, Results},
 };
 
 type Answer = Response<Full<Bytes>>;
@@ -92,7 +92,7 @@
 
 /// Answers one request. An error closes the connection without an answer.
 async fn answer(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     slots: &Slots,
     request: Request<Incoming>,
 ) -> Result<Answer, AnswerLost> {
@@ -106,12 +106,12 @@
 }
 
 /// Waits while the worker is paused.
-async fn resumed(shared: &Shared) {
+async fn resumed(shared: &Arc<Shared>) {
     // The sender lives as long as the connection, so the wait cannot fail.
     let _ = shared.paused.subscribe().wait_for(|paused| !paused).await;
 }
 
-async fn route(shared: &Shared, slots: &Slots, request: Request<Incoming>) -> Answer {
+async fn route(shared: &Arc<Shared>, slots: &Slots, request: Request<Incoming>) -> Answer {
     resumed(shared).await;
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
@@ -126,7 +126,7 @@
     }
 }
 
-async fn commands(shared: &Shared, request: Request<Incoming>) -> Answer {
+async fn commands(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
     let Ok(body) = request.into_body().collect().await else {
         return status(StatusCode::BAD_REQUEST);
     };
@@ -137,13 +137,30 @@
             return status(StatusCode::BAD_REQUEST);
         }
     };
-    match shared.with(|engine| engine.command(orders)) {
+    match carry_out(shared, orders).await {
         Some(results) => json(&results),
         None => status(StatusCode::CONFLICT),
     }
 }
 
-async fn events(shared: &Shared, query: &str) -> Answer {
+async fn carry_out(shared: &Arc<Shared>, orders: Orders) -> Option<Results> {
+    let delay = match orders.commands.is_empty() {
+        true => None,
+        false => shared.delay.lock().unwrap_or_else(PoisonError::into_inner).take(),
+    };
+    let Some(delay) = delay else {
+        return shared.with(|engine| engine.command(orders));
+    };
+    let shared = Arc::clone(shared);
+    // A task of its own goes on when the connection is closed.
+    let late = tokio::spawn(async move {
+        sleep(delay).await;
+        shared.with(|engine| engine.command(orders))
+    });
+    late.await.ok().flatten()
+}
+
+async fn events(shared: &Arc<Shared>, query: &str) -> Answer {
     let after = parameter(query, "after");
     let until =
         Instant::now() + Duration::from_millis(parameter(query, "wait_ms").min(MAX_WAIT_MS));
@@ -166,7 +183,12 @@
 }
 
 /// Runs one request of a caller in a slot.
-async fn run(shared: &Shared, slots: &Slots, service: &str, request: Request<Incoming>) -> Answer {
+async fn run(
+    shared: &Arc<Shared>,
+    slots: &Slots,
+    service: &str,
+    request: Request<Incoming>,
+) -> Answer {
     let header = |name: &HeaderName| {
         request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
     };
@@ -197,14 +219,14 @@
     marked(shared, Response::new(Full::new(body.to_bytes())), id.as_deref())
 }
 
-fn not_run(shared: &Shared, id: Option<&str>) -> Answer {
+fn not_run(shared: &Arc<Shared>, id: Option<&str>) -> Answer {
     let mut answer = status(StatusCode::SERVICE_UNAVAILABLE);
     answer.headers_mut().insert(NOT_RUN, "true".parse().expect("a valid header value"));
     marked(shared, answer, id)
 }
 
 /// Adds the headers that every answer to a caller's request carries.
-fn marked(shared: &Shared, mut answer: Answer, id: Option<&str>) -> Answer {
+fn marked(shared: &Arc<Shared>, mut answer: Answer, id: Option<&str>) -> Answer {
     if let Some(id) = id.and_then(|id| id.parse().ok()) {
         answer.headers_mut().insert(REQUEST_ID, id);
     }
--- a/crates/coriandertack-vms/tests/poll.rs
+++ b/crates/coriandertack-vms/tests/poll.rs
@@ -155,6 +155,21 @@
     assert!(bench.missing.borrow().is_empty());
 }
 
+/// Guards against a member that is suspected because one answer lacks it.
+#[tokio::test(start_paused = true)]
+async fn one_answer_without_a_member_is_no_suspicion() {
+    let mut bench = Bench::start(2, Lag::default()).await;
+    assert!(bench.is_quiet().await);
+    let reads = bench.list.reads();
+    bench.list.remove("split-3");
+    while bench.list.reads() == reads {
+        sleep(Duration::from_millis(1)).await;
+    }
+    bench.list.set(VmEntry::entry("split-3", "split", "127.0.0.1:1".parse().unwrap()));
+    assert!(bench.is_quiet().await);
+    assert!(!bench.missing.has_changed().unwrap());
+}
+
 /// Guards against a list that is down being taken for an empty list.
 #[tokio::test(start_paused = true)]
 async fn failed_answers_change_nothing() {
--- a/crates/coriandertack-workers/tests/control.rs
+++ b/crates/coriandertack-workers/tests/control.rs
@@ -68,7 +68,9 @@
     task.send(bench.start_of(lease(1, 0), ""));
     assert_eq!(task.event().await, WorkerEvent::Started(lease(1, 0)));
     bench.cut_log();
-    sleep(Duration::from_secs(2 * 60 * 60 + 60)).await;
+    sleep(Duration::from_secs(2 * 60 * 60 - 60)).await;
+    assert_eq!(bench.worker.running(), 1);
+    sleep(Duration::from_secs(120)).await;
     assert_eq!(bench.worker.running(), 0);
 }
 
@@ -181,6 +183,94 @@
     assert_eq!(bench.worker.audit().stretches.len(), 1);
 }
 
+/// Guards against a start that is reported as refused while it is still on its way and takes effect
+/// afterwards.
+#[tokio::test(start_paused = true)]
+async fn unanswered_start_is_settled_only_after_its_lease() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    sleep(Duration::from_secs(1)).await;
+    // Longer than the client waits for an answer, shorter than the first lease.
+    bench.worker.delay_commands(Duration::from_millis(2_500));
+    task.send(bench.start_of(lease(1, 0), ""));
+    assert!(task.is_started(lease(1, 0)).await);
+    assert_eq!(bench.worker.running(), 1);
+}
+
+/// Guards against a start that takes effect after the end of the owner's validity, whatever lease
+/// was asked for.
+#[tokio::test(start_paused = true)]
+async fn first_lease_ends_with_the_validity() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    sleep(Duration::from_secs(1)).await;
+    bench.worker.delay_commands(Duration::from_millis(3_100));
+    let WorkerCommand::Start { ask, .. } = bench.start_of(lease(1, 0), "") else {
+        unreachable!("a start");
+    };
+    let until = Instant::now() + Duration::from_secs(60);
+    task.send(WorkerCommand::Start { ask, until });
+    assert_eq!(task.end_of(lease(1, 0)).await.0, EndCause::Refused);
+    assert_eq!(bench.worker.audit().stretches.len(), 0);
+    assert_eq!(bench.worker.audit().late, 1);
+}
+
+/// Guards against commands of a VM whose copy of the state may be out of date, and against losing
+/// them.
+#[tokio::test(start_paused = true)]
+async fn commands_wait_for_validity() {
+    let mut bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    task.send(bench.start_of(lease(1, 0), ""));
+    assert!(task.is_started(lease(1, 0)).await);
+    bench.cut_log();
+    sleep(Duration::from_secs(10)).await;
+    task.send(WorkerCommand::Stop(lease(1, 0)));
+    sleep(Duration::from_secs(60)).await;
+    assert_eq!(bench.worker.running(), 1);
+    bench.mend_log();
+    assert_eq!(task.end_of(lease(1, 0)).await.0, EndCause::Stopped);
+}
+
+/// Guards against acting under an epoch that ended while the VM did not look.
+#[tokio::test(start_paused = true)]
+async fn new_epoch_of_the_same_owner_ends_the_task() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    bench.renew_epoch();
+    assert_eq!(task.finish().await, Finish::Disowned);
+}
+
+/// Guards against a leaving worker that is taken for a staying one, by an old or a new owner.
+#[tokio::test(start_paused = true)]
+async fn leaving_is_reported() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    bench.worker.leave();
+    assert_eq!(task.event().await, WorkerEvent::Leaving);
+    // The event was confirmed by the next poll, so only the list tells the next owner.
+    sleep(Duration::from_secs(20)).await;
+    task.abort().await;
+    let mut task = bench.control();
+    task.listed().await;
+    assert_eq!(task.event().await, WorkerEvent::Leaving);
+}
+
+/// Guards against an owner that waits for the end of a task that its worker has forgotten.
+#[tokio::test(start_paused = true)]
+async fn stop_of_an_unknown_lease_is_an_end() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    task.send(WorkerCommand::Stop(lease(9, 0)));
+    assert_eq!(task.end_of(lease(9, 0)).await.0, EndCause::Stopped);
+}
+
 /// Guards against tasks that stay bound to a worker that has lost them in a crash.
 #[tokio::test(start_paused = true)]
 async fn crash_ends_what_ran() {
@@ -194,6 +284,9 @@
     bench.worker.restart().await.unwrap();
     assert_eq!(task.listed().await, Vec::new());
     assert_eq!(task.end_of(lease(1, 0)).await.0, EndCause::LeaseExpired);
+    // The numbers of the events begin again.
+    task.send(bench.start_of(lease(1, 1), ""));
+    assert!(task.is_started(lease(1, 1)).await);
 }
 
 /// Guards against stops, throttles and acknowledgements that are lost with an answer.
--- a/crates/coriandertack-workers/tests/setup/mod.rs
+++ b/crates/coriandertack-workers/tests/setup/mod.rs
@@ -44,6 +44,8 @@
 
     pub async fn start_with(adjust: impl FnOnce(&mut WorkerConfig)) -> Self {
         let mut config = WorkerConfig::new("split-w1", "split", "r1");
+        // Long intervals keep usage reports from filling the channel of a test that does not read it.
+        config.interval_ms = 60_000;
         adjust(&mut config);
         let worker = Worker::start(config, 7).await.unwrap();
         let any = "127.0.0.1:1".parse().unwrap();
@@ -62,13 +64,7 @@
         node.apply(Offset(1), &Batch { author: Incarnation(1), seq: 1, entries });
         let key = node.with(|inner| inner.state.worker_names[worker.name()]);
         node.extend(Instant::now());
-        let reading = Arc::clone(&node);
-        let reader = tokio::spawn(async move {
-            loop {
-                reading.extend(Instant::now());
-                sleep(READ_EVERY).await;
-            }
-        });
+        let reader = read(&node);
         Self { node, worker, key, seq: 1, reader }
     }
 
@@ -90,6 +86,16 @@
         self.reader.abort();
     }
 
+    /// Takes up the readings of the log again.
+    pub fn mend_log(&mut self) {
+        self.reader = read(&self.node);
+    }
+
+    /// Gives the worker to this VM under a new epoch, as when it went to another VM and back.
+    pub fn renew_epoch(&self) {
+        self.node.with(|inner| inner.state.workers[self.key].owner.epoch.0 += 1);
+    }
+
     /// Lets the VM be the owner only from `after` on.
     pub fn delay_ready(&self, after: Duration) {
         let ready = Instant::now() + after;
@@ -124,6 +130,16 @@
     }
 }
 
+fn read(node: &Arc<Node>) -> JoinHandle<()> {
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        loop {
+            node.extend(Instant::now());
+            sleep(READ_EVERY).await;
+        }
+    })
+}
+
 /// Sums of usage events, each interval counted once.
 #[derive(Debug, Default)]
 pub struct Usage {
@@ -228,7 +244,9 @@
     }
 
     pub async fn finish(self) -> Finish {
-        self.task.await.unwrap()
+        // The channels stay open until the task has ended by itself.
+        let Self { commands: _commands, events: _events, task } = self;
+        task.await.unwrap()
     }
 
     pub async fn abort(self) {
