Ask owners by the room that their heartbeats show, and run the packing bench

Cause: a home asked itself first for every kind and kept gangs apart; heartbeats sent the whole summary every time.

Change: owners are ranked by room, copies and accelerators; a gang goes to one owner that shows room for all of it; a heartbeat carries the summary and the services only when they change; `bench packing` runs.

--- a/crates/coriandertack-core/src/link.rs
+++ b/crates/coriandertack-core/src/link.rs
@@ -54,7 +54,7 @@
         self.suspect_at = now + SUSPECT_AFTER;
         self.offset = self.offset.max(heartbeat.offset);
         self.settled = self.settled.max(heartbeat.settled);
-        self.summary = heartbeat.summary;
+        self.summary = heartbeat.summary.unwrap_or(self.summary);
         self.suspects = heartbeat.suspects;
         match heartbeat.instances {
             Some(instances) if instances != self.instances => {
--- a/crates/coriandertack-core/src/message.rs
+++ b/crates/coriandertack-core/src/message.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    cell::Reach,
     code::Code,
     keys::{Epoch, JobId, LeaseId, Offset, Session},
     record::{Entry, JobSpec, Kind, Usage},
@@ -162,6 +163,8 @@
     pub epoch: Epoch,
     /// End of the home's validity; a start must not be sent later.
     pub until: Instant,
+    /// Workers that may be used.
+    pub reach: Reach,
     /// Whether to hold the capacity until [`PeerRequest::Commit`] instead of starting.
     pub hold: bool,
 }
@@ -306,8 +309,8 @@
     pub offset: Offset,
     /// Highest offset of a membership record whose shares the sender keeps to.
     pub settled: Offset,
-    /// Free capacity.
-    pub summary: Summary,
+    /// Free capacity, if it changed since the last heartbeat on the connection.
+    pub summary: Option<Summary>,
     /// Members that the sender has not heard for too long.
     pub suspects: Vec<Session>,
     /// Services on the sender's workers, if they changed since the last heartbeat that was confirmed.
--- a/crates/coriandertack-core/src/owner.rs
+++ b/crates/coriandertack-core/src/owner.rs
@@ -16,7 +16,8 @@
     cell::{Grant, Host, Phase, Refusal, Report},
     keys::{Epoch, LeaseId, Offset, VmKey, WorkerKey},
     message::{
-        EndCause, Instance, Known, News, Notice, Place, Placed, Running, WorkerCommand, WorkerEvent,
+        Ask, EndCause, Instance, Known, News, Notice, Place, Placed, Running, WorkerCommand,
+        WorkerEvent,
     },
     node::Inner,
     record::Kind,
@@ -84,18 +85,11 @@
 /// Decides on a request to place a task, and sends the start unless the capacity is only to be held.
 pub fn place(inner: &mut Inner, me: VmKey, place: &Place, now: Instant) -> Placed {
     let lease = place.ask.lease;
-    if !inner.validity.holds(now) || now >= place.until {
-        return Placed::Invalid;
-    }
-    let team = team_of(&place.ask.class);
-    if place.epoch < inner.owner.fence(team) || place.epoch < inner.state.home_epoch(team) {
-        return Placed::Invalid;
-    }
-    if inner.owner.barred.contains_key(&lease) || inner.owner.ended.contains_key(&lease) {
-        return Placed::Invalid;
+    if let Err(refused) = check(inner, place, now) {
+        return refused;
     }
     let phase = if place.hold { Phase::Held(place.until) } else { Phase::Running };
-    match inner.cell.place(&place.ask, phase) {
+    match inner.cell.place_within(&place.ask, phase, place.reach) {
         Ok(worker) if place.hold => {
             debug_assert!(inner.state.may_act(me, worker, now));
             Placed::Granted
@@ -107,6 +101,34 @@
     }
 }
 
+/// Decides on requests to hold capacity for a gang: near each other if all of them fit here, else as many
+/// as there is room for.
+pub fn hold_all(inner: &mut Inner, me: VmKey, places: &[Place], now: Instant) -> Vec<Placed> {
+    let each = |inner: &mut Inner| places.iter().map(|one| place(inner, me, one, now)).collect();
+    let Some(first) = places.first().filter(|first| first.hold && places.len() > 1) else {
+        return each(inner);
+    };
+    if places.iter().any(|place| check(inner, place, now).is_err()) {
+        return each(inner);
+    }
+    let asks: Vec<Ask> = places.iter().map(|place| place.ask.clone()).collect();
+    match inner.cell.place_all_within(&asks, Phase::Held(first.until), first.reach) {
+        Ok(_) => vec![Placed::Granted; places.len()],
+        Err(_) => each(inner),
+    }
+}
+
+/// Refuses what a former home asks, and everything while this VM may not act.
+fn check(inner: &Inner, place: &Place, now: Instant) -> Result<(), Placed> {
+    let lease = place.ask.lease;
+    let team = team_of(&place.ask.class);
+    let valid = inner.validity.holds(now) && now < place.until;
+    let current =
+        place.epoch >= inner.owner.fence(team) && place.epoch >= inner.state.home_epoch(team);
+    let open = !inner.owner.barred.contains_key(&lease) && !inner.owner.ended.contains_key(&lease);
+    if valid && current && open { Ok(()) } else { Err(Placed::Invalid) }
+}
+
 /// Stops batch work for urgent work, which starts as soon as the room is free.
 fn preempt(inner: &mut Inner, place: &Place) -> Placed {
     let Some(victims) = inner.cell.preempt(&place.ask) else { return Placed::Full };
--- a/crates/coriandertack-peers/src/codec.rs
+++ b/crates/coriandertack-peers/src/codec.rs
@@ -9,11 +9,12 @@
 use {
     anyhow::{Context, Result, bail},
     coriandertack_core::{
+        cell::Reach,
         code::Code,
         keys::{Epoch, JobId, LeaseId, Offset, Session, TaskId},
         message::{
             Answer, Ask, Call, EndCause, Heartbeat, Instance, KeyNote, Known, News, Notice,
-            PeerReply, PeerRequest, Place, Placed, Summary,
+            PeerReply, PeerRequest, Place, Placed, Room, Summary,
         },
         record::{JobSpec, Kind},
         resources::Resources,
@@ -280,6 +281,7 @@
         epoch: place.epoch.0,
         left_ms: left_ms(place.until, now),
         hold: place.hold,
+        any: place.reach == Reach::Any,
     }
 }
 
@@ -297,6 +299,7 @@
         },
         epoch: Epoch(place.epoch),
         until: now + Duration::from_millis(place.left_ms),
+        reach: if place.any { Reach::Any } else { Reach::Kept },
         hold: place.hold,
     })
 }
@@ -348,9 +351,7 @@
         session: heartbeat.session.0,
         offset: heartbeat.offset.0,
         settled: heartbeat.settled.0,
-        free: Some(resources_out(heartbeat.summary.free)),
-        largest: Some(resources_out(heartbeat.summary.largest)),
-        workers: heartbeat.summary.workers,
+        summary: heartbeat.summary.map(summary_out),
         instances,
         suspects: heartbeat.suspects.into_iter().map(u64::from).collect(),
     }
@@ -364,16 +365,52 @@
         session: Session(heartbeat.session),
         offset: Offset(heartbeat.offset),
         settled: Offset(heartbeat.settled),
-        summary: Summary {
-            free: resources_in(heartbeat.free),
-            largest: resources_in(heartbeat.largest),
-            workers: heartbeat.workers,
-        },
+        summary: heartbeat.summary.map(summary_in),
         suspects: heartbeat.suspects.into_iter().map(Session).collect(),
         instances: instances.transpose()?,
     })
 }
 
+fn summary_out(summary: Summary) -> proto::Summary {
+    proto::Summary {
+        free: Some(resources_out(summary.free)),
+        largest: Some(resources_out(summary.largest)),
+        workers: summary.workers,
+        plain: room_out(summary.plain),
+        accelerated: room_out(summary.accelerated),
+    }
+}
+
+fn summary_in(summary: proto::Summary) -> Summary {
+    Summary {
+        free: resources_in(summary.free),
+        largest: resources_in(summary.largest),
+        workers: summary.workers,
+        plain: room_in(summary.plain),
+        accelerated: room_in(summary.accelerated),
+    }
+}
+
+/// Leaves out a room without workers, as most deployments have no accelerators.
+fn room_out(room: Room) -> Option<proto::Room> {
+    (room != Room::default()).then(|| proto::Room {
+        free: Some(resources_out(room.free)),
+        largest: Some(resources_out(room.largest)),
+        partial: Some(resources_out(room.partial)),
+        most: Some(resources_out(room.most)),
+    })
+}
+
+fn room_in(room: Option<proto::Room>) -> Room {
+    let room = room.unwrap_or_default();
+    Room {
+        free: resources_in(room.free),
+        largest: resources_in(room.largest),
+        partial: resources_in(room.partial),
+        most: resources_in(room.most),
+    }
+}
+
 fn instance_out(instance: Instance) -> proto::Instance {
     proto::Instance {
         service: instance.service.to_string(),
--- a/crates/coriandertack/src/bench/mod.rs
+++ b/crates/coriandertack/src/bench/mod.rs
@@ -1,4 +1,125 @@
 //! Measurements against the bounds of docs/design.md, section 1.3.
+//!
+//! Each scenario runs the product and its named baseline, and returns one [`Row`] for each figure.
 
 pub mod packing;
 pub mod row;
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    path::{Path, PathBuf},
+};
+
+use {
+    anyhow::{Context, Result},
+    clap::ArgMatches,
+    comfy_table::{Table, presets::ASCII_MARKDOWN},
+};
+
+use self::row::Row;
+
+/// Seed used if none is given.
+const SEED: u64 = 1;
+
+/// The scenarios in the order in which `all` runs them.
+const SCENARIOS: [&str; 1] = ["packing"];
+
+/// Runs the benchmarks.
+///
+/// # Errors
+///
+/// Fails if a scenario cannot run or a file cannot be read or written. A bound that is not met is no
+/// failure; the report says so.
+pub fn command(matches: &ArgMatches) -> Result<()> {
+    let wanted: &String = matches.get_one("scenario").context("no scenario")?;
+    let seed = matches.get_one::<u64>("seed").copied().unwrap_or(SEED);
+    let runtime = tokio::runtime::Runtime::new().context("cannot start the runtime")?;
+    println!("{}; seed {seed}", machine());
+    let mut rows = Vec::new();
+    for scenario in SCENARIOS.iter().filter(|&&name| wanted == "all" || wanted == name) {
+        eprintln!("running {scenario}");
+        rows.extend(runtime.block_on(run(scenario, seed))?);
+    }
+    println!("{}", table(&rows));
+    if let Some(file) = matches.get_one::<PathBuf>("compare") {
+        println!("{}", comparison(&rows, &read(file)?));
+    }
+    if let Some(file) = matches.get_one::<PathBuf>("json") {
+        let text = serde_json::to_string_pretty(&rows)?;
+        fs::write(file, text).with_context(|| format!("cannot write {}", file.display()))?;
+    }
+    Ok(())
+}
+
+async fn run(scenario: &str, seed: u64) -> Result<Vec<Row>> {
+    match scenario {
+        "packing" => Ok(packing::run(seed)),
+        _ => anyhow::bail!("no scenario `{scenario}`"),
+    }
+}
+
+/// Returns what a figure depends on: the machine and the build.
+fn machine() -> String {
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    let build = if cfg!(debug_assertions) { "debug" } else { "release" };
+    format!("{cores} cores, {build} build, version {}", env!("CARGO_PKG_VERSION"))
+}
+
+fn number(value: Option<f64>) -> String {
+    value.map_or_else(|| "-".into(), |value| format!("{value:.3}"))
+}
+
+fn table(rows: &[Row]) -> Table {
+    let mut table = Table::new();
+    table.load_style(ASCII_MARKDOWN).set_header([
+        "scenario",
+        "metric",
+        "unit",
+        "target",
+        "measured",
+        "baseline",
+        "baseline is",
+        "met",
+    ]);
+    for row in rows {
+        let met = row.met.map_or("-", |met| if met { "yes" } else { "no" });
+        table.add_row([
+            row.scenario.clone(),
+            row.metric.clone(),
+            row.unit.clone(),
+            number(row.target),
+            number(Some(row.measured)),
+            number(row.baseline),
+            row.baseline_name.clone().unwrap_or_default(),
+            met.to_owned(),
+        ]);
+    }
+    table
+}
+
+fn read(file: &Path) -> Result<Vec<Row>> {
+    let text =
+        fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
+    serde_json::from_str(&text).with_context(|| format!("{} is no report", file.display()))
+}
+
+/// Returns the change of each figure since an earlier report.
+fn comparison(rows: &[Row], old: &[Row]) -> Table {
+    let key = |row: &Row| (row.scenario.clone(), row.metric.clone());
+    let old: BTreeMap<_, _> = old.iter().map(|row| (key(row), row.measured)).collect();
+    let mut table = Table::new();
+    table.load_style(ASCII_MARKDOWN).set_header(["scenario", "metric", "before", "now", "change"]);
+    for row in rows {
+        let Some(&before) = old.get(&key(row)) else { continue };
+        let change = (row.measured - before) / before * 100.0;
+        table.add_row([
+            row.scenario.clone(),
+            row.metric.clone(),
+            number(Some(before)),
+            number(Some(row.measured)),
+            format!("{change:+.1}%"),
+        ]);
+    }
+    table
+}
--- a/crates/coriandertack/src/bench/row.rs
+++ b/crates/coriandertack/src/bench/row.rs
@@ -1,9 +1,9 @@
 //! A line of the report.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// One measured figure with its bound and what it is compared with.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
     /// Scenario of the bench.
     pub scenario: String,
--- a/crates/coriandertackd/src/dispatch.rs
+++ b/crates/coriandertackd/src/dispatch.rs
@@ -8,8 +8,10 @@
 
 use {
     coriandertack_core::{
+        cell::Reach,
         code::Code,
         home::Pick,
+        home_choice::Choice,
         keys::{Epoch, LeaseId, Offset, VmKey},
         message::{Ask, PeerReply, PeerRequest, Place, Placed},
         node::{Inner, Node, Stage},
@@ -103,8 +105,9 @@
     for pick in picks {
         for ask in pick.asks {
             let lease = ask.lease;
-            let place = Place { ask, epoch: pick.epoch, until, hold: false };
-            let vm = choose(inner, me, &place.ask, &[], now).unwrap_or(me);
+            let here = Choice { vm: me, reach: Reach::Any };
+            let Choice { vm, reach } = choose(inner, me, &ask, &[], now).unwrap_or(here);
+            let place = Place { ask, epoch: pick.epoch, until, reach, hold: false };
             inner.homes.asked(lease, vm, now);
             if vm == me {
                 let placed = owner::place(inner, me, &place, now);
@@ -118,8 +121,14 @@
 }
 
 /// Chooses the owner to ask next.
-fn choose(inner: &mut Inner, me: VmKey, ask: &Ask, tried: &[VmKey], now: Instant) -> Option<VmKey> {
-    let found = owners::choose(inner, me, ask, tried, now);
+fn choose(
+    inner: &mut Inner,
+    me: VmKey,
+    ask: &Ask,
+    tried: &[Choice],
+    now: Instant,
+) -> Option<Choice> {
+    let found = owners::choose(inner, me, std::slice::from_ref(ask), tried, now);
     if found.is_none() && ask.urgent {
         return owners::choose_for_urgent(inner, me, tried, now);
     }
@@ -141,23 +150,26 @@
         }
     });
     for place in again {
-        place_anywhere(&node, place, vec![vm]).await;
+        let tried = vec![Choice { vm, reach: place.reach }];
+        place_anywhere(&node, place, tried).await;
     }
     node.work.notify_one();
 }
 
 /// Asks one owner after another until one has room.
-async fn place_anywhere(node: &Node, place: Place, mut tried: Vec<VmKey>) {
+async fn place_anywhere(node: &Node, mut place: Place, mut tried: Vec<Choice>) {
     let Some(me) = node.me() else { return };
-    let mut last = tried[0];
+    let mut last = tried[0].vm;
     loop {
         let now = Instant::now();
         let lease = place.ask.lease;
         let next = node.with(|inner| choose(inner, me, &place.ask, &tried, now));
-        let Some(vm) = next.filter(|_| now < place.until) else {
+        let Some(choice) = next.filter(|_| now < place.until) else {
             node.with(|inner| inner.homes.placed(lease, last, Placed::Full, place.until, now));
             return;
         };
+        let vm = choice.vm;
+        place.reach = choice.reach;
         node.with(|inner| inner.homes.asked(lease, vm, now));
         let placed = place_at(node, me, vm, place.clone()).await;
         if placed != Placed::Full {
@@ -165,7 +177,7 @@
             node.with(|inner| inner.homes.placed(lease, vm, placed, place.until, now));
             return;
         }
-        tried.push(vm);
+        tried.push(choice);
         last = vm;
     }
 }
@@ -266,5 +278,7 @@
 
 /// Returns the epoch and the needs of a pick as requests to hold capacity.
 pub fn holds(asks: &[Ask], epoch: Epoch, until: Instant) -> Vec<Place> {
-    asks.iter().map(|ask| Place { ask: ask.clone(), epoch, until, hold: true }).collect()
+    asks.iter()
+        .map(|ask| Place { ask: ask.clone(), epoch, until, reach: Reach::Any, hold: true })
+        .collect()
 }
--- a/crates/coriandertackd/src/gang.rs
+++ b/crates/coriandertackd/src/gang.rs
@@ -18,7 +18,7 @@
     tokio::time::{Instant, sleep},
 };
 
-use crate::dispatch;
+use crate::{dispatch, owners};
 
 /// How long capacity is held for the rest of a gang.
 const HOLD: Duration = Duration::from_millis(1_500);
@@ -38,7 +38,7 @@
     let until = (Instant::now() + HOLD).min(node.valid_until());
     let mut left = dispatch::holds(&pick.asks, pick.epoch, until);
     let mut held = Vec::new();
-    for vm in owners(&node, me) {
+    for vm in owners(&node, me, &pick) {
         if left.is_empty() {
             break;
         }
@@ -54,10 +54,14 @@
     node.work.notify_one();
 }
 
-/// Returns the owners in the order in which every gang asks them.
-fn owners(node: &Node, me: VmKey) -> Vec<VmKey> {
+/// Returns the owners in the order in which to ask them: only one if it shows room for all, which keeps the
+/// members near each other, else all of them in the order that every gang follows.
+fn owners(node: &Node, me: VmKey, pick: &Pick) -> Vec<VmKey> {
     let now = Instant::now();
     node.with(|inner| {
+        if let Some(choice) = owners::choose(inner, me, &pick.asks, &[], now) {
+            return vec![choice.vm];
+        }
         let links = &inner.links;
         let usable =
             |vm: &VmKey| *vm == me || links.get(*vm).is_some_and(|link| !link.is_suspected(now));
@@ -92,9 +96,7 @@
 async fn ask(node: &Node, me: VmKey, vm: VmKey, places: &[Place]) -> Vec<Placed> {
     let now = Instant::now();
     if vm == me {
-        return node.with(|inner| {
-            places.iter().map(|place| owner::place(inner, me, place, now)).collect()
-        });
+        return node.with(|inner| owner::hold_all(inner, me, places, now));
     }
     match node.ask(vm, PeerRequest::Place(places.to_vec()), places[0].until).await {
         Ok(PeerReply::Placed(placed)) if placed.len() == places.len() => placed,
--- a/crates/coriandertackd/src/members.rs
+++ b/crates/coriandertackd/src/members.rs
@@ -97,7 +97,7 @@
     for (target, queue) in opened {
         let identity = identity(node);
         let (link, key) = (Arc::clone(node), key.clone());
-        let sent = std::sync::Mutex::new(None);
+        let sent = std::sync::Mutex::new(routes::Sent::default());
         let maker = Arc::clone(node);
         let heartbeat = move |fresh| {
             let mut sent = sent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
--- a/crates/coriandertackd/src/peers.rs
+++ b/crates/coriandertackd/src/peers.rs
@@ -60,9 +60,7 @@
 ) -> PeerReply {
     match request {
         PeerRequest::Place(places) => {
-            let place =
-                |inner: &mut _| places.iter().map(|p| owner::place(inner, me, p, now)).collect();
-            PeerReply::Placed(node.with(place))
+            PeerReply::Placed(node.with(|inner| owner::hold_all(inner, me, &places, now)))
         }
         PeerRequest::Commit(leases) => {
             PeerReply::Placed(node.with(|inner| owner::commit(inner, &leases, now)))
--- a/crates/coriandertackd/src/routes.rs
+++ b/crates/coriandertackd/src/routes.rs
@@ -5,7 +5,7 @@
 use {
     coriandertack_core::{
         keys::Session,
-        message::{Heartbeat, Instance},
+        message::{Heartbeat, Instance, Summary},
         node::{Inner, Node},
         owner,
     },
@@ -41,23 +41,40 @@
     silent.filter_map(|(vm, _)| inner.state.vms.get(vm)).map(|vm| vm.session).collect()
 }
 
-/// Makes this VM's next heartbeat for one link. `sent` holds the services that the link was last told.
-pub fn heartbeat(node: &Node, fresh: bool, sent: &mut Option<Vec<Instance>>) -> Heartbeat {
+/// What a link was last told.
+#[derive(Debug, Default)]
+pub struct Sent {
+    summary: Option<Summary>,
+    instances: Option<Vec<Instance>>,
+}
+
+/// Returns a value if it differs from what was sent last.
+fn news<T: PartialEq + Clone>(sent: &mut Option<T>, value: T) -> Option<T> {
+    if sent.as_ref() == Some(&value) {
+        return None;
+    }
+    *sent = Some(value.clone());
+    Some(value)
+}
+
+/// Makes this VM's next heartbeat for one link. Only what has changed since the last one is in it, which
+/// keeps the traffic of idle VMs within the 4 KB/s allowed for control.
+pub fn heartbeat(node: &Node, fresh: bool, sent: &mut Sent) -> Heartbeat {
     node.with(|inner| {
         let me = inner.state.vm_of(node.author);
         let session = me.map(|vm| inner.state.vms[vm].session).unwrap_or_default();
         let instances = owner::instances(inner);
-        let news = fresh || sent.as_ref() != Some(&instances);
-        if news {
-            *sent = Some(instances.clone());
+        let summary = inner.cell.summary();
+        if fresh {
+            *sent = Sent::default();
         }
         Heartbeat {
             session,
             offset: inner.state.offset,
             settled: inner.state.offset,
-            summary: inner.cell.summary(),
+            summary: news(&mut sent.summary, summary),
             suspects: suspects(inner),
-            instances: news.then_some(instances),
+            instances: news(&mut sent.instances, instances),
         }
     })
 }
--- a/crates/coriandertackd/tests/settings.rs
+++ b/crates/coriandertackd/tests/settings.rs
@@ -56,9 +56,9 @@
 fn weights_come_from_the_preset_and_single_ones_can_be_overridden() {
     let weights = |text: &str| parse("f.toml", text).unwrap().common.weights;
     let (vukic, agency) = (weights(&text("vukic")), weights(&text("agency")));
-    assert!(vukic.packing < agency.packing);
+    assert!(vukic.placement.packing < agency.placement.packing);
     let changed = weights(&format!("{}\n[weights]\npacking_weight = 1\n", text("vukic")));
-    assert!((changed.packing - 1.0).abs() < f64::EPSILON);
+    assert!((changed.placement.packing - 1.0).abs() < f64::EPSILON);
     assert!((changed.share - vukic.share).abs() < f64::EPSILON);
 }
 
