Let live settings come into force by a closure

Settings that the product accepts were read by nobody but the API and the log lines. settings_schema::follow runs a closure now and after each change of a setting.

--- a/crates/coriandertack-operators/src/settings_schema.rs
+++ b/crates/coriandertack-operators/src/settings_schema.rs
@@ -8,11 +8,20 @@
 //! use coriandertack_operators::settings_schema;
 //!
 //! assert!(settings_schema::check("placement.packing_weight", "0.7").is_ok());
-//! assert!(settings_schema::check("placement.packing_weight", "7.0").is_err());
+//! assert!(settings_schema::check("placement.packing_weight", "70.0").is_err());
 //! assert!(settings_schema::check("placement.weight", "0.7").is_err());
 //! ```
 
-use {coriandertack_core::state::State, toml::Value};
+use std::sync::Arc;
+
+use {
+    coriandertack_core::{
+        keys::Version,
+        node::{Inner, Node},
+        state::State,
+    },
+    toml::Value,
+};
 
 /// The most characters of a value.
 pub const MAX_VALUE_CHARS: usize = 1_024;
@@ -64,11 +73,23 @@
         default: "",
         text: "least severe level of the log lines that are written",
     },
+    Schema {
+        name: "placement.headroom_weight",
+        form: Form::Number(0.0, 10.0),
+        default: "",
+        text: "weight of free processors on each worker in the choice of a worker",
+    },
     Schema {
         name: "placement.packing_weight",
-        form: Form::Number(0.0, 1.0),
+        form: Form::Number(0.0, 10.0),
+        default: "",
+        text: "weight of full workers in the choice of a worker",
+    },
+    Schema {
+        name: "placement.spread_weight",
+        form: Form::Number(0.0, 10.0),
         default: "",
-        text: "weight of packing against waiting time in the choice of a worker",
+        text: "weight of an even load of services in the choice of a worker",
     },
     Schema {
         name: "route.short_share",
@@ -148,8 +169,12 @@
     pub rate: f64,
     /// `log.level`.
     pub level: Option<String>,
+    /// `placement.headroom_weight`.
+    pub headroom: Option<f64>,
     /// `placement.packing_weight`.
     pub packing: Option<f64>,
+    /// `placement.spread_weight`.
+    pub spread: Option<f64>,
     /// `route.short_share`.
     pub share: Option<f64>,
 }
@@ -166,12 +191,45 @@
             burst: in_force("api.burst").as_ref().and_then(number).unwrap_or(1.0),
             rate: in_force("api.rate_per_s").as_ref().and_then(number).unwrap_or(1.0),
             level: level(state),
+            headroom: in_force("placement.headroom_weight").as_ref().and_then(number),
             packing: in_force("placement.packing_weight").as_ref().and_then(number),
+            spread: in_force("placement.spread_weight").as_ref().and_then(number),
             share: in_force("route.short_share").as_ref().and_then(number),
         }
     }
 }
 
+/// Brings the live settings into force: runs `apply` now and after each change, for as long as the
+/// process runs.
+///
+/// `apply` is run under the lock of the state, so it must be short.
+pub async fn follow(node: Arc<Node>, mut apply: impl FnMut(&mut Inner, &Live)) {
+    let mut applied = node.applied.subscribe();
+    let mut seen: Option<Vec<Version>> = None;
+    loop {
+        applied.borrow_and_update();
+        node.with(|inner| {
+            let versions = Some(versions(&inner.state));
+            if seen != versions {
+                seen = versions;
+                let live = Live::read(&inner.state);
+                apply(inner, &live);
+            }
+        });
+        if applied.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Returns the version of each known setting.
+fn versions(state: &State) -> Vec<Version> {
+    let version = |schema: &Schema| {
+        state.settings.get(schema.name).map_or(Version(0), |setting| setting.version)
+    };
+    ALL.iter().map(version).collect()
+}
+
 /// Returns the value of `log.level`, if it is set.
 #[must_use]
 pub fn level(state: &State) -> Option<String> {
