Describe installation, settings, replacement, outages and alarms

docs/OPERATIONS.md covers the settings, the command line with its exit codes, the metrics and what to do about each alarm. Tests hold its live settings to the schema and its alarms to the warnings and errors in the source.

--- a/crates/coriandertack-operators/tests/documents.rs
+++ b/crates/coriandertack-operators/tests/documents.rs
@@ -1,9 +1,18 @@
 //! The documents of the API, held to the code.
 
-use std::{collections::BTreeSet, fs};
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+};
 
 use {
-    coriandertack_core::code::Code, coriandertack_operators::routes::ENDPOINTS, serde_json::Value,
+    coriandertack_core::code::Code,
+    coriandertack_operators::{
+        routes::ENDPOINTS,
+        settings_schema::{ALL, Form},
+    },
+    serde_json::Value,
 };
 
 fn document(name: &str) -> String {
@@ -100,3 +109,63 @@
         .collect();
     assert_eq!(listed, expected);
 }
+
+/// Guards against a live setting that operators cannot look up, or whose bounds the page gives wrongly.
+#[test]
+fn the_page_of_operations_has_exactly_the_live_settings() {
+    let page = document("OPERATIONS.md");
+    let section = page.split("## Live settings").nth(1).unwrap().split("\n## ").next().unwrap();
+    let listed: Vec<&str> = section.lines().filter(|line| line.starts_with("| `")).collect();
+    assert_eq!(listed.len(), ALL.len());
+    for (row, schema) in listed.into_iter().zip(ALL) {
+        let values = match schema.form {
+            Form::Number(low, high) => format!("{low} to {high}"),
+            Form::Whole(low, high) => format!("{low} to {high}"),
+            Form::Word(words) => {
+                format!("`\"{}\"` to `\"{}\"`", words[0], words[words.len() - 1])
+            }
+        };
+        let default = if schema.default.is_empty() { "settings file" } else { schema.default };
+        let start = format!("| `{}` | {values} | {default} |", schema.name);
+        assert!(row.starts_with(&start), "{row}\nshould start with\n{start}");
+    }
+}
+
+/// Returns the events of warnings and errors in a source file.
+fn alarms(source: &str) -> Vec<String> {
+    let calls = source.split("log::").skip(1);
+    let severe = calls.filter(|call| call.starts_with("warn!(") || call.starts_with("error!("));
+    let events = severe.filter_map(|call| call.split_once("\"event=").map(|(_, event)| event));
+    let is_name = |c: char| c.is_ascii_lowercase() || c == '_';
+    events.map(|event| event.chars().take_while(|&c| is_name(c)).collect()).collect()
+}
+
+/// Returns the source files below a directory, but for those of the stand-ins.
+fn sources(path: &Path, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(path).unwrap() {
+        let path = entry.unwrap().path();
+        let name = path.file_name().unwrap().to_str().unwrap();
+        if path.is_dir() && !["coriandertack-standins", "tests", "benches"].contains(&name) {
+            sources(&path, found);
+        } else if name.ends_with(".rs") {
+            found.push(path);
+        }
+    }
+}
+
+/// Guards against an alarm for which operators find no advice.
+#[test]
+fn the_page_of_operations_has_every_alarm() {
+    let page = document("OPERATIONS.md");
+    let table = page.split("## Alarms").nth(1).unwrap();
+    let mut files = Vec::new();
+    sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join(".."), &mut files);
+    let mut count = 0;
+    for file in files {
+        for event in alarms(&fs::read_to_string(&file).unwrap()) {
+            assert!(table.contains(&format!("`{event}`")), "{event} of {}", file.display());
+            count += 1;
+        }
+    }
+    assert!(count >= 2);
+}
