--- a/crates/coriandertack-core/src/cell/mod.rs
+++ b/crates/coriandertack-core/src/cell/mod.rs
@@ -123,6 +123,8 @@
     leases: HashMap<LeaseId, GrantKey>,
     /// Urgent work that waits for preempted tasks to end, in order of age.
     claims: Vec<Claim>,
+    /// Position of the worker that the next preemption looks at first.
+    turn: usize,
     index: Index,
     copies: HashMap<Arc<str>, Copies>,
     suspects: Vec<Suspect>,
@@ -286,7 +288,7 @@
         let key = self.grants.insert(grant);
         self.tasks[worker].push(key);
         self.leases.insert(lease, key);
-        self.begin_trial(worker, lease, phase);
+        self.begin_trial(worker, lease);
         self.reindex(worker);
     }
 
@@ -327,8 +329,10 @@
         Some(grant)
     }
 
-    /// Releases held capacity whose deadline has passed. Returns how many leases lost it.
+    /// Releases held capacity whose deadline has passed, and opens workers whose trial went well.
+    /// Returns how many leases lost their capacity.
     pub fn expire(&mut self, now: Instant) -> usize {
+        self.end_quarantines(now);
         let over = |grant: &&Grant| matches!(grant.phase, Phase::Held(until) if until <= now);
         let leases: Vec<LeaseId> =
             self.grants.values().filter(over).map(|grant| grant.ask.lease).collect();
--- a/crates/coriandertack-core/src/cell/preempt.rs
+++ b/crates/coriandertack-core/src/cell/preempt.rs
@@ -20,8 +20,9 @@
 /// A task that has just saved its progress still pays for its restart.
 const RESTART_CORE_MS: f64 = 5_000.0;
 
-/// Workers whose tasks are compared. More would cost time that urgent work does not have.
-const COMPARED: usize = 256;
+/// Workers whose tasks are compared. All workers of the cell wait while the choice is made, so it is
+/// bounded; each choice goes on where the one before stopped, so that no worker is always chosen.
+const COMPARED: usize = 512;
 
 /// Tasks to checkpoint and stop, all on one worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,7 +63,11 @@
             return None;
         }
         let now = Instant::now();
-        let able = self.hosts.keys().filter(|&worker| self.could_make_room(worker, ask.need));
+        let count = self.hosts.len();
+        let start = self.turn % count.max(1);
+        self.turn = start + COMPARED;
+        let all = self.hosts.keys().cycle().skip(start).take(count);
+        let able = all.filter(|&worker| self.could_make_room(worker, ask.need));
         let options = able.take(COMPARED).filter_map(|worker| self.victims(worker, ask.need, now));
         let (_, victims) = options.min_by(|one, two| one.0.total_cmp(&two.0))?;
         for &lease in &victims.leases {
--- a/crates/coriandertack-core/src/cell/quarantine.rs
+++ b/crates/coriandertack-core/src/cell/quarantine.rs
@@ -3,14 +3,15 @@
 //! [`FAILURES`] quick failures in a row close a worker, if they are of different classes: one job that
 //! always fails says nothing about its workers. For the same reason a class that fails on several
 //! workers is not held against them until it succeeds somewhere. A closed worker gets one trial task
-//! after a delay that doubles from [`FIRST_DELAY`] to [`LAST_DELAY`]; a success opens it.
+//! after a delay that doubles from [`FIRST_DELAY`] to [`LAST_DELAY`]; a success opens it, and so does a
+//! trial that outlasts [`QUICK`], since it may run for hours.
 
 use std::{sync::Arc, time::Duration};
 
 use tokio::time::Instant;
 
 use crate::{
-    cell::{Cell, Phase},
+    cell::Cell,
     keys::{LeaseId, WorkerKey},
     message::{Ask, EndCause},
     record::Kind,
@@ -50,7 +51,15 @@
     /// Trials that have failed.
     rounds: u32,
     /// The trial under way.
-    trial: Option<LeaseId>,
+    trial: Option<Trial>,
+}
+
+/// A task that tries a closed worker.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    lease: LeaseId,
+    /// When it will have run for too long to be a quick failure.
+    proven: Instant,
 }
 
 /// A class that has failed quickly and has not succeeded since.
@@ -189,18 +198,34 @@
         closed.find(|(worker, _)| fits(*worker)).map(|(worker, _)| worker)
     }
 
-    /// Notes a task that starts on a closed worker as its trial.
-    pub(super) fn begin_trial(&mut self, worker: WorkerKey, lease: LeaseId, phase: Phase) {
+    /// Notes a task that is placed on a closed worker as its trial.
+    pub(super) fn begin_trial(&mut self, worker: WorkerKey, lease: LeaseId) {
         let closed = self.health.get_mut(worker).and_then(|health| health.closed.as_mut());
-        if let Some(closed) = closed.filter(|_| phase == Phase::Running) {
-            closed.trial = Some(lease);
+        if let Some(closed) = closed.filter(|closed| closed.trial.is_none()) {
+            closed.trial = Some(Trial { lease, proven: Instant::now() + QUICK });
+        }
+    }
+
+    /// Opens the workers whose trial has run for long enough.
+    pub(super) fn end_quarantines(&mut self, now: Instant) {
+        let proven = |health: &Health| {
+            let trial = health.closed.and_then(|closed| closed.trial);
+            trial.is_some_and(|trial| trial.proven <= now)
+        };
+        let workers: Vec<WorkerKey> =
+            self.health.iter().filter(|(_, health)| proven(health)).map(|(key, _)| key).collect();
+        for worker in workers {
+            self.health.remove(worker);
+            self.reindex(worker);
         }
     }
 
     /// Lets another trial start if the one that ends here gave no verdict.
     pub(super) fn end_trial(&mut self, worker: WorkerKey, lease: LeaseId) {
         let closed = self.health.get_mut(worker).and_then(|health| health.closed.as_mut());
-        if let Some(closed) = closed.filter(|closed| closed.trial == Some(lease)) {
+        if let Some(closed) =
+            closed.filter(|closed| closed.trial.is_some_and(|trial| trial.lease == lease))
+        {
             closed.trial = None;
         }
     }
--- a/crates/coriandertack-core/tests/placement/quarantine.rs
+++ b/crates/coriandertack-core/tests/placement/quarantine.rs
@@ -4,7 +4,7 @@
 
 use {
     coriandertack_core::{
-        cell::{FIRST_DELAY, LAST_DELAY, Phase, Refusal, Report},
+        cell::{FIRST_DELAY, LAST_DELAY, Phase, QUICK, Refusal, Report},
         message::EndCause,
         record::Kind,
         resources::Resources,
@@ -45,6 +45,10 @@
 
 #[tokio::test(start_paused = true)]
 async fn one_bad_class_closes_no_worker() {
+    let mut fleet = Fleet::of(1, PLAIN);
+    for _ in 0..10 {
+        assert_eq!(fail(&mut fleet, 0, "a.bad"), Report::Kept);
+    }
     let mut fleet = Fleet::of(3, PLAIN);
     for _ in 0..10 {
         for at in 0..3 {
@@ -128,3 +132,18 @@
     assert_eq!(delays, expected.map(Duration::from_secs));
     assert_eq!(delays.last(), Some(&LAST_DELAY));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_trial_that_runs_for_long_opens_the_worker() {
+    let mut fleet = Fleet::of(1, PLAIN);
+    let until = close(&mut fleet, 0);
+    advance(until - Instant::now()).await;
+    let trial = ask(1, Kind::Batch, CORE);
+    fleet.cell.place(&trial, Phase::Running).expect("the trial is due");
+    advance(QUICK / 2).await;
+    fleet.cell.expire(Instant::now());
+    assert!(fleet.cell.is_quarantined(fleet.workers[0]));
+    advance(QUICK / 2).await;
+    fleet.cell.expire(Instant::now());
+    fleet.cell.place(&ask(2, Kind::Service, CORE), Phase::Running).expect("it is open again");
+}
--- a/crates/coriandertack/src/bench/packing.rs
+++ b/crates/coriandertack/src/bench/packing.rs
@@ -471,7 +471,7 @@
                 (placed, used(&[cell]))
             };
             let name = format!("{preset}, {} scarce, 1 owner of 1000 workers", mix.name);
-            rows.extend(compare(&name, &whole, &jobs, one));
+            rows.extend(compare(&name, &whole, jobs, one));
             let small = fleet(50);
             let split = |limit| {
                 let mut split = Split::new(&small, weights);
@@ -479,7 +479,7 @@
                 (placed, used(&split.cells))
             };
             let name = format!("{preset}, {} scarce, 8 owners of 50 workers", mix.name);
-            rows.extend(compare(&name, &small, &jobs, split));
+            rows.extend(compare(&name, &small, jobs, split));
         }
     }
     for workers in [1_000, 10_000] {
