--- /dev/null
+++ b/crates/coriandertack/src/bench/packing/baselines.rs
@@ -0,0 +1,83 @@
+//! The rules that placement is compared with.
+
+use std::collections::HashMap;
+
+use {
+    coriandertack_core::{cell::Refusal, keys::LeaseId, message::Ask, resources::Resources},
+    rand::seq::IteratorRandom,
+    rand_chacha::ChaCha8Rng,
+};
+
+use super::jobs::ACCELERATED;
+
+/// Workers that are known by their free capacity only.
+pub(super) struct Pool {
+    free: Vec<Resources>,
+    places: HashMap<LeaseId, usize>,
+}
+
+impl Pool {
+    pub(super) fn new(fleet: &[Resources]) -> Self {
+        Self { free: fleet.to_vec(), places: HashMap::new() }
+    }
+
+    /// Places the tasks of one job on the first workers with room, or none of them.
+    pub(super) fn first_fit(&mut self, asks: &[Ask]) -> Result<(), Refusal> {
+        self.place(asks, |free, need| free.iter().position(|room| need.fits(*room)))
+    }
+
+    /// Places the tasks of one job on random workers with room, or none of them.
+    pub(super) fn random_fit(&mut self, asks: &[Ask], rng: &mut ChaCha8Rng) -> Result<(), Refusal> {
+        self.place(asks, |free, need| {
+            let fitting = (0..free.len()).filter(|&at| need.fits(free[at]));
+            fitting.choose(rng)
+        })
+    }
+
+    fn place(
+        &mut self,
+        asks: &[Ask],
+        mut choose: impl FnMut(&[Resources], Resources) -> Option<usize>,
+    ) -> Result<(), Refusal> {
+        for (count, ask) in asks.iter().enumerate() {
+            let Some(at) = choose(&self.free, ask.need) else {
+                self.end(&asks[..count]);
+                return Err(Refusal::Full);
+            };
+            self.free[at] = self.free[at].saturating_sub(ask.need);
+            self.places.insert(ask.lease, at);
+        }
+        Ok(())
+    }
+
+    /// Frees the capacity of tasks.
+    pub(super) fn end(&mut self, asks: &[Ask]) {
+        for ask in asks {
+            if let Some(at) = self.places.remove(&ask.lease) {
+                self.free[at] += ask.need;
+            }
+        }
+    }
+}
+
+/// Returns the workers that first-fit-decreasing uses. It knows all needs, and may ignore spread and
+/// gangs. Workers without accelerators come first for work that needs none.
+pub(super) fn decreasing(fleet: &[Resources], placed: &[Resources]) -> usize {
+    let mut free: Vec<Resources> = fleet.to_vec();
+    free.sort_by_key(|capacity| capacity.accelerators);
+    // Room for what it cannot fit into the fleet itself.
+    free.extend(vec![ACCELERATED; fleet.len() / 2]);
+    let whole = free.clone();
+    let mut needs = placed.to_vec();
+    needs.sort_by(|one, two| {
+        let size = |need: &Resources| (need.accelerators > 0, need.dominant_share(ACCELERATED));
+        let (one, two) = (size(one), size(two));
+        two.0.cmp(&one.0).then(two.1.total_cmp(&one.1))
+    });
+    for need in needs {
+        if let Some(room) = free.iter_mut().find(|room| need.fits(**room)) {
+            *room = room.saturating_sub(need);
+        }
+    }
+    free.iter().zip(&whole).filter(|(left, whole)| left != whole).count()
+}
