--- a/crates/coriandertack-callers/src/keyed.rs
+++ b/crates/coriandertack-callers/src/keyed.rs
@@ -12,7 +12,7 @@
         keys::Session,
         message::{Answer, Call, KeyNote, PeerReply, PeerRequest},
         node::now_ms,
-        route::keys::{Begin, CLOCK_SKEW, KEY_LIFE, KeyId, after_note, id_of, pair},
+        route::keys::{Begin, KEY_LIFE, KeyId, after_note, id_of, pair},
     },
     tokio::time::{Instant, timeout_at},
     uuid::Uuid,
@@ -25,6 +25,9 @@
 /// suspected.
 const NOTE_LIMIT: Duration = Duration::from_millis(500);
 
+/// Most that a key may seem to come from the future.
+const LONGEST_AHEAD: Duration = Duration::from_secs(5);
+
 /// A request under a key, as its keeper handles it.
 #[derive(Clone, Debug)]
 struct Keyed {
@@ -44,7 +47,7 @@
         let (seconds, nanos) = stamp.ok_or(Code::Malformed)?.to_unix();
         let minted_ms = seconds * 1_000 + u64::from(nanos) / 1_000_000;
         let ahead = Duration::from_millis(minted_ms.saturating_sub(now_ms()));
-        if ahead > CLOCK_SKEW {
+        if ahead > LONGEST_AHEAD {
             return Err(Code::Malformed);
         }
         let age = Duration::from_millis(now_ms().saturating_sub(minted_ms));
@@ -198,7 +201,9 @@
                 }
             }
         };
-        let knows = self.keys().history.knows(keyed.id, keyed.minted);
+        let margin = Duration::from_millis(self.config.key_margin_ms);
+        let since = keyed.minted.checked_sub(margin);
+        let knows = since.is_some_and(|since| self.keys().history.knows(keyed.id, since));
         after_note(known, keyed.digest, mine, knows)
     }
 
--- a/crates/coriandertack-callers/src/router.rs
+++ b/crates/coriandertack-callers/src/router.rs
@@ -12,7 +12,7 @@
         keys::{Offset, Session},
         message::{Answer, Call, KeyNote, PeerReply},
         node::{Inner, Node, Stage},
-        route::keys::{History, KeyStore, id_of},
+        route::keys::{History, KEY_MARGIN, KeyStore, id_of},
     },
     coriandertack_workers::upstream::Counters,
     tokio::{
@@ -36,11 +36,19 @@
     pub body_bytes: usize,
     /// Most requests that this VM handles at a time, which bounds memory.
     pub most_calls: usize,
+    /// How far back from a key's minting time the pair must know of it, in milliseconds; see
+    /// [`KEY_MARGIN`].
+    pub key_margin_ms: u64,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        Self { deadline_ms: 10_000, body_bytes: 1 << 20, most_calls: 20_000 }
+        Self {
+            deadline_ms: 10_000,
+            body_bytes: 1 << 20,
+            most_calls: 20_000,
+            key_margin_ms: KEY_MARGIN.as_millis() as u64,
+        }
     }
 }
 
--- /dev/null
+++ b/crates/coriandertack-callers/tests/keys.rs
@@ -0,0 +1,163 @@
+//! Idempotency keys across entry VMs.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use {
+    coriandertack_core::{
+        code::Code,
+        keys::Session,
+        route::keys::{id_of, pair},
+    },
+    coriandertack_standins::serving::{Act, Reply},
+    futures::future::join_all,
+    support::{SERVICE, Vm, echo, fence, key, keyed, scripted, start, text},
+    tokio::sync::Semaphore,
+};
+
+/// Returns the indexes of the keeper and the backup of a key among all VMs.
+fn pair_of(vms: &[Vm], key: &str) -> (usize, usize) {
+    let sessions: Vec<Session> = vms.iter().map(|vm| Session(vm.node.author.0)).collect();
+    let (keeper, backup) = pair(id_of(&format!("{SERVICE}/{key}")), &sessions);
+    let index = |session: Option<Session>| {
+        sessions.iter().position(|&known| Some(known) == session).expect("a member")
+    };
+    (index(keeper), index(backup))
+}
+
+/// Returns an index that is none of the given ones.
+fn third(vms: &[Vm], keeper: usize, backup: usize) -> usize {
+    (0..vms.len()).find(|&at| at != keeper && at != backup).expect("three VMs")
+}
+
+/// Guards against running a repeat that comes through another VM, at the same time or later.
+#[tokio::test]
+async fn repeats_through_all_vms_run_once() {
+    let worker = echo(Duration::from_millis(5)).await;
+    let vms = start(4, &[&worker]).await;
+    for round in 0..10 {
+        let (body, key) = (format!("booking {round}"), key(Duration::ZERO));
+        for _ in 0..2 {
+            let calls = vms.iter().map(|vm| vm.router.call(keyed(&body, &key)));
+            for answer in join_all(calls).await {
+                assert_eq!(text(answer).as_deref(), Ok(&body[..]));
+            }
+        }
+        assert_eq!(worker.tally().ran[body.as_bytes()], 1);
+    }
+}
+
+/// Guards against answering a request with the answer to another one under the same key.
+#[tokio::test]
+async fn key_of_another_request_is_refused() {
+    let worker = echo(Duration::ZERO).await;
+    let vms = start(3, &[&worker]).await;
+    let key = key(Duration::ZERO);
+    assert!(vms[0].router.call(keyed("first", &key)).await.is_ok());
+    for vm in &vms {
+        assert_eq!(vm.router.call(keyed("second", &key)).await, Err(Code::KeyReused));
+        assert_eq!(text(vm.router.call(keyed("first", &key)).await).as_deref(), Ok("first"));
+    }
+    assert_eq!(worker.tally().ran.len(), 1);
+}
+
+/// Guards against losing the answer together with the keeper.
+#[tokio::test]
+async fn backup_answers_after_loss_of_the_keeper() {
+    let worker = echo(Duration::ZERO).await;
+    let vms = start(3, &[&worker]).await;
+    let key = key(Duration::ZERO);
+    let (keeper, backup) = pair_of(&vms, &key);
+    let other = third(&vms, keeper, backup);
+    assert!(vms[other].router.call(keyed("a", &key)).await.is_ok());
+    fence(&vms, backup, keeper, 10);
+    // The keeper tells the backup the answer on its own time; until then the outcome is unknown.
+    let answer = loop {
+        match vms[other].router.call(keyed("a", &key)).await {
+            Err(Code::OutcomeUnknown) => tokio::task::yield_now().await,
+            answer => break text(answer),
+        }
+    };
+    assert_eq!(answer.as_deref(), Ok("a"));
+    assert_eq!(worker.tally().ran[&b"a"[..]], 1);
+}
+
+/// Guards against running a request again that was in flight when its keeper was lost.
+#[tokio::test]
+async fn request_of_a_lost_keeper_is_unknown() {
+    let gate = Arc::new(Semaphore::new(0));
+    let behind = Arc::clone(&gate);
+    let worker = scripted(move |_| Act::behind(&behind)).await;
+    let vms = start(3, &[&worker]).await;
+    let key = key(Duration::ZERO);
+    let (keeper, backup) = pair_of(&vms, &key);
+    let other = third(&vms, keeper, backup);
+    let first = tokio::spawn({
+        let (router, call) = (Arc::clone(&vms[keeper].router), keyed("a", &key));
+        async move { router.call(call).await }
+    });
+    while worker.tally().in_use == 0 {
+        tokio::task::yield_now().await;
+    }
+    fence(&vms, backup, keeper, 10);
+    let answer = vms[other].router.call(keyed("a", &key)).await;
+    assert_eq!(answer, Err(Code::OutcomeUnknown));
+    gate.add_permits(1);
+    assert!(first.await.expect("no panic").is_ok());
+    assert_eq!(worker.tally().ran[&b"a"[..]], 1);
+}
+
+/// Guards against running a request again after both VMs that knew its key were lost.
+#[tokio::test]
+async fn key_is_unknown_after_loss_of_the_pair() {
+    let worker = echo(Duration::ZERO).await;
+    let vms = start(4, &[&worker]).await;
+    let key = key(Duration::ZERO);
+    let (keeper, backup) = pair_of(&vms, &key);
+    let other = third(&vms, keeper, backup);
+    assert!(vms[other].router.call(keyed("a", &key)).await.is_ok());
+    fence(&vms, other, keeper, 10);
+    fence(&vms, other, backup, 11);
+    assert_eq!(vms[other].router.call(keyed("a", &key)).await, Err(Code::OutcomeUnknown));
+    assert_eq!(worker.tally().ran[&b"a"[..]], 1);
+}
+
+/// Guards against running requests whose keys nobody can know any more.
+#[tokio::test]
+async fn old_and_malformed_keys_are_refused() {
+    let worker = echo(Duration::ZERO).await;
+    let vms = start(2, &[&worker]).await;
+    let call = async |key: &str| vms[0].router.call(keyed("a", key)).await;
+    assert_eq!(call(&key(Duration::from_secs(601))).await, Err(Code::KeyExpired));
+    // The VMs have not been there for a minute yet.
+    assert_eq!(call(&key(Duration::from_secs(60))).await, Err(Code::OutcomeUnknown));
+    assert_eq!(call("no uuid").await, Err(Code::Malformed));
+    assert_eq!(call("67e55044-10b1-426f-9247-bb680e5fe0c8").await, Err(Code::Malformed));
+    assert!(worker.tally().ran.is_empty());
+}
+
+/// Guards against a key that is used up by a refusal.
+#[tokio::test]
+async fn refused_request_may_use_its_key_again() {
+    let refusals = Arc::new(Semaphore::new(8));
+    let left = Arc::clone(&refusals);
+    let worker = scripted(move |_| match left.try_acquire() {
+        Ok(refusal) => {
+            refusal.forget();
+            Act::reply(Reply::NotRun)
+        }
+        Err(_) => Act::after(Duration::ZERO),
+    });
+    let worker = worker.await;
+    let vms = start(3, &[&worker]).await;
+    let key = key(Duration::ZERO);
+    let answer = loop {
+        match vms[0].router.call(keyed("a", &key)).await {
+            Err(code) => assert!(code.is_not_run(), "{code}"),
+            answer => break text(answer),
+        }
+    };
+    assert_eq!(answer.as_deref(), Ok("a"));
+    assert_eq!(worker.tally().ran[&b"a"[..]], 1);
+}
--- a/crates/coriandertack-callers/tests/support/mod.rs
+++ b/crates/coriandertack-callers/tests/support/mod.rs
@@ -14,7 +14,7 @@
         node::{Node, Stage, now_ms},
         record::{Batch, Entry, Join, Record},
     },
-    coriandertack_standins::serving::{Act, Reply, Serving},
+    coriandertack_standins::serving::{Act, Serving},
     tokio::{sync::mpsc, time::Instant},
     uuid::{NoContext, Timestamp, Uuid},
 };
@@ -33,7 +33,7 @@
 
 /// Returns a worker that answers each request with its content, after `delay`.
 pub async fn echo(delay: Duration) -> Serving {
-    scripted(move |_| Act { delay, reply: Reply::Echo }).await
+    scripted(move |_| Act::after(delay)).await
 }
 
 /// Returns a worker that acts as the closure says.
@@ -47,15 +47,23 @@
 
 /// Starts VMs that all know each other and the workers.
 pub async fn start(vms: u64, workers: &[&Serving]) -> Vec<Vm> {
+    let started = start_some(vms, vms, workers);
+    for vm in &started {
+        let mut settled = vm.node.settled.subscribe();
+        settled.wait_for(|offset| offset.0 == vms).await.expect("the node lives");
+    }
+    // Keys carry whole milliseconds, and must not seem older than the VMs' knowledge.
+    tokio::time::sleep(Duration::from_millis(2)).await;
+    started
+}
+
+/// Starts VMs of which only the first `members` have joined.
+pub fn start_some(vms: u64, members: u64, workers: &[&Serving]) -> Vec<Vm> {
     let started: Vec<Vm> = (1..=vms).map(vm).collect();
-    for at in 1..=vms {
+    for at in 1..=members {
         join(&started, at);
     }
-    connect(&started);
     publish(&started, workers);
-    for vm in &started {
-        vm.node.stage.send_replace(Stage::Serving);
-    }
     started
 }
 
@@ -68,39 +76,47 @@
         http: address,
     };
     let (node, _) = Node::new(info, Incarnation(author));
-    let router = Router::new(Arc::clone(&node), Config::default());
+    // All clocks here are one clock, and all VMs read a record at the same moment.
+    let config = Config { key_margin_ms: 0, ..Config::default() };
+    let router = Router::new(Arc::clone(&node), config);
     Vm { node, router }
 }
 
-/// Applies the join of a VM everywhere.
+/// Applies the join of a VM everywhere, links it and lets it serve.
 pub fn join(vms: &[Vm], author: u64) {
-    let info = vms[usize::try_from(author - 1).expect("a small number")].node.info.clone();
-    let batch =
-        Batch { author: Incarnation(author), seq: 1, entries: vec![entry(Record::Join(info))] };
+    let joining = &vms[usize::try_from(author - 1).expect("a small number")].node;
+    let record = Record::Join(joining.info.clone());
+    let batch = Batch { author: Incarnation(author), seq: 1, entries: vec![entry(record)] };
     for vm in vms {
         vm.node.apply(Offset(author), &batch);
         vm.node.extend(Instant::now());
     }
+    connect(vms);
+    joining.stage.send_replace(Stage::Serving);
 }
 
-/// Applies a fence of `session` by the first VM, everywhere.
-pub fn fence(vms: &[Vm], offset: u64, session: Session) {
-    let batch = Batch {
-        author: vms[0].node.author,
-        seq: offset,
-        entries: vec![entry(Record::Fence(session))],
-    };
-    for vm in vms {
+/// Applies a fence of the VM at index `gone` by the one at index `by`, on all others.
+pub fn fence(vms: &[Vm], by: usize, gone: usize, offset: u64) {
+    let session = Session(vms[gone].node.author.0);
+    let author = vms[by].node.author;
+    let entries = vec![entry(Record::Fence(session))];
+    let batch = Batch { author, seq: offset, entries };
+    for vm in vms.iter().filter(|vm| vm.node.author != vms[gone].node.author) {
         vm.node.apply(Offset(offset), &batch);
     }
 }
 
-/// Links all VMs by channels, and lets each learn what the others keep to.
+/// Links all members by channels, and lets each learn what the others keep to.
 fn connect(vms: &[Vm]) {
     for from in vms {
         for to in vms.iter().filter(|to| to.node.author != from.node.author) {
+            let Some(key) = from.node.with(|inner| inner.state.vm_of(to.node.author)) else {
+                continue;
+            };
+            if from.node.with(|inner| inner.links.contains_key(key)) {
+                continue;
+            }
             let (queue, requests) = mpsc::channel(64);
-            let key = from.node.with(|inner| inner.state.vm_of(to.node.author)).expect("a member");
             from.node.with(|inner| inner.links.insert(key, Link::new(queue, Instant::now())));
             tokio::spawn(carry(requests, Arc::clone(&to.router)));
             tokio::spawn(tell(Arc::clone(&to.node), Arc::clone(&from.node), key));
--- a/crates/coriandertack-core/src/route/budget.rs
+++ b/crates/coriandertack-core/src/route/budget.rs
@@ -9,12 +9,21 @@
 /// Most retries that can be saved up for a burst of failures.
 const MOST: f64 = 20.0;
 
+/// Retries that a new bucket holds, so that the first requests after a start survive a bad instance.
+const INITIAL: f64 = 5.0;
+
 /// Token bucket that requests fill and retries drain.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Budget {
     tokens: f64,
 }
 
+impl Default for Budget {
+    fn default() -> Self {
+        Self { tokens: INITIAL }
+    }
+}
+
 impl Budget {
     /// Notes a request.
     pub fn deposit(&mut self) {
--- a/crates/coriandertack-core/src/route/keys.rs
+++ b/crates/coriandertack-core/src/route/keys.rs
@@ -39,9 +39,9 @@
 /// How long a key is remembered after it was minted.
 pub const KEY_LIFE: Duration = Duration::from_secs(600);
 
-/// Most that the clock of a caller may differ from ours, together with the time for which another VM
-/// may act on an older membership (3.3 s).
-pub const CLOCK_SKEW: Duration = Duration::from_secs(5);
+/// Usual margin of [`History::knows`]: most that the clock of a caller may differ from ours, together
+/// with the time for which another VM may act on an older membership (3.3 s).
+pub const KEY_MARGIN: Duration = Duration::from_secs(5);
 
 /// Most keys remembered. An entry takes about 150 bytes, so this bounds the store to 30 MB.
 const MOST_KEYS: usize = 200_000;
@@ -108,7 +108,7 @@
         self.live = live;
         let gone: Vec<(Session, Instant)> = gone;
         self.ended.extend(gone.into_iter().map(|(session, _)| (session, now)));
-        self.ended.retain(|&(_, at)| at + KEY_LIFE + CLOCK_SKEW > now);
+        self.ended.retain(|&(_, at)| at + KEY_LIFE + KEY_MARGIN > now);
     }
 
     /// Returns a number that changes with the membership.
@@ -117,15 +117,13 @@
         self.generation
     }
 
-    /// Tells whether the current pair knows every request made under a key since it was minted.
+    /// Tells whether the current pair knows every request made under a key since `since`, the time at
+    /// which it was minted less a margin.
     ///
     /// Let S be the highest-ranked session that has been live throughout. It is in the current pair
     /// and was in every pair since then if at most one session that came or went ranks above it.
     #[must_use]
-    pub fn knows(&self, id: KeyId, minted: Instant) -> bool {
-        let Some(since) = minted.checked_sub(CLOCK_SKEW) else {
-            return false;
-        };
+    pub fn knows(&self, id: KeyId, since: Instant) -> bool {
         if self.began.is_none_or(|began| since < began) {
             return false;
         }
--- a/crates/coriandertack-standins/src/serving.rs
+++ b/crates/coriandertack-standins/src/serving.rs
@@ -7,11 +7,11 @@
 //! ```
 //! use std::time::Duration;
 //!
-//! use coriandertack_standins::serving::{Act, Reply, Serving};
+//! use coriandertack_standins::serving::{Act, Serving};
 //!
 //! # #[tokio::main]
 //! # async fn main() -> std::io::Result<()> {
-//! let act = |_: &[u8]| Act { delay: Duration::from_millis(5), reply: Reply::Echo };
+//! let act = |_: &[u8]| Act::after(Duration::from_millis(5));
 //! let worker = Serving::start(8, act).await?;
 //! assert_eq!(worker.tally().ran.len(), 0);
 //! # Ok(())
@@ -29,7 +29,7 @@
 
 use {
     bytes::Bytes,
-    futures::stream,
+    futures::{StreamExt, stream},
     http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody},
     hyper::{
         Request, Response, StatusCode,
@@ -41,6 +41,7 @@
     hyper_util::rt::TokioIo,
     tokio::{
         net::{TcpListener, TcpStream},
+        sync::Semaphore,
         task::JoinHandle,
     },
 };
@@ -67,14 +68,36 @@
 }
 
 /// What the worker does with a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Act {
     /// How long it runs in its slot.
     pub delay: Duration,
+    /// Where it takes a permit before it ends, so that a test decides when.
+    pub gate: Option<Arc<Semaphore>>,
     /// How it is answered.
     pub reply: Reply,
 }
 
+impl Act {
+    /// Runs for a time and answers with the request's content.
+    #[must_use]
+    pub fn after(delay: Duration) -> Self {
+        Self { delay, gate: None, reply: Reply::Echo }
+    }
+
+    /// Answers at once.
+    #[must_use]
+    pub fn reply(reply: Reply) -> Self {
+        Self { reply, ..Self::after(Duration::ZERO) }
+    }
+
+    /// Runs until `gate` has a permit.
+    #[must_use]
+    pub fn behind(gate: &Arc<Semaphore>) -> Self {
+        Self { gate: Some(Arc::clone(gate)), ..Self::after(Duration::ZERO) }
+    }
+}
+
 /// What happened at the worker.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
@@ -216,6 +239,9 @@
     };
     *lock(&shared.tally).ran.entry(body.to_vec()).or_default() += 1;
     tokio::time::sleep(act.delay).await;
+    if let Some(gate) = act.gate {
+        gate.acquire().await.map_err(io::Error::other)?.forget();
+    }
     drop(slot);
     answer(act.reply, id, body)
 }
@@ -255,6 +281,11 @@
 }
 
 fn cut(part: Bytes) -> Content {
-    let end = Err(io::Error::from(io::ErrorKind::ConnectionAborted));
-    StreamBody::new(stream::iter([Ok(Frame::data(part)), end])).boxed()
+    let end = async {
+        // The server sends the part only if the stream makes it wait.
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        Err(io::Error::from(io::ErrorKind::ConnectionAborted))
+    };
+    let start = stream::iter([Ok(Frame::data(part))]);
+    BodyExt::boxed(StreamBody::new(start.chain(stream::once(end))))
 }
--- /dev/null
+++ b/crates/coriandertack/examples/routing.rs
@@ -0,0 +1,17 @@
+//! Runs the scenarios on callers' requests: `cargo run --release --example routing -- surge 1`.
+
+#[path = "../src/bench/mod.rs"]
+mod bench;
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let mut args = std::env::args().skip(1);
+    let scenario = args.next().unwrap_or_default();
+    let seed = args.next().map_or(Ok(1), |text| text.parse())?;
+    let rows = match &scenario[..] {
+        "surge" => bench::surge::run(seed).await,
+        _ => bench::blocking::run(seed).await,
+    };
+    println!("{}", serde_json::to_string_pretty(&rows)?);
+    Ok(())
+}
