--- a/crates/coriandertack/src/bench/mod.rs
+++ b/crates/coriandertack/src/bench/mod.rs
@@ -2,8 +2,12 @@
 //!
 //! Each scenario runs the product and its named baseline, and returns one [`Row`] for each figure.
 
+pub mod blocking;
+mod cell;
+mod load;
 pub mod packing;
 pub mod row;
+pub mod surge;
 
 use std::{
     collections::BTreeMap,
@@ -23,7 +27,7 @@
 const SEED: u64 = 1;
 
 /// The scenarios in the order in which `all` runs them.
-const SCENARIOS: [&str; 1] = ["packing"];
+const SCENARIOS: [&str; 3] = ["packing", "surge", "blocking"];
 
 /// Runs the benchmarks.
 ///
@@ -55,6 +59,8 @@
 async fn run(scenario: &str, seed: u64) -> Result<Vec<Row>> {
     match scenario {
         "packing" => Ok(packing::run(seed)),
+        "surge" => Ok(surge::run(seed).await),
+        "blocking" => Ok(blocking::run(seed).await),
         _ => anyhow::bail!("no scenario `{scenario}`"),
     }
 }
