--- a/crates/coriandertack/src/bench/blocking.rs
+++ b/crates/coriandertack/src/bench/blocking.rs
@@ -72,7 +72,7 @@
         .into_iter()
         .flat_map(|rows| {
             rows.unwrap_or_else(|error| {
-                log::error!("event=bench_failed scenario=blocking error=\"{error:#}\"");
+                eprintln!("event=bench_failed scenario=blocking error=\"{error:#}\"");
                 vec![row("blocking could not run", "runs", 1.0, 0.0, None, false)]
             })
         })
--- a/crates/coriandertack/src/bench/surge.rs
+++ b/crates/coriandertack/src/bench/surge.rs
@@ -66,7 +66,7 @@
 }
 
 fn failed(error: &anyhow::Error) -> Row {
-    log::error!("event=bench_failed scenario=surge error=\"{error:#}\"");
+    eprintln!("event=bench_failed scenario=surge error=\"{error:#}\"");
     row("surge could not run", "runs", 1.0, 0.0, None, false)
 }
 
