Record latencies beyond the histogram's first range

saturating_record clips at the initial range of 2 us, so every p99 read 0.002 ms. record lets the histogram grow.

--- a/crates/coriandertack/src/bench/load.rs
+++ b/crates/coriandertack/src/bench/load.rs
@@ -123,7 +123,8 @@
 pub fn p99_ms<'a>(samples: impl Iterator<Item = &'a Sample>) -> f64 {
     let mut histogram: Histogram<u64> = Histogram::new(3).expect("3 digits are supported");
     for sample in samples.filter(|sample| sample.is_answered()) {
-        histogram.saturating_record(sample.took_us);
+        // The histogram grows as needed, so recording does not fail.
+        let _ = histogram.record(sample.took_us);
     }
     histogram.value_at_quantile(0.99) as f64 / 1_000.0
 }
--- a/crates/coriandertack/src/bench/surge.rs
+++ b/crates/coriandertack/src/bench/surge.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use {rand::SeedableRng, rand_chacha::ChaCha8Rng};
+use {coriandertack_core::code::Code, rand::SeedableRng, rand_chacha::ChaCha8Rng};
 
 use super::{
     cell::{Cell, Fifo},
@@ -54,6 +54,9 @@
     goodput: f64,
     late: f64,
     recovery_s: f64,
+    usual_p99: f64,
+    /// Requests that were sent to a worker and not answered by their deadline.
+    unknown: usize,
 }
 
 /// Runs the scenario for both deployments, the product first and then the baseline.
@@ -88,7 +91,12 @@
         async move { fifo.send(call).await }
     });
     let base = figures(&base.await, capacity);
-    log::info!("event=surge shape=\"{}\" capacity={capacity:.0}", shape.name);
+    log::info!(
+        "event=surge shape=\"{}\" capacity={capacity:.0} usual_p99_ms={:.1} unknown={}",
+        shape.name,
+        ours.usual_p99,
+        ours.unknown
+    );
     Ok(rows(shape.name, ours, base))
 }
 
@@ -167,7 +175,8 @@
     let before = samples.iter().filter(|sample| planned_in(sample, 1.0, RISE_AT));
     let usual_p99 = p99_ms(before);
     let recovery_s = recovery(samples, usual_p99);
-    Figures { goodput, late, recovery_s }
+    let unknown = samples.iter().filter(|sample| sample.code == Some(Code::OutcomeUnknown)).count();
+    Figures { goodput, late, recovery_s, usual_p99, unknown }
 }
 
 /// Returns how long after the surge the service was last not normal, in windows of 200 ms. Normal
