--- a/crates/coriandertackd/src/process.rs
+++ b/crates/coriandertackd/src/process.rs
@@ -18,7 +18,7 @@
         record::Join,
     },
     coriandertack_log::{client::Client as LogClient, commit, member, snapshot, tail},
-    coriandertack_operators::{Api, Metrics},
+    coriandertack_operators::{Api, Metrics, settings_schema},
     coriandertack_peers::{SharedKey, serve as links},
     coriandertack_vms::{client::Client as ListClient, poll},
     coriandertack_workers::news::WorkerNews,
@@ -272,6 +272,14 @@
     let missing = watch::Sender::default();
     tasks.spawn(poll::run(Arc::clone(node), ListClient::new(list.address), list.poll, missing));
     tasks.spawn(logging::follow(Arc::clone(node), settings.common.level));
+    let placement = settings.common.weights.placement;
+    tasks.spawn(settings_schema::follow(Arc::clone(node), move |inner, live| {
+        inner.cell.set_weights(Weights {
+            packing: live.packing.unwrap_or(placement.packing),
+            spread: live.spread.unwrap_or(placement.spread),
+            headroom: live.headroom.unwrap_or(placement.headroom),
+        });
+    }));
     let node = Arc::clone(node);
     tasks.spawn(async move {
         loop {
--- a/crates/coriandertackd/src/routes.rs
+++ b/crates/coriandertackd/src/routes.rs
@@ -71,7 +71,7 @@
         Heartbeat {
             session,
             offset: inner.state.offset,
-            settled: inner.state.offset,
+            settled: *node.settled.borrow(),
             summary: news(&mut sent.summary, summary),
             suspects: suspects(inner),
             instances: news(&mut sent.instances, instances),
