--- a/crates/coriandertack/src/bench/mod.rs
+++ b/crates/coriandertack/src/bench/mod.rs
@@ -6,8 +6,10 @@
 mod cell;
 mod load;
 pub mod packing;
+pub mod recovery;
 pub mod row;
 pub mod surge;
+pub mod wait;
 
 use std::{
     collections::BTreeMap,
@@ -27,7 +29,7 @@
 const SEED: u64 = 1;
 
 /// The scenarios in the order in which `all` runs them.
-const SCENARIOS: [&str; 3] = ["packing", "surge", "blocking"];
+const SCENARIOS: [&str; 5] = ["wait", "packing", "surge", "blocking", "recovery"];
 
 /// Runs the benchmarks.
 ///
@@ -36,6 +38,7 @@
 /// Fails if a scenario cannot run or a file cannot be read or written. A bound that is not met is no
 /// failure; the report says so.
 pub fn command(matches: &ArgMatches) -> Result<()> {
+    crate::local::init_log()?;
     let wanted: &String = matches.get_one("scenario").context("no scenario")?;
     let seed = matches.get_one::<u64>("seed").copied().unwrap_or(SEED);
     let runtime = tokio::runtime::Runtime::new().context("cannot start the runtime")?;
@@ -58,9 +61,11 @@
 
 async fn run(scenario: &str, seed: u64) -> Result<Vec<Row>> {
     match scenario {
+        "wait" => wait::run(seed).await,
         "packing" => Ok(packing::run(seed)),
         "surge" => Ok(surge::run(seed).await),
         "blocking" => Ok(blocking::run(seed).await),
+        "recovery" => recovery::run(seed).await,
         _ => anyhow::bail!("no scenario `{scenario}`"),
     }
 }
--- a/crates/coriandertack/src/bench/row.rs
+++ b/crates/coriandertack/src/bench/row.rs
@@ -22,3 +22,41 @@
     /// Whether the bound is met.
     pub met: Option<bool>,
 }
+
+/// What is measured beside it, with its name.
+pub type Baseline<'a> = Option<(&'a str, f64)>;
+
+impl Row {
+    /// Returns a figure that must not be above `target`.
+    pub fn at_most(
+        scenario: &str,
+        metric: &str,
+        unit: &str,
+        target: f64,
+        measured: f64,
+        baseline: Baseline<'_>,
+    ) -> Self {
+        Self::new(scenario, metric, unit, target, measured, baseline, measured <= target)
+    }
+
+    fn new(
+        scenario: &str,
+        metric: &str,
+        unit: &str,
+        target: f64,
+        measured: f64,
+        baseline: Baseline<'_>,
+        met: bool,
+    ) -> Self {
+        Self {
+            scenario: scenario.into(),
+            metric: metric.into(),
+            unit: unit.into(),
+            target: Some(target),
+            measured,
+            baseline: baseline.map(|(_, measured)| measured),
+            baseline_name: baseline.map(|(name, _)| name.into()),
+            met: Some(met),
+        }
+    }
+}
