Keep as many slots for short work as it rarely exceeds

A fixed 40% was too little where short work holds more than a third of the slots on average, and too much where there is hardly any. The slots kept now follow the mean and deviation of short requests in flight and queued, over 2 s, between 25% and 75%. Queued requests are refused by their cautious response time instead of the mean.

--- a/crates/coriandertack-core/src/route/admission.rs
+++ b/crates/coriandertack-core/src/route/admission.rs
@@ -18,7 +18,7 @@
 
 use crate::route::{
     AccountKey, ClassKey, RequestKey, ServiceKey,
-    estimate::Estimate,
+    estimate::{Estimate, Level},
     lanes::{Typical, is_long},
 };
 
@@ -52,6 +52,8 @@
     classes: Vec<ClassKey>,
     typical: Typical,
     used: f64,
+    /// Short requests in flight or queued.
+    short: Level,
 }
 
 /// Queues of all services.
@@ -76,11 +78,22 @@
 
 impl Queues {
     /// Returns the class of this name, which is made if the service is new or has room for it.
-    pub fn class(&mut self, service: ServiceKey, service_name: &str, name: &str) -> ClassKey {
+    pub fn class(
+        &mut self,
+        service: ServiceKey,
+        service_name: &str,
+        name: &str,
+        now: Instant,
+    ) -> ClassKey {
         if !self.lines.contains_key(service) {
             let account = self.account(service_name);
-            let lines =
-                Lines { account, classes: Vec::new(), typical: Typical::default(), used: 0.0 };
+            let lines = Lines {
+                account,
+                classes: Vec::new(),
+                typical: Typical::default(),
+                used: 0.0,
+                short: Level::new(now),
+            };
             self.lines.insert(service, lines);
         }
         let lines = &mut self.lines[service];
@@ -288,6 +301,23 @@
         }
     }
 
+    /// Notes how many short requests of a service are in flight or queued.
+    pub fn observe(&mut self, service: ServiceKey, now: Instant) {
+        let Some(lines) = self.lines.get_mut(service) else {
+            return;
+        };
+        let classes = lines.classes.iter().map(|&key| &self.classes[key]);
+        let short = classes.filter(|class| !class.long);
+        let number: usize = short.map(|class| class.in_flight as usize + class.queue.len()).sum();
+        lines.short.add(number as f64, now);
+    }
+
+    /// Returns the number of short requests of a service that is rarely exceeded.
+    #[must_use]
+    pub fn short_peak(&self, service: ServiceKey) -> f64 {
+        self.lines.get(service).map_or(0.0, |lines| lines.short.peak())
+    }
+
     /// Returns how many long requests of a service are in flight.
     #[must_use]
     pub fn long_in_flight(&self, service: ServiceKey) -> u32 {
@@ -305,7 +335,7 @@
     pub fn expire(&mut self, now: Instant) -> Vec<RequestKey> {
         let mut late = Vec::new();
         for class in self.classes.values_mut() {
-            let need = millis(class.response.mean()) + EXPIRY_INTERVAL;
+            let need = millis(class.response.cautious()) + EXPIRY_INTERVAL;
             while let Some(first) = class.queue.first_entry() {
                 if first.key().0 >= now + need {
                     break;
--- a/crates/coriandertack-core/src/route/dispatch.rs
+++ b/crates/coriandertack-core/src/route/dispatch.rs
@@ -161,7 +161,8 @@
         if !self.table.is_served(service) {
             return Err(Code::NoUpstream);
         }
-        let class = self.queues.class(service, offer.service, offer.class);
+        let class = self.queues.class(service, offer.service, offer.class, now);
+        self.queues.observe(service, now);
         if !self.queues.admits(service, class, offer.until, now) {
             return Err(Code::Overloaded);
         }
@@ -207,7 +208,8 @@
     }
 
     fn start(&mut self, service: ServiceKey, now: Instant) -> Option<Start> {
-        let long_room = self.queues.long_in_flight(service) < long_limit(self.table.slots(service));
+        let long_limit = long_limit(self.table.slots(service), self.queues.short_peak(service));
+        let long_room = self.queues.long_in_flight(service) < long_limit;
         let (class, key) = self.queues.first(service, long_room)?;
         let request = &mut self.requests[key];
         let usual_ms = self.queues.classes[class].response.mean();
--- a/crates/coriandertack-core/src/route/estimate.rs
+++ b/crates/coriandertack-core/src/route/estimate.rs
@@ -1,4 +1,6 @@
-//! Running estimates of response times.
+//! Running estimates of response times and numbers of requests.
+
+use tokio::time::Instant;
 
 /// Weight of a new sample. Eight samples replace two thirds of the old value.
 const GAIN: f64 = 0.125;
@@ -46,3 +48,39 @@
         self.samples
     }
 }
+
+/// Time after which a level has forgotten two thirds of what it was, in seconds. It spans a few
+/// stragglers, so that the level covers the peaks that come while one of them runs.
+const MEMORY_S: f64 = 2.0;
+
+/// Mean and deviation over time of a number of requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Level {
+    mean: f64,
+    deviation: f64,
+    at: Instant,
+}
+
+impl Level {
+    /// Returns a level of zero.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self { mean: 0.0, deviation: 0.0, at: now }
+    }
+
+    /// Takes in the number as of `now`.
+    pub fn add(&mut self, number: f64, now: Instant) {
+        let gap = now.saturating_duration_since(self.at).as_secs_f64();
+        let gain = 1.0 - (-gap / MEMORY_S).exp();
+        let error = number - self.mean;
+        self.mean += gain * error;
+        self.deviation += gain * (error.abs() - self.deviation);
+        self.at = now;
+    }
+
+    /// Returns a number that is rarely exceeded.
+    #[must_use]
+    pub fn peak(&self) -> f64 {
+        self.mean + CAUTION * self.deviation
+    }
+}
--- a/crates/coriandertack-core/src/route/lanes.rs
+++ b/crates/coriandertack-core/src/route/lanes.rs
@@ -14,18 +14,22 @@
 /// Factor below which a long class is short again. The gap prevents flapping.
 const SHORT_BELOW: f64 = 2.0;
 
-/// Part of the slots kept for short work, in percent.
-const KEPT_PERCENT: u32 = 40;
+/// Least and largest part of the slots kept for short work, in percent. The least serves a sudden rise
+/// of short work, and the largest leaves long work a way forward.
+const KEPT_PERCENT: (u32, u32) = (25, 75);
 
-/// Slots that long requests may hold of `slots`.
+/// Slots that long requests may hold of `slots`, when short ones rarely need more than `short_peak`.
 ///
 /// With a single slot there is nothing to keep, and long work would otherwise never run.
 #[must_use]
-pub fn long_limit(slots: u32) -> u32 {
-    match slots {
-        0 | 1 => slots,
-        slots => slots - (slots * KEPT_PERCENT).div_ceil(100),
+pub fn long_limit(slots: u32, short_peak: f64) -> u32 {
+    if slots <= 1 {
+        return slots;
     }
+    let part = |percent: u32| (slots * percent).div_ceil(100);
+    // The bounds keep the rounded value within a u32.
+    let kept = (short_peak.ceil() as u32).clamp(part(KEPT_PERCENT.0), part(KEPT_PERCENT.1));
+    slots - kept.min(slots - 1)
 }
 
 /// What is typical for a service.
