Test the decisions on requests, and tell slow instances by the median

The new test of a slow instance failed: the mean response time of a class contains the slow answers, so an instance that is 20 times slower than three others had a pace of only 3.4. The pace is now relative to a logarithmic mean that changes slowly, and an instance is slow beyond 4 times the median pace of its service. Instances within 10% take turns, because exact ties were broken by rounding errors, and an instance that is out is probed by the next repeatable request.

--- a/crates/coriandertack-core/src/route/admission.rs
+++ b/crates/coriandertack-core/src/route/admission.rs
@@ -37,6 +37,8 @@
     name: Arc<str>,
     /// Response time in milliseconds.
     pub response: Estimate,
+    /// Response time that one slow instance does not change much.
+    pub typical: Typical,
     /// Whether its requests count as long.
     pub long: bool,
     /// Requests in flight.
@@ -107,6 +109,7 @@
         let class = Class {
             name: name.into(),
             response: Estimate::default(),
+            typical: Typical::default(),
             long: is_long(&Estimate::default(), lines.typical, false),
             in_flight: 0,
             queue: BTreeMap::new(),
@@ -295,6 +298,7 @@
         };
         lines.typical.add(ms);
         self.classes[class].response.add(ms);
+        self.classes[class].typical.add(ms);
         for &key in &lines.classes {
             let class = &mut self.classes[key];
             class.long = is_long(&class.response, lines.typical, class.long);
--- a/crates/coriandertack-core/src/route/dispatch.rs
+++ b/crates/coriandertack-core/src/route/dispatch.rs
@@ -16,7 +16,7 @@
         budget::Budget,
         lanes::long_limit,
         shares::Shares,
-        table::Table,
+        table::{Table, Wanted},
     },
 };
 
@@ -212,8 +212,15 @@
         let long_room = self.queues.long_in_flight(service) < long_limit;
         let (class, key) = self.queues.first(service, long_room)?;
         let request = &mut self.requests[key];
-        let usual_ms = self.queues.classes[class].response.mean();
-        let site = self.table.pick(service, usual_ms, request.avoid, now)?;
+        let usual_ms = self.queues.classes[class].typical.ms().unwrap_or(0.0);
+        let wanted = Wanted {
+            service,
+            usual_ms,
+            avoid: request.avoid,
+            // A request that may be sent again is lost to nobody if the probe fails.
+            probe: request.repeatable && request.attempts == 0,
+        };
+        let site = self.table.pick(&wanted, now)?;
         if let Phase::Queued(place) = request.phase {
             self.queues.remove(place);
         }
@@ -288,7 +295,7 @@
         let ms = now.duration_since(since).as_secs_f64() * 1_000.0;
         match ending {
             Ending::Answered => {
-                let usual_ms = self.queues.classes[request.class].response.mean();
+                let usual_ms = self.queues.classes[request.class].typical.ms().unwrap_or(ms);
                 self.table.answered(site, ms, usual_ms, now);
                 self.queues.learn(request.service, request.class, ms);
             }
--- a/crates/coriandertack-core/src/route/eject.rs
+++ b/crates/coriandertack-core/src/route/eject.rs
@@ -11,9 +11,13 @@
 /// Failures in a row that eject an instance.
 const FAILURES: u32 = 3;
 
-/// Factor of the usual response time beyond which an instance is slow.
+/// Factor of the median pace of a service's instances beyond which one of them is slow.
 const SLOW: f64 = 4.0;
 
+/// Pace below which an instance is not slow, whatever the others do. It spares the median for nearly
+/// every answer: the mean pace is 1.
+const MAY_BE_SLOW: f64 = 1.5;
+
 /// Answers that must be known before an instance can be called slow.
 const SLOW_SAMPLES: u64 = 8;
 
@@ -69,21 +73,15 @@
         self.resume_at.is_some()
     }
 
-    /// Notes an answer. `pace` is the instance's response time relative to the service's, from
-    /// `samples` answers. Returns whether the instance should be ejected for being slow.
-    pub fn answered(&mut self, pace: f64, samples: u64) -> bool {
+    /// Notes an answer of an instance that is not slow.
+    pub fn answered(&mut self) {
         self.failures = 0;
-        let slow = pace > SLOW && samples >= SLOW_SAMPLES;
-        if slow {
-            return true;
-        }
         if self.resume_at.is_some() {
             self.successes += 1;
             if self.successes >= PROBES {
                 *self = Self::default();
             }
         }
-        false
     }
 
     /// Notes a failure. Returns whether the instance should be ejected.
@@ -107,6 +105,26 @@
     }
 }
 
+/// Tells whether an instance with this pace, learned from `samples` answers, is slow.
+///
+/// `others` are the paces of all instances of the service. Their median is the measure, because a slow
+/// instance with many requests would raise a mean.
+#[must_use]
+pub fn is_slow(pace: f64, samples: u64, others: impl Iterator<Item = f64>) -> bool {
+    if pace <= MAY_BE_SLOW || samples < SLOW_SAMPLES {
+        return false;
+    }
+    let mut paces: Vec<f64> = others.collect();
+    let middle = paces.len() / 2;
+    if paces.len() < 2 {
+        return false;
+    }
+    // The lower median: of two instances the faster one is the measure.
+    let at = if paces.len().is_multiple_of(2) { middle - 1 } else { middle };
+    let (_, median, _) = paces.select_nth_unstable_by(at, f64::total_cmp);
+    pace > SLOW * *median
+}
+
 /// Tells whether one more instance may be ejected when `out` of `all` are out already.
 ///
 /// At most half may be out: if most of a service looks bad, the cause is probably not the instances,
--- a/crates/coriandertack-core/src/route/estimate.rs
+++ b/crates/coriandertack-core/src/route/estimate.rs
@@ -19,9 +19,14 @@
 impl Estimate {
     /// Takes in a sample.
     pub fn add(&mut self, sample: f64) {
+        self.add_with(GAIN, sample);
+    }
+
+    /// Takes in a sample with its own weight.
+    pub fn add_with(&mut self, gain: f64, sample: f64) {
         self.samples += 1;
         // The first samples weigh equally, so that a poor first one is soon forgotten.
-        let gain = GAIN.max(1.0 / self.samples as f64);
+        let gain = gain.max(1.0 / self.samples as f64);
         let error = sample - self.mean;
         self.mean += gain * error;
         self.deviation += gain * (error.abs() - self.deviation);
--- a/crates/coriandertack-core/src/route/lanes.rs
+++ b/crates/coriandertack-core/src/route/lanes.rs
@@ -32,7 +32,11 @@
     slots - kept.min(slots - 1)
 }
 
-/// What is typical for a service.
+/// Weight of a new answer in what is typical. It is small, so that a run of answers from one slow
+/// instance or of one long class does not pass for typical.
+const TYPICAL_GAIN: f64 = 1.0 / 64.0;
+
+/// What is typical for a service or a class.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Typical {
     log_ms: Estimate,
@@ -43,7 +47,7 @@
     ///
     /// The mean of the logarithms is used, because a few stragglers would dominate a plain mean.
     pub fn add(&mut self, ms: f64) {
-        self.log_ms.add(ms.max(0.01).ln());
+        self.log_ms.add_with(TYPICAL_GAIN, ms.max(0.01).ln());
     }
 
     /// Returns the typical response time in milliseconds, or nothing before the first answer.
--- a/crates/coriandertack-core/src/route/table.rs
+++ b/crates/coriandertack-core/src/route/table.rs
@@ -16,7 +16,7 @@
     message::Instance,
     route::{
         ServiceKey, SiteKey, UpstreamKey,
-        eject::{Health, Standing, may_eject},
+        eject::{Health, Standing, is_slow, may_eject},
         estimate::Estimate,
         shares::{Share, Shares},
     },
@@ -25,6 +25,27 @@
 /// One-way latency between availability zones in milliseconds.
 pub const ZONE_LATENCY_MS: f64 = 1.5;
 
+/// Factor and milliseconds within which expected response times count as equal. The latency between
+/// zones stays a difference: 3 ms there and back.
+const LIKE: f64 = 1.1;
+const LIKE_MS: f64 = 0.5;
+
+/// Added to the expected time of the instance that a retry comes from, so that it is picked last.
+const AVOIDED_MS: f64 = 1e9;
+
+/// What a request needs of an instance.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted {
+    /// The service.
+    pub service: ServiceKey,
+    /// Usual response time of the class.
+    pub usual_ms: f64,
+    /// Instance to pick only if there is no other, because an attempt there failed.
+    pub avoid: Option<SiteKey>,
+    /// Whether it may go to an instance that failed before, to see whether it works again.
+    pub probe: bool,
+}
+
 /// A worker that answers callers.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -238,36 +259,33 @@
 
     /// Picks the free instance from which an answer is expected soonest.
     ///
-    /// `usual_ms` is the usual response time of the class. `avoid` is not picked unless it is the only
-    /// one; a retry goes elsewhere. Equal ones take turns.
-    pub fn pick(
-        &mut self,
-        service: ServiceKey,
-        usual_ms: f64,
-        avoid: Option<SiteKey>,
-        now: Instant,
-    ) -> Option<SiteKey> {
-        let of_service = &self.services[service];
-        let (later, sooner) =
-            of_service.sites.split_at(of_service.turn % of_service.sites.len().max(1));
-        let mut best: Option<(f64, SiteKey)> = None;
-        for &key in sooner.iter().chain(later) {
-            let site = &self.sites[key];
-            if !self.is_free(site, now) {
-                continue;
-            }
-            let latency = self.upstreams[site.upstream].latency_ms;
-            let penalty = if avoid == Some(key) { f64::MAX / 2.0 } else { 0.0 };
-            let expected = penalty + 2.0 * latency + usual_ms * site.pace();
-            if best.is_none_or(|(least, _)| expected < least) {
-                best = Some((expected, key));
-            }
+    /// Those within [`LIKE`] of the soonest count as equal and take turns, so that work spreads and
+    /// small errors of what was learned do not matter.
+    pub fn pick(&mut self, wanted: &Wanted, now: Instant) -> Option<SiteKey> {
+        let service = &self.services[wanted.service];
+        let (later, sooner) = service.sites.split_at(service.turn % service.sites.len().max(1));
+        let in_turn = || sooner.iter().chain(later).copied();
+        let expected = |key| self.expected_ms(key, wanted, now);
+        let least = in_turn().filter_map(expected).reduce(f64::min)?;
+        let alike = least * LIKE + LIKE_MS;
+        let picked = in_turn().find(|&key| expected(key).is_some_and(|ms| ms <= alike));
+        self.services[wanted.service].turn += 1;
+        picked
+    }
+
+    /// Returns when an answer of an instance is expected, or nothing if it may not be sent anything.
+    fn expected_ms(&self, key: SiteKey, wanted: &Wanted, now: Instant) -> Option<f64> {
+        let site = &self.sites[key];
+        if !self.is_free(site, now) {
+            return None;
         }
-        let picked = best.map(|(_, key)| key);
-        if picked.is_some() {
-            self.services[service].turn += 1;
+        if wanted.probe && site.health.is_out() {
+            // Without a preference an instance would be probed only when all others are busy.
+            return Some(0.0);
         }
-        picked
+        let latency_ms = self.upstreams[site.upstream].latency_ms;
+        let penalty_ms = if wanted.avoid == Some(key) { AVOIDED_MS } else { 0.0 };
+        Some(penalty_ms + 2.0 * latency_ms + wanted.usual_ms * site.pace())
     }
 
     fn is_free(&self, site: &Site, now: Instant) -> bool {
@@ -308,9 +326,12 @@
         if usual_ms > 0.0 {
             known.pace.add(ms / usual_ms);
         }
-        let (pace, samples) = (known.pace(), known.pace.samples());
-        if known.health.answered(pace, samples) {
+        let (pace, samples, service) = (known.pace(), known.pace.samples(), known.service);
+        let others = self.services[service].sites.iter().map(|&other| self.sites[other].pace());
+        if is_slow(pace, samples, others) {
             self.eject(site, now);
+        } else {
+            self.sites[site].health.answered();
         }
     }
 
--- /dev/null
+++ b/crates/coriandertack-core/tests/route/ejection.rs
@@ -0,0 +1,108 @@
+use std::collections::HashMap;
+
+use {
+    coriandertack_core::route::{
+        dispatch::{Dispatch, Ending},
+        eject::Standing,
+    },
+    tokio::time::Instant,
+};
+
+use crate::support::{dispatch, ms, offer, start_all};
+
+/// Sends `count` requests one after the other; those to a worker in `bad` fail. Returns how many each
+/// worker got.
+fn run(
+    dispatch: &mut Dispatch,
+    bad: &[&str],
+    count: usize,
+    now: Instant,
+) -> HashMap<String, usize> {
+    let mut got = HashMap::new();
+    for _ in 0..count {
+        let request = offer(dispatch, "", now + ms(60_000), now).expect("admitted");
+        let start = dispatch.start_for(request, now).expect("a free slot");
+        let name = dispatch.table.upstreams[start.upstream].name.to_string();
+        let failed = bad.contains(&&name[..]);
+        let ending = if failed { Ending::MayHaveRun } else { Ending::Answered };
+        dispatch.end(start.request, ending, now + ms(5));
+        *got.entry(name).or_default() += 1;
+    }
+    got
+}
+
+fn out(dispatch: &Dispatch) -> usize {
+    dispatch.table.sites.values().filter(|site| site.health.is_out()).count()
+}
+
+/// Guards against work for an instance that fails every request, and against giving up on it.
+#[test]
+fn failing_instance_is_ejected_and_comes_back() {
+    let now = Instant::now();
+    let mut dispatch = dispatch(4);
+    run(&mut dispatch, &["w0"], 40, now);
+    assert_eq!(out(&dispatch), 1);
+    assert_eq!(run(&mut dispatch, &["w0"], 40, now + ms(500)).get("w0"), None);
+    // After the pause it gets a request, fails and is ejected for longer.
+    let probed = run(&mut dispatch, &["w0"], 40, now + ms(1_100));
+    assert_eq!(probed["w0"], 1);
+    assert_eq!(run(&mut dispatch, &["w0"], 40, now + ms(2_500)).get("w0"), None);
+    // It works again: after a few probes it gets its part.
+    run(&mut dispatch, &[], 40, now + ms(3_500));
+    assert_eq!(out(&dispatch), 0);
+}
+
+/// Guards against a probe that lets a full load onto an instance that still fails.
+#[test]
+fn probed_instance_gets_one_request_at_a_time() {
+    let now = Instant::now();
+    let mut dispatch = dispatch(2);
+    run(&mut dispatch, &["w0"], 40, now);
+    let later = now + ms(1_500);
+    for _ in 0..40 {
+        offer(&mut dispatch, "", later + ms(60_000), later).expect("admitted");
+    }
+    let started = start_all(&mut dispatch, later);
+    let probes = started.iter().filter(|start| {
+        dispatch.table.sites[start.site].health.standing(later) == Standing::Probed
+    });
+    assert_eq!(probes.count(), 1);
+    assert_eq!(started.len(), 9);
+}
+
+/// Guards against ejecting so much of a service that the rest cannot carry its load.
+#[test]
+fn at_most_half_is_ejected() {
+    for workers in 1..=9 {
+        let now = Instant::now();
+        let mut dispatch = dispatch(workers);
+        let names: Vec<String> = (0..workers).map(|at| format!("w{at}")).collect();
+        let bad: Vec<&str> = names.iter().map(|name| &name[..]).collect();
+        run(&mut dispatch, &bad, 200, now);
+        assert_eq!(out(&dispatch), workers / 2, "of {workers}");
+    }
+}
+
+/// Guards against an instance that answers correctly, but far more slowly than the others.
+#[test]
+fn slow_instance_is_ejected() {
+    let now = Instant::now();
+    let mut dispatch = dispatch(4);
+    for _ in 0..60 {
+        // Requests that overlap reach every instance.
+        for _ in 0..32 {
+            offer(&mut dispatch, "", now + ms(60_000), now).expect("admitted");
+        }
+        for start in start_all(&mut dispatch, now) {
+            let slow = *dispatch.table.upstreams[start.upstream].name == *"w0";
+            let took = if slow { ms(100) } else { ms(5) };
+            dispatch.end(start.request, Ending::Answered, now + took);
+        }
+        if out(&dispatch) > 0 {
+            break;
+        }
+    }
+    let site = dispatch.table.sites.values().find(|site| site.health.is_out());
+    let upstream = site.expect("one is ejected").upstream;
+    assert_eq!(&*dispatch.table.upstreams[upstream].name, "w0");
+}
--- /dev/null
+++ b/crates/coriandertack-core/tests/route/lanes.rs
@@ -0,0 +1,43 @@
+use {coriandertack_core::route::lanes::long_limit, tokio::time::Instant};
+
+use crate::support::{dispatch, ms, offer, start_all, teach};
+
+/// Guards against stragglers that take every slot of a service.
+#[test]
+fn stragglers_leave_slots_for_short_work() {
+    let now = Instant::now();
+    let mut dispatch = dispatch(2);
+    for _ in 0..20 {
+        teach(&mut dispatch, "question", ms(5), now);
+    }
+    // The second class is unknown at first and learned to be long after one answer.
+    for class_known in [false, true] {
+        if class_known {
+            teach(&mut dispatch, "settlement", ms(500), now);
+        }
+        let until = now + ms(3_600_000);
+        let queued: Vec<_> =
+            (0..100).filter_map(|_| offer(&mut dispatch, "settlement", until, now).ok()).collect();
+        let started = start_all(&mut dispatch, now);
+        assert!(started.len() <= 12, "{} of 16 slots", started.len());
+        assert!(!started.is_empty());
+        let short = offer(&mut dispatch, "question", now + ms(10), now).expect("admitted");
+        assert_eq!(dispatch.start_for(short, now).map(|start| start.request), Some(short));
+        for request in queued {
+            dispatch.abandon(request);
+        }
+        dispatch.abandon(short);
+    }
+}
+
+/// Guards against a limit that leaves either lane without a slot.
+#[test]
+fn both_lanes_have_a_slot() {
+    for slots in 2..500 {
+        for peak in [0.0, 1.0, 10.0, 1e9] {
+            let long = long_limit(slots, peak);
+            assert!(long >= 1 && long < slots, "{long} of {slots}");
+        }
+    }
+    assert_eq!(long_limit(1, 5.0), 1);
+}
