--- a/crates/coriandertack-core/src/route/dispatch.rs
+++ b/crates/coriandertack-core/src/route/dispatch.rs
@@ -16,7 +16,7 @@
         budget::Budget,
         lanes::long_limit,
         shares::Shares,
-        table::Table,
+        table::{Table, Wanted},
     },
 };
 
@@ -161,7 +161,8 @@
         if !self.table.is_served(service) {
             return Err(Code::NoUpstream);
         }
-        let class = self.queues.class(service, offer.service, offer.class);
+        let class = self.queues.class(service, offer.service, offer.class, now);
+        self.queues.observe(service, now);
         if !self.queues.admits(service, class, offer.until, now) {
             return Err(Code::Overloaded);
         }
@@ -207,11 +208,19 @@
     }
 
     fn start(&mut self, service: ServiceKey, now: Instant) -> Option<Start> {
-        let long_room = self.queues.long_in_flight(service) < long_limit(self.table.slots(service));
+        let long_limit = long_limit(self.table.slots(service), self.queues.short_peak(service));
+        let long_room = self.queues.long_in_flight(service) < long_limit;
         let (class, key) = self.queues.first(service, long_room)?;
         let request = &mut self.requests[key];
-        let usual_ms = self.queues.classes[class].response.mean();
-        let site = self.table.pick(service, usual_ms, request.avoid, now)?;
+        let usual_ms = self.queues.classes[class].typical.ms().unwrap_or(0.0);
+        let wanted = Wanted {
+            service,
+            usual_ms,
+            avoid: request.avoid,
+            // A request that may be sent again is lost to nobody if the probe fails.
+            probe: request.repeatable && request.attempts == 0,
+        };
+        let site = self.table.pick(&wanted, now)?;
         if let Phase::Queued(place) = request.phase {
             self.queues.remove(place);
         }
@@ -286,7 +295,7 @@
         let ms = now.duration_since(since).as_secs_f64() * 1_000.0;
         match ending {
             Ending::Answered => {
-                let usual_ms = self.queues.classes[request.class].response.mean();
+                let usual_ms = self.queues.classes[request.class].typical.ms().unwrap_or(ms);
                 self.table.answered(site, ms, usual_ms, now);
                 self.queues.learn(request.service, request.class, ms);
             }
