Use up the scarcest resource first

Cause: with the plain sum of free shares and their unevenness, first-fit stranded less of the scarce resource. Change: the cost is the sum of roots of the free shares, each weighted by the fourth power of how scarce it is.

--- a/crates/coriandertack-core/src/cell/choose.rs
+++ b/crates/coriandertack-core/src/cell/choose.rs
@@ -21,6 +21,10 @@
 /// Share of a worker's processors above which a placement uses up headroom.
 const BUSY: f64 = 0.8;
 
+/// Power of a resource's relative use in the cost. With 1, a resource that is never short decides as
+/// much as the scarce one, and more of the scarce one is stranded.
+const SCARCITY_POWER: i32 = 4;
+
 /// Running copies of a service.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Copies {
@@ -79,17 +83,18 @@
     }
 
     /// Returns the cost of a placement for the weights of the cell; the lowest is best.
+    ///
+    /// The root makes it better to use up one resource of a worker than to leave a little of each on two
+    /// workers. Figures for this and other costs are in docs/notes/placement.md.
     fn cost(&self, at: &Position, need: Resources, scarcity: [f64; 3]) -> f64 {
-        let left = at.free.saturating_sub(need);
-        let left = shares(left, at.capacity);
-        let open: f64 = left.iter().zip(scarcity).map(|(left, scarce)| left * scarce).sum();
-        let [processors, memory, _] = left;
-        let uneven = (processors - memory).abs();
-        let busy = (1.0 - processors - BUSY).max(0.0);
-        self.weights.packing * (open + uneven) + self.weights.headroom * busy
+        let left = shares(at.free.saturating_sub(need), at.capacity);
+        let open: f64 = left.iter().zip(scarcity).map(|(left, scarce)| scarce * left.sqrt()).sum();
+        let busy = (1.0 - left[0] - BUSY).max(0.0);
+        self.weights.packing * open + self.weights.headroom * busy
     }
 
-    /// Returns how much of each resource of the whole cell is granted, relative to the scarcest one.
+    /// Returns how much it matters to use up each resource: 1 for the one of which most is granted in
+    /// the whole cell, and much less for others.
     fn scarcity(&self) -> [f64; 3] {
         let share = |granted: u64, all: u64| granted as f64 / all.max(1) as f64;
         let (granted, all) = (self.granted, self.capacity);
@@ -99,7 +104,7 @@
             share(granted.accelerators, all.accelerators),
         ];
         let most = shares.into_iter().fold(f64::MIN_POSITIVE, f64::max);
-        shares.map(|share| share / most)
+        shares.map(|share| (share / most).powi(SCARCITY_POWER))
     }
 
     /// Chooses the worker with the fewest copies of the class in its zone, then in its rack, then on
