--- a/crates/coriandertack-core/benches/placement.rs
+++ b/crates/coriandertack-core/benches/placement.rs
@@ -107,14 +107,13 @@
     }
 
     /// Places a gang, and takes it back.
-    fn gang(&mut self) -> bool {
-        let need = Resources::new(1_000, 1_024, 0);
+    fn gang(&mut self, tasks: u32, need: Resources) -> bool {
         let first = Ask { kind: Kind::Gang, need, ..self.ask() };
         let member = |index| {
             let task = TaskId { index, ..first.lease.task };
             Ask { lease: LeaseId { task, ..first.lease }, ..first.clone() }
         };
-        let asks: Vec<Ask> = (0..32).map(member).collect();
+        let asks: Vec<Ask> = (0..tasks).map(member).collect();
         let placed = self.cell.place_all(&asks, Phase::Running).is_ok();
         for ask in &asks {
             self.cell.release(ask.lease);
@@ -126,6 +125,7 @@
 fn decisions(criterion: &mut Criterion) {
     for workers in [100, 1_000, 10_000] {
         let mut load = Load::new(workers);
+        let small = Resources::new(1_000, 1_024, 0);
         criterion.bench_function(&format!("end and place/{workers}"), |bench| {
             bench.iter(|| black_box(load.turn()));
         });
@@ -133,7 +133,13 @@
             bench.iter(|| black_box(load.preempt()));
         });
         criterion.bench_function(&format!("gang of 32/{workers}"), |bench| {
-            bench.iter(|| black_box(load.gang()));
+            bench.iter(|| black_box(load.gang(32, small)));
+        });
+        // Many tasks have room, but never all of them.
+        let large = Resources::new(4_000, 4_096, 0);
+        let tasks = workers as u32 * 2;
+        criterion.bench_function(&format!("gang refused/{workers}"), |bench| {
+            bench.iter(|| black_box(load.gang(tasks, large)));
         });
         criterion.bench_function(&format!("summary/{workers}"), |bench| {
             bench.iter(|| black_box(load.cell.summary()));
--- a/crates/coriandertack-core/src/cell/gang.rs
+++ b/crates/coriandertack-core/src/cell/gang.rs
@@ -99,6 +99,9 @@
         let mut racks: Vec<Near> = counted.filter(|near| near.count > 0).collect();
         // Racks with room for many tasks first, so that few are needed.
         racks.sort_by_key(|near| Reverse(near.count));
+        if racks.iter().fold(0, |sum: usize, near| sum.saturating_add(near.count)) < asks.len() {
+            return None;
+        }
         let search = Search { asks, side };
         self.in_one_rack(search, &racks)
             .or_else(|| self.in_one_zone(search, &racks))
@@ -149,7 +152,17 @@
         order.sort_by_key(size);
         let mut draft = Draft { left: SecondaryMap::new(), chosen: vec![None; asks.len()] };
         for near in racks {
-            order.retain(|&at| !self.draft_one(search, &mut draft, near.rack, at));
+            // Equal needs are adjacent, so one that finds no room here decides for those after it.
+            let mut refused = None;
+            order.retain(|&at| {
+                let need = asks[at].need;
+                let kept =
+                    refused == Some(need) || !self.draft_one(search, &mut draft, near.rack, at);
+                if kept {
+                    refused = Some(need);
+                }
+                kept
+            });
             if order.is_empty() {
                 return draft.chosen.into_iter().collect();
             }
--- a/crates/coriandertack-core/src/cell/mod.rs
+++ b/crates/coriandertack-core/src/cell/mod.rs
@@ -348,7 +348,7 @@
                 continue;
             }
             let free = host.free();
-            summary.free += free;
+            summary.free = summary.free.saturating_add(free);
             summary.workers += 1;
             let room = match host.capacity.accelerators {
                 0 => &mut summary.plain,
--- a/crates/coriandertack-core/src/home_choice.rs
+++ b/crates/coriandertack-core/src/home_choice.rs
@@ -92,9 +92,10 @@
 
 impl Demand {
     fn of(asks: &[Ask]) -> Self {
+        let needs = || asks.iter().map(|ask| ask.need);
         Self {
-            largest: asks.iter().map(|ask| ask.need).fold(Resources::ZERO, Resources::max),
-            total: asks.iter().map(|ask| ask.need).sum(),
+            largest: needs().fold(Resources::ZERO, Resources::max),
+            total: needs().fold(Resources::ZERO, Resources::saturating_add),
             service: asks.iter().any(|ask| ask.kind == Kind::Service),
         }
     }
--- a/crates/coriandertack-core/src/message.rs
+++ b/crates/coriandertack-core/src/message.rs
@@ -256,7 +256,7 @@
 impl Room {
     /// Adds a worker with its free capacity.
     pub fn add(&mut self, free: Resources, in_use: bool) {
-        self.free += free;
+        self.free = self.free.saturating_add(free);
         self.most = self.most.max(free);
         self.largest = larger(self.largest, free);
         if in_use {
@@ -268,7 +268,7 @@
     #[must_use]
     pub fn with(self, other: Self) -> Self {
         Self {
-            free: self.free + other.free,
+            free: self.free.saturating_add(other.free),
             largest: larger(self.largest, other.largest),
             partial: larger(self.partial, other.partial),
             most: self.most.max(other.most),
--- a/crates/coriandertack-core/src/resources.rs
+++ b/crates/coriandertack-core/src/resources.rs
@@ -72,6 +72,18 @@
         }
     }
 
+    /// Adds, with the largest representable value as the most of each part.
+    ///
+    /// Sums over many workers can exceed 32 bits, for example 4,096 workers of 1 TiB.
+    #[must_use]
+    pub const fn saturating_add(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
     /// Returns the larger value of each part.
     #[must_use]
     pub fn max(self, other: Self) -> Self {
