Test the log client under faults, and bound what a stop can miss

Cause: a stop of the node between the validity check and the registration of a batch's replies left the submitters without an answer.

Change: the check and the registration happen under one lock. A page that is gone after the state has been current ends the tail, because other tasks hold arena keys of that state.

--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -196,7 +196,9 @@
         verdicts.into_iter().next().unwrap_or(Err(Code::Fenced))
     }
 
-    /// Replaces the state before the node has joined.
+    /// Replaces the state before it has been current for the first time.
+    ///
+    /// Later, other tasks hold arena keys that would not mean the same in another state.
     pub fn restore(&self, state: State) {
         let offset = state.offset;
         self.with(|inner| inner.state = state);
@@ -250,15 +252,6 @@
         })
     }
 
-    /// Tells whether this VM has become a member, even if its session has ended since.
-    #[must_use]
-    pub fn has_joined(&self) -> bool {
-        self.with(|inner| {
-            let author = inner.state.authors.get(&self.author);
-            author.is_some_and(|author| author.session.is_some())
-        })
-    }
-
     /// Tells whether this VM's session has ended.
     #[must_use]
     pub fn has_ended(&self) -> bool {
--- a/crates/coriandertack-log/src/client.rs
+++ b/crates/coriandertack-log/src/client.rs
@@ -97,7 +97,10 @@
     ///
     /// Fails if `name` cannot be the value of a header.
     pub fn new(address: SocketAddr, stream: &str, name: &str) -> anyhow::Result<Self> {
-        let http = HttpClient::builder(TokioExecutor::new()).build_http();
+        let mut connector = HttpConnector::new();
+        // Requests are small, and each is waited for.
+        connector.set_nodelay(true);
+        let http = HttpClient::builder(TokioExecutor::new()).build(connector);
         let base = format!("http://{address}/streams/{stream}");
         let name = HeaderValue::from_str(name).context("client name")?;
         Ok(Self { http, base, name })
--- a/crates/coriandertack-log/src/queue.rs
+++ b/crates/coriandertack-log/src/queue.rs
@@ -103,7 +103,7 @@
         let (entries, replies): (Vec<_>, Vec<_>) =
             submissions.into_iter().map(|queued| split(queued.submission)).unzip();
         let entries = entries.into_iter().flatten().collect();
-        let seq = node.with(|inner| inner.commits.expect(replies));
+        let seq = expect(node, replies)?;
         let body = codec::encode(&Batch { author: node.author, seq, entries });
         Some(Outgoing { seq, body, until })
     }
@@ -135,6 +135,27 @@
     }
 }
 
+/// Registers the replies of a batch, or refuses them if the permission to act has lapsed.
+///
+/// Both happen under one lock, so that a stop of the node finds every registered reply.
+fn expect(node: &Node, replies: Vec<Due>) -> Option<u64> {
+    let refused = node.with(|inner| {
+        if inner.validity.holds(Instant::now()) {
+            return Ok(inner.commits.expect(replies));
+        }
+        Err(replies)
+    });
+    match refused {
+        Ok(seq) => Some(seq),
+        Err(replies) => {
+            for due in replies {
+                let _ = due.reply.send(Err(Code::LogUnavailable));
+            }
+            None
+        }
+    }
+}
+
 fn joins(submission: &Submission) -> bool {
     submission.entries.iter().any(|entry| matches!(entry.record, Record::Join(_)))
 }
--- a/crates/coriandertack-log/src/tail.rs
+++ b/crates/coriandertack-log/src/tail.rs
@@ -59,7 +59,7 @@
         Err(error) => {
             node.stop(Code::OutcomeUnknown);
             let code = Code::CorruptLog.number();
-            log::error!("event=log_alarm code={code} vm={} error={error:#?}", node.info.name);
+            log::error!("event=log_alarm code={code} vm={} error={error:#}", node.info.name);
         }
     }
     ended
@@ -68,15 +68,16 @@
 async fn follow(node: &Node, client: &Client) -> anyhow::Result<Ended> {
     let mut from = restore::start(node, client).await?;
     let mut backoff = Backoff::default();
+    let mut current = false;
     loop {
         let began = Instant::now();
         // Without the permission to act, an idle log must not delay its return by a long poll.
         let wait = if began < node.valid_until() { POLL_WAIT } else { Duration::ZERO };
         let page = match client.read(from, wait).await {
             Ok(Read::Page(page)) => page,
-            Ok(Read::Gone(_)) if node.has_joined() => return Ok(Ended::Behind),
+            // The arena keys that other tasks hold would mean something else in a restored state.
+            Ok(Read::Gone(_)) if current => return Ok(Ended::Behind),
             Ok(Read::Gone(_)) => {
-                // Nothing depends on the state of a node that has not joined, so it can start anew.
                 from = restore::start(node, client).await?;
                 continue;
             }
@@ -93,6 +94,7 @@
         }
         if from == page.tail {
             node.extend(began);
+            current = true;
             if !page.records.is_empty() {
                 sleep_until(began + READ_SPACING).await;
             }
--- a/crates/coriandertack-log/tests/common/mod.rs
+++ b/crates/coriandertack-log/tests/common/mod.rs
@@ -10,7 +10,8 @@
         node::{Node, now_ms},
         record::{Entry, Join, Record, SettingChange, TeamChange, TeamSpec},
         resources::Resources,
-        state::State,
+        state::{Image, State},
+        validity::VALIDITY,
     },
     coriandertack_log::{
         client::Client,
@@ -92,3 +93,41 @@
         applied.changed().await.unwrap();
     }
 }
+
+/// Appends records one after the other; each must take effect.
+pub async fn append_settings(node: &Node, count: u64) {
+    for at in 0..count {
+        node.submit_one("operator", setting("counter", at, &at.to_string())).await.unwrap();
+    }
+}
+
+/// Waits until two nodes have applied the same offset, and returns their images.
+pub async fn same_images(one: &Node, two: &Node) -> [Image; 2] {
+    let mut applied = [one.applied.subscribe(), two.applied.subscribe()];
+    loop {
+        let images = [one, two].map(|node| node.with(|inner| inner.state.image()));
+        if images[0].base == images[1].base {
+            return images;
+        }
+        let [first, second] = &mut applied;
+        tokio::select! {
+            changed = first.changed() => changed.unwrap(),
+            changed = second.changed() => changed.unwrap(),
+        }
+    }
+}
+
+/// Moves the clock forward. It is not left paused, because a paused clock jumps to the next timer
+/// whenever the runtime waits for a socket.
+pub async fn jump(by: Duration) {
+    tokio::time::pause();
+    tokio::time::advance(by).await;
+    tokio::time::resume();
+}
+
+/// Moves the clock until the permission to act has lapsed; the log must be out of reach.
+pub async fn lapse(node: &Node) {
+    while node.is_valid() {
+        jump(VALIDITY).await;
+    }
+}
--- /dev/null
+++ b/crates/coriandertack-log/tests/faults.rs
@@ -0,0 +1,226 @@
+//! Faults of the log service, and records that must not take effect.
+
+mod common;
+
+use std::{sync::Arc, time::Duration};
+
+use {
+    bytes::Bytes,
+    coriandertack_core::{
+        code::Code,
+        keys::Version,
+        node::{Node, Stage},
+        record::{JobSpec, Kind, Record},
+        resources::Resources,
+        state::{Applied, Verdict},
+        validity::VALIDITY,
+    },
+    coriandertack_log::{commit::OUTCOME_WAIT, tail::Ended},
+    coriandertack_standins::log::{LogService, Outage},
+    tokio::{task::JoinHandle, time::Instant},
+};
+
+use common::{STREAM, setting, team};
+
+fn job() -> Record {
+    Record::Accept(JobSpec {
+        team: "vans".into(),
+        name: "routes".into(),
+        kind: Kind::Batch,
+        tasks: 1,
+        need: Resources::new(100, 100, 0),
+        run_ms: 0,
+        urgent: false,
+        retries: 0,
+        command: String::new(),
+        key: None,
+    })
+}
+
+fn submit(node: &Arc<Node>, record: Record) -> JoinHandle<Verdict> {
+    let node = Arc::clone(node);
+    tokio::spawn(async move { node.submit_one("operator", record).await })
+}
+
+async fn until_valid(node: &Node) {
+    let mut valid = node.valid.subscribe();
+    valid.wait_for(|until| Instant::now() < *until).await.unwrap();
+}
+
+fn appended_by(service: &LogService, client: &str) -> usize {
+    service.records(STREAM).iter().filter(|kept| kept.client == client).count()
+}
+
+/// Guards against a change that is made twice, or reported as failed, because an answer was lost.
+#[tokio::test]
+async fn a_lost_answer_does_not_lose_or_double_a_job() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    one.node.submit_one("operator", team("vans", 0, 1_000)).await.unwrap();
+    service.lose_answers(1);
+    let verdict = one.node.submit_one("operator", job()).await;
+    assert!(matches!(verdict, Ok(Applied::Job(_))));
+    one.node.submit_one("operator", setting("after", 0, "1")).await.unwrap();
+    assert_eq!(one.node.with(|inner| inner.state.jobs.ids.len()), 1);
+}
+
+/// Guards against a batch that counts twice when a copy arrives late.
+#[tokio::test]
+async fn a_late_copy_of_a_batch_is_void() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    one.node.submit_one("operator", team("vans", 0, 1_000)).await.unwrap();
+    one.node.submit_one("operator", job()).await.unwrap();
+    let copy = service.records(STREAM).last().unwrap().body.clone();
+    one.node.submit_one("operator", setting("between", 0, "1")).await.unwrap();
+    service.inject(STREAM, copy);
+    one.node.submit_one("operator", setting("after", 0, "1")).await.unwrap();
+    assert_eq!(one.node.with(|inner| inner.state.jobs.ids.len()), 1);
+}
+
+/// Guards against a submitter that waits for ever, against a batch that is given up after its
+/// submitters were told that its outcome is unknown, and against "not run" for one that was sent.
+#[tokio::test]
+async fn an_outage_of_appends_makes_the_outcome_unknown() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    service.set_outage(Outage::Appends);
+    let sent = submit(&one.node, setting("sent", 0, "1"));
+    service.wait_refused(1).await;
+    let queued = submit(&one.node, setting("queued", 0, "1"));
+    // Both are with the log task after the next refusal, and neither is answered.
+    service.wait_refused(service.refused() + 1).await;
+    assert!(!sent.is_finished() && !queued.is_finished());
+    common::jump(OUTCOME_WAIT).await;
+    assert_eq!(sent.await.unwrap(), Err(Code::OutcomeUnknown));
+    assert_eq!(queued.await.unwrap(), Err(Code::LogUnavailable));
+    service.set_outage(Outage::None);
+    common::until_state(&one.node, |state| state.settings.contains_key("sent")).await;
+    assert!(!one.node.with(|inner| inner.state.settings.contains_key("queued")));
+}
+
+/// Guards against a submission that is appended although its submitter was told "not run".
+#[tokio::test]
+async fn without_validity_nothing_is_sent() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    service.set_outage(Outage::All);
+    common::lapse(&one.node).await;
+    let verdict = one.node.submit_one("operator", setting("late", 0, "1")).await;
+    assert_eq!(verdict, Err(Code::LogUnavailable));
+    service.set_outage(Outage::None);
+    until_valid(&one.node).await;
+    one.node.submit_one("operator", setting("after", 0, "1")).await.unwrap();
+    assert!(!one.node.with(|inner| inner.state.settings.contains_key("late")));
+    assert_eq!(appended_by(&service, "one"), 2);
+}
+
+/// Guards against "outcome unknown" for a batch that the service has refused each time.
+#[tokio::test]
+async fn a_batch_over_the_rate_limit_is_withdrawn_in_an_outage() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    service.set_rate(0);
+    let refused = submit(&one.node, setting("refused", 0, "1"));
+    service.wait_refused(1).await;
+    service.set_outage(Outage::Reads);
+    common::lapse(&one.node).await;
+    assert_eq!(refused.await.unwrap(), Err(Code::LogUnavailable));
+    assert_eq!(appended_by(&service, "one"), 1);
+}
+
+/// Guards against a replay that goes on past a record that it cannot read.
+#[tokio::test]
+async fn a_corrupt_record_stops_the_node() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    service.inject(STREAM, Bytes::from_static(b"garbage"));
+    let error = one.tail.await.unwrap().unwrap_err();
+    assert!(error.to_string().contains("offset 2"), "{error}");
+    assert_eq!(*one.node.stage.borrow(), Stage::Stopped);
+    assert!(!one.node.is_valid());
+    one.commit.await.unwrap();
+    let verdict = one.node.submit_one("operator", setting("after", 0, "1")).await;
+    assert_eq!(verdict, Err(Code::Stopping));
+}
+
+/// Guards against a fenced VM that acts on, and against the effect of what it sends afterwards.
+#[tokio::test]
+async fn records_of_a_fenced_author_are_void() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    let two = common::joined(&service, "two", 2).await;
+    service.set_outage(Outage::Client("one".into()));
+    let late = submit(&one.node, setting("late", 0, "1"));
+    let session = one.node.session().unwrap();
+    two.node.submit_one("system", Record::Fence(session)).await.unwrap();
+    service.set_outage(Outage::None);
+    assert!(late.await.unwrap().unwrap_err().is_not_run());
+    assert_eq!(one.tail.await.unwrap().unwrap(), Ended::Session);
+    assert!(!one.node.is_valid());
+    two.node.submit_one("operator", setting("after", 0, "1")).await.unwrap();
+    assert!(!two.node.with(|inner| inner.state.settings.contains_key("late")));
+}
+
+/// Guards against a restarted VM whose former run is still counted as a member.
+#[tokio::test]
+async fn a_new_run_of_a_vm_ends_the_former_session() {
+    let service = common::service().await;
+    let former = common::joined(&service, "one", 1).await;
+    let current = common::joined(&service, "one", 2).await;
+    assert_eq!(former.tail.await.unwrap().unwrap(), Ended::Session);
+    assert!(!former.node.is_valid());
+    assert_eq!(current.node.with(|inner| inner.state.sessions.len()), 1);
+}
+
+/// Guards against submissions that are lost or torn apart when they share batches.
+#[tokio::test]
+async fn many_submissions_share_a_few_batches_within_the_size_limit() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    let large = "x".repeat(100 << 10);
+    let names: Vec<String> = (0..9).map(|at| format!("large-{at}")).collect();
+    let changes =
+        names.iter().map(|name| one.node.submit_one("operator", setting(name, 0, &large)));
+    let verdicts = futures::future::join_all(changes).await;
+    assert_eq!(verdicts, vec![Ok(Applied::Version(Version(1))); 9]);
+    let bodies = service.records(STREAM).into_iter().map(|kept| kept.body.len());
+    assert!(bodies.max().unwrap() <= 256 << 10);
+    let huge = one.node.submit_one("operator", setting("huge", 0, &large.repeat(3))).await;
+    assert_eq!(huge, Err(Code::TooLarge));
+    let small = (0..1_000).map(|at| {
+        let record = setting(&format!("small-{at}"), 0, "1");
+        let node = &one.node;
+        async move { node.submit_one("operator", record).await }
+    });
+    let before = service.records(STREAM).len();
+    let verdicts = futures::future::join_all(small).await;
+    assert!(verdicts.iter().all(Result::is_ok));
+    assert!(service.records(STREAM).len() - before < 100);
+}
+
+/// Guards against a record of a VM that is not a member yet.
+#[tokio::test]
+async fn a_submission_before_the_join_is_not_run() {
+    let service = common::service().await;
+    let one = common::start(&service, "one", 1);
+    until_valid(&one.node).await;
+    let verdict = one.node.submit_one("operator", setting("early", 0, "1")).await;
+    assert_eq!(verdict, Err(Code::NotReady));
+    assert_eq!(service.records(STREAM).len(), 0);
+}
+
+/// Guards against validity that a slow answer extends beyond the moment at which its read began.
+#[tokio::test]
+async fn validity_counts_from_the_start_of_a_read() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    let delay = Duration::from_millis(400);
+    service.set_slow(delay);
+    let mut valid = one.node.valid.subscribe();
+    valid.changed().await.unwrap();
+    // This read began after the previous one, so its answer took at least the delay.
+    valid.changed().await.unwrap();
+    let left = valid.borrow_and_update().duration_since(Instant::now());
+    assert!(left <= VALIDITY - delay, "{left:?}");
+}
--- /dev/null
+++ b/crates/coriandertack-log/tests/service.rs
@@ -0,0 +1,136 @@
+//! The client against the stand-in of the log service.
+
+mod common;
+
+use std::time::Duration;
+
+use {
+    bytes::Bytes,
+    coriandertack_core::keys::Offset,
+    coriandertack_log::client::{AppendError, Client, Page, Read},
+    coriandertack_standins::log::{LogConfig, LogService, Outage},
+    tokio::time::Instant,
+};
+
+const FIRST: Offset = Offset(1);
+
+async fn append(client: &Client, body: &'static str) -> Result<Offset, AppendError> {
+    let until = Instant::now() + Duration::from_secs(60);
+    client.append(Bytes::from_static(body.as_bytes()), until).await
+}
+
+async fn read(client: &Client, from: Offset, wait: Duration) -> Page {
+    match client.read(from, wait).await.unwrap() {
+        Read::Page(page) => page,
+        Read::Gone(page) => panic!("gone: {page:?}"),
+    }
+}
+
+fn bodies(page: &Page) -> Vec<&[u8]> {
+    page.records.iter().map(|record| &record.body[..]).collect()
+}
+
+/// Guards against streams that share records, and against a tail that names another offset.
+#[tokio::test]
+async fn streams_are_separate_and_numbered_from_one() {
+    let service = common::service().await;
+    let control = Client::new(service.address(), "control", "one").unwrap();
+    let config = Client::new(service.address(), "config", "one").unwrap();
+    assert_eq!(append(&control, "a").await.unwrap(), FIRST);
+    assert_eq!(append(&control, "b").await.unwrap(), Offset(2));
+    assert_eq!(append(&config, "c").await.unwrap(), FIRST);
+    let page = read(&control, FIRST, Duration::ZERO).await;
+    assert_eq!(bodies(&page), [b"a", b"b"]);
+    assert_eq!((page.earliest, page.tail), (FIRST, Offset(3)));
+    assert_eq!(bodies(&read(&config, FIRST, Duration::ZERO).await), [b"c"]);
+    assert!(client_fails(&control, Offset(4)).await, "an offset beyond the tail");
+}
+
+async fn client_fails(client: &Client, from: Offset) -> bool {
+    client.read(from, Duration::ZERO).await.is_err()
+}
+
+/// Guards against a long poll that misses a record appended while it waits.
+#[tokio::test]
+async fn a_long_poll_returns_a_new_record() {
+    let service = common::service().await;
+    let client = common::client(&service, "one");
+    let hour = Duration::from_secs(3_600);
+    let (page, offset) = tokio::join!(read(&client, FIRST, hour), append(&client, "a"));
+    assert_eq!(offset.unwrap(), FIRST);
+    assert_eq!(bodies(&page), [b"a"]);
+}
+
+/// Guards against records that outlive their retention, and against an audit that loses them.
+#[tokio::test]
+async fn old_records_are_gone() {
+    let service = common::service().await;
+    let client = common::client(&service, "one");
+    append(&client, "a").await.unwrap();
+    // Shorter than the time after which the service closes an idle connection.
+    common::jump(Duration::from_secs(20)).await;
+    append(&client, "b").await.unwrap();
+    service.set_retention(100, Duration::from_secs(10));
+    let Read::Gone(page) = client.read(FIRST, Duration::ZERO).await.unwrap() else {
+        panic!("offset 1 is still there");
+    };
+    assert_eq!((page.earliest, page.tail), (Offset(2), Offset(3)));
+    assert_eq!(bodies(&read(&client, page.earliest, Duration::ZERO).await), [b"b"]);
+    assert_eq!(service.records(common::STREAM).len(), 2);
+}
+
+/// Guards against a refusal that is taken for an unclear outcome, and the other way round.
+#[tokio::test]
+async fn only_a_certain_refusal_counts_as_refused() {
+    let config = LogConfig { rate: 1, ..LogConfig::default() };
+    let service = LogService::start(config, 1).await.unwrap();
+    let client = common::client(&service, "one");
+    service.lose_answers(1);
+    assert!(matches!(append(&client, "a").await, Err(AppendError::Unclear(_))));
+    assert_eq!(service.records(common::STREAM).len(), 1, "the append took effect");
+    assert!(matches!(append(&client, "b").await, Err(AppendError::Refused(_))));
+    service.set_outage(Outage::Appends);
+    assert!(matches!(append(&client, "b").await, Err(AppendError::Unclear(_))));
+    service.set_slow(Duration::from_secs(3_600));
+    let timed_out = client.append(Bytes::new(), Instant::now() + Duration::from_millis(1)).await;
+    assert!(matches!(timed_out, Err(AppendError::Unclear(_))));
+    let address = service.address();
+    drop(service);
+    let gone = Client::new(address, common::STREAM, "two").unwrap();
+    assert!(matches!(append(&gone, "b").await, Err(AppendError::Refused(_))));
+    assert!(client_fails(&gone, FIRST).await);
+}
+
+/// Guards against an outage of one client that others notice, or that spares its reads.
+#[tokio::test]
+async fn an_outage_can_concern_one_client() {
+    let service = common::service().await;
+    let (one, two) = (common::client(&service, "one"), common::client(&service, "two"));
+    service.set_outage(Outage::Client("one".into()));
+    assert!(append(&one, "a").await.is_err());
+    assert!(client_fails(&one, FIRST).await);
+    assert_eq!(append(&two, "b").await.unwrap(), FIRST);
+    assert_eq!(bodies(&read(&two, FIRST, Duration::ZERO).await), [b"b"]);
+    service.set_outage(Outage::Reads);
+    assert!(client_fails(&two, FIRST).await);
+    assert_eq!(append(&two, "c").await.unwrap(), Offset(2));
+}
+
+/// Guards against answers that another seed or another run would lose.
+#[tokio::test]
+async fn lost_answers_follow_the_seed() {
+    let mut runs = Vec::new();
+    for seed in [1, 1, 2] {
+        let service = LogService::start(LogConfig::default(), seed).await.unwrap();
+        let client = common::client(&service, "one");
+        service.set_loss(0.5);
+        let mut lost = Vec::new();
+        for _ in 0..32 {
+            lost.push(append(&client, "a").await.is_err());
+        }
+        assert_eq!(service.records(common::STREAM).len(), 32);
+        runs.push(lost);
+    }
+    assert_eq!(runs[0], runs[1]);
+    assert_ne!(runs[0], runs[2]);
+}
--- a/crates/coriandertack-standins/src/log.rs
+++ b/crates/coriandertack-standins/src/log.rs
@@ -63,6 +63,8 @@
     All,
     /// Appends of all clients.
     Appends,
+    /// Reads of all clients.
+    Reads,
     /// All requests of the client that names itself so in the header `x-client`.
     Client(String),
 }
@@ -102,6 +104,7 @@
     faults: Faults,
     keep_records: usize,
     keep: Duration,
+    refused: u64,
 }
 
 impl LogService {
@@ -118,6 +121,7 @@
             faults: Faults::new(config.latency_ms, config.rate, seed),
             keep_records: config.keep_records,
             keep: Duration::from_millis(config.keep_ms),
+            refused: 0,
         };
         let shared =
             Arc::new(Shared { inner: Mutex::new(inner), changed: watch::Sender::default() });
@@ -187,6 +191,21 @@
         self.shared.with_stream(stream, |stream| stream.earliest())
     }
 
+    /// Returns how many appends were refused, by an outage or by the rate limit.
+    #[must_use]
+    pub fn refused(&self) -> u64 {
+        self.shared.lock().refused
+    }
+
+    /// Waits until at least `count` appends were refused.
+    pub async fn wait_refused(&self, count: u64) {
+        let mut changed = self.shared.changed.subscribe();
+        while self.refused() < count {
+            // The sender lives as long as `self`.
+            let _ = changed.changed().await;
+        }
+    }
+
     /// Waits until a stream holds a record for which `found` is true, now or later.
     pub async fn wait_for(&self, stream: &str, mut found: impl FnMut(&Kept) -> bool) -> Kept {
         let mut changed = self.shared.changed.subscribe();
@@ -214,10 +233,15 @@
     /// Changes something and wakes the requests that wait.
     fn change<T>(&self, change: impl FnOnce(&mut Inner) -> T) -> T {
         let changed = change(&mut self.lock());
-        self.changed.send_modify(|count| *count += 1);
+        self.wake();
         changed
     }
 
+    /// Wakes the requests that wait.
+    fn wake(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
     /// Runs `read` on a stream after its retention is enforced.
     fn with_stream<T>(&self, name: &str, read: impl FnOnce(&Stream) -> T) -> T {
         let mut inner = self.lock();
--- a/crates/coriandertack-standins/src/log/faults.rs
+++ b/crates/coriandertack-standins/src/log/faults.rs
@@ -47,14 +47,18 @@
 
     /// Tells whether an append of `client` fails.
     pub(super) fn blocks_append(&self, client: &str) -> bool {
-        self.outage == Outage::Appends || self.blocks_read(client)
+        match &self.outage {
+            Outage::None | Outage::Reads => false,
+            Outage::All | Outage::Appends => true,
+            Outage::Client(name) => name == client,
+        }
     }
 
     /// Tells whether a read of `client` fails.
     pub(super) fn blocks_read(&self, client: &str) -> bool {
         match &self.outage {
             Outage::None | Outage::Appends => false,
-            Outage::All => true,
+            Outage::All | Outage::Reads => true,
             Outage::Client(name) => name == client,
         }
     }
--- a/crates/coriandertack-standins/src/log/server.rs
+++ b/crates/coriandertack-standins/src/log/server.rs
@@ -59,6 +59,8 @@
 }
 
 async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    // Without it a small answer may wait for an acknowledgement; failure only costs that time.
+    let _ = stream.set_nodelay(true);
     let service = service_fn(|request| answer(request, &shared));
     let mut server = http1::Builder::new();
     server.timer(TokioTimer::new());
@@ -110,11 +112,17 @@
 
 fn refuse_append(shared: &Shared, client: &str) -> Option<StatusCode> {
     let mut inner = shared.lock();
-    if inner.faults.blocks_append(client) {
-        return Some(StatusCode::SERVICE_UNAVAILABLE);
-    }
-    let admitted = inner.faults.admits(Instant::now());
-    (!admitted).then_some(StatusCode::TOO_MANY_REQUESTS)
+    let refusal = if inner.faults.blocks_append(client) {
+        StatusCode::SERVICE_UNAVAILABLE
+    } else if !inner.faults.admits(Instant::now()) {
+        StatusCode::TOO_MANY_REQUESTS
+    } else {
+        return None;
+    };
+    inner.refused += 1;
+    drop(inner);
+    shared.wake();
+    Some(refusal)
 }
 
 async fn read(shared: &Shared, stream: &str, client: &str, query: &ReadQuery) -> Answer {
