Test that a copy of a batch at once, and an unclear batch, are handled

Cause: breaking the duplicate check, or forgetting that an attempt was unclear, failed no test.

Change: a copy is injected both at once and after another batch; an unclear batch is followed through a loss of validity; a node with several pages to replay must not be current before the tail.

--- a/crates/coriandertack-log/tests/faults.rs
+++ b/crates/coriandertack-log/tests/faults.rs
@@ -64,14 +64,15 @@
     assert_eq!(one.node.with(|inner| inner.state.jobs.ids.len()), 1);
 }
 
-/// Guards against a batch that counts twice when a copy arrives late.
+/// Guards against a batch that counts twice when copies of it arrive, at once or late.
 #[tokio::test]
-async fn a_late_copy_of_a_batch_is_void() {
+async fn copies_of_a_batch_are_void() {
     let service = common::service().await;
     let one = common::joined(&service, "one", 1).await;
     one.node.submit_one("operator", team("vans", 0, 1_000)).await.unwrap();
     one.node.submit_one("operator", job()).await.unwrap();
     let copy = service.records(STREAM).last().unwrap().body.clone();
+    service.inject(STREAM, copy.clone());
     one.node.submit_one("operator", setting("between", 0, "1")).await.unwrap();
     service.inject(STREAM, copy);
     one.node.submit_one("operator", setting("after", 0, "1")).await.unwrap();
@@ -115,6 +116,23 @@
     assert_eq!(appended_by(&service, "one"), 2);
 }
 
+/// Guards against "not run" for a batch that may have been appended before the whole log went down.
+#[tokio::test]
+async fn an_unclear_batch_is_sent_on_without_validity() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    service.set_outage(Outage::Appends);
+    let sent = submit(&one.node, setting("sent", 0, "1"));
+    service.wait_refused(1).await;
+    service.set_outage(Outage::All);
+    common::lapse(&one.node).await;
+    service.wait_refused(service.refused() + 2).await;
+    common::jump(OUTCOME_WAIT).await;
+    assert_eq!(sent.await.unwrap(), Err(Code::OutcomeUnknown));
+    service.set_outage(Outage::None);
+    common::until_state(&one.node, |state| state.settings.contains_key("sent")).await;
+}
+
 /// Guards against "outcome unknown" for a batch that the service has refused each time.
 #[tokio::test]
 async fn a_batch_over_the_rate_limit_is_withdrawn_in_an_outage() {
--- a/crates/coriandertack-log/tests/path.rs
+++ b/crates/coriandertack-log/tests/path.rs
@@ -5,6 +5,7 @@
 use {
     coriandertack_core::{code::Code, keys::Version, node::Stage, state::Applied},
     coriandertack_log::{leave, tail::Ended},
+    tokio::time::Instant,
 };
 
 /// Guards against a submitter that learns its outcome before its own node has applied the record.
@@ -54,3 +55,20 @@
     let verdict = one.node.submit_one("operator", common::setting("lanes", 0, "1")).await;
     assert_eq!(verdict, Err(Code::Stopping));
 }
+
+/// Guards against a node that acts on a state whose replay has not reached the tail.
+#[tokio::test]
+async fn a_node_is_current_only_at_the_tail() {
+    let service = common::service().await;
+    let one = common::joined(&service, "one", 1).await;
+    // The replay needs several pages of 1 MiB.
+    let large = "x".repeat(200 << 10);
+    for at in 0..16 {
+        let record = common::setting(&format!("large-{at}"), 0, &large);
+        one.node.submit_one("operator", record).await.unwrap();
+    }
+    let two = common::start(&service, "two", 2);
+    let mut valid = two.node.valid.subscribe();
+    valid.wait_for(|until| Instant::now() < *until).await.unwrap();
+    assert_eq!(two.node.with(|inner| inner.state.settings.len()), 16);
+}
