Let the keeper of links and workers' tasks be given how these are made

Cause: the fault matrix needs fakes where links and workers' tasks begin.

Change: members::run takes two closures; the product's own are in Openers::new. The specification names the type of its steps.

Conclusion: none beyond that.

--- a/crates/coriandertack-core/src/route/table.rs
+++ b/crates/coriandertack-core/src/route/table.rs
@@ -259,7 +259,7 @@
 
     /// Picks the free instance from which an answer is expected soonest.
     ///
-    /// Those within [`LIKE`] of the soonest count as equal and take turns, so that work spreads and
+    /// Those within `LIKE` of the soonest count as equal and take turns, so that work spreads and
     /// small errors of what was learned do not matter.
     pub fn pick(&mut self, wanted: &Wanted, now: Instant) -> Option<SiteKey> {
         let service = &self.services[wanted.service];
--- a/crates/coriandertackd/src/members.rs
+++ b/crates/coriandertackd/src/members.rs
@@ -1,12 +1,16 @@
 //! Keeps one task for each peer that this VM is responsible for: a link for each other VM, and a control
 //! task for each worker that it owns. Fences VMs that have fallen silent.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use {
     coriandertack_core::{
         keys::{Session, VmKey, WorkerKey},
         link::Link,
+        message::{Outgoing, WorkerCommand},
         node::{Node, Stage},
         owner,
         record::Record,
@@ -17,6 +21,7 @@
         handshake::Identity,
     },
     coriandertack_workers::{control, news::WorkerNews},
+    futures::future::BoxFuture,
     tokio::{
         sync::mpsc,
         task::JoinSet,
@@ -24,7 +29,7 @@
     },
 };
 
-use crate::routes;
+use crate::routes::{self, Sent};
 
 /// Requests that wait for a link. A full queue refuses, which the sender treats as not sent.
 const LINK_QUEUE: usize = 4_096;
@@ -46,20 +51,64 @@
     again_at: Instant,
 }
 
+/// Opens the connection to another VM and keeps it until the VM is no longer a member.
+pub type OpenLink =
+    Box<dyn Fn(Arc<Node>, Target, mpsc::Receiver<Outgoing>) -> BoxFuture<'static, ()> + Send>;
+
+/// Runs the control task of a worker until it is no longer owned here.
+pub type OpenWorker = Box<
+    dyn Fn(
+            Arc<Node>,
+            WorkerKey,
+            mpsc::UnboundedReceiver<WorkerCommand>,
+            News,
+        ) -> BoxFuture<'static, ()>
+        + Send,
+>;
+
+/// Where the workers' tasks report.
+pub type News = mpsc::Sender<(WorkerKey, WorkerNews)>;
+
+/// How the peers' tasks are made. Tests put fakes in their place.
+pub struct Openers {
+    /// Makes the task of a link.
+    pub link: OpenLink,
+    /// Makes the task of a worker.
+    pub worker: OpenWorker,
+}
+
+impl Openers {
+    /// Returns the product's own: links over TCP, and control over HTTP.
+    #[must_use]
+    pub fn new(key: SharedKey, every: Duration) -> Self {
+        let link: OpenLink = Box::new(move |node, target, queue| {
+            let (key, me) = (key.clone(), identity(&node));
+            let maker = Arc::clone(&node);
+            let sent = Mutex::new(Sent::default());
+            let heartbeat = move |fresh| {
+                let mut sent = sent.lock().unwrap_or_else(PoisonError::into_inner);
+                routes::heartbeat(&maker, fresh, &mut sent)
+            };
+            Box::pin(dial::run(node, key, me, target, queue, every, heartbeat))
+        });
+        let worker: OpenWorker = Box::new(|node, worker, commands, news| {
+            Box::pin(async move {
+                control::run(node, worker, commands, news).await;
+            })
+        });
+        Self { link, worker }
+    }
+}
+
 /// Follows the tables of members and owners until the process stops.
-pub async fn run(
-    node: Arc<Node>,
-    key: SharedKey,
-    heartbeat: Duration,
-    news: mpsc::Sender<(WorkerKey, WorkerNews)>,
-) {
+pub async fn run(node: Arc<Node>, openers: Openers, news: News) {
     let mut tasks = JoinSet::new();
     let mut applied = node.applied.subscribe();
     let mut fencing = None;
     while *node.stage.borrow() != Stage::Stopped {
         if let Some(me) = node.me() {
-            open_links(&node, me, &key, heartbeat, &mut tasks);
-            open_workers(&node, me, &news, &mut tasks);
+            open_links(&node, me, &openers.link, &mut tasks);
+            open_workers(&node, me, &openers.worker, &news, &mut tasks);
             fence_silent(&node, me, &mut fencing);
         }
         tokio::select! {
@@ -71,13 +120,7 @@
 }
 
 /// Opens a link to each member that has none, and drops those of former members.
-fn open_links(
-    node: &Arc<Node>,
-    me: VmKey,
-    key: &SharedKey,
-    every: Duration,
-    tasks: &mut JoinSet<()>,
-) {
+fn open_links(node: &Arc<Node>, me: VmKey, open: &OpenLink, tasks: &mut JoinSet<()>) {
     let now = Instant::now();
     let opened = node.with(|inner| {
         let vms = &inner.state.vms;
@@ -95,15 +138,7 @@
         opened
     });
     for (target, queue) in opened {
-        let identity = identity(node);
-        let (link, key) = (Arc::clone(node), key.clone());
-        let sent = std::sync::Mutex::new(routes::Sent::default());
-        let maker = Arc::clone(node);
-        let heartbeat = move |fresh| {
-            let mut sent = sent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-            routes::heartbeat(&maker, fresh, &mut sent)
-        };
-        tasks.spawn(dial::run(link, key, identity, target, queue, every, heartbeat));
+        tasks.spawn(open(Arc::clone(node), target, queue));
     }
 }
 
@@ -120,7 +155,8 @@
 fn open_workers(
     node: &Arc<Node>,
     me: VmKey,
-    news: &mpsc::Sender<(WorkerKey, WorkerNews)>,
+    open: &OpenWorker,
+    news: &News,
     tasks: &mut JoinSet<()>,
 ) {
     let opened = node.with(|inner| {
@@ -133,9 +169,10 @@
         opened
     });
     for (worker, commands) in opened {
-        let (node, news) = (Arc::clone(node), news.clone());
+        let control = open(Arc::clone(node), worker, commands, news.clone());
+        let node = Arc::clone(node);
         tasks.spawn(async move {
-            control::run(Arc::clone(&node), worker, commands, news).await;
+            control.await;
             // The worker may have come back under a new epoch, which needs a new task.
             node.with(|inner| {
                 inner.posts.remove(worker);
--- a/crates/coriandertackd/src/process.rs
+++ b/crates/coriandertackd/src/process.rs
@@ -267,7 +267,8 @@
     let key = SharedKey::new(&settings.common.key.0);
     tasks.spawn(dispatch::run(Arc::clone(node)));
     tasks.spawn(capacity::run(Arc::clone(node), arrived, settings.common.charge));
-    tasks.spawn(members::run(Arc::clone(node), key, settings.common.heartbeat, news));
+    let openers = members::Openers::new(key, settings.common.heartbeat);
+    tasks.spawn(members::run(Arc::clone(node), openers, news));
     let list = &settings.common.list;
     let missing = watch::Sender::default();
     tasks.spawn(poll::run(Arc::clone(node), ListClient::new(list.address), list.poll, missing));
--- a/crates/coriandertackd/tests/model/append.rs
+++ b/crates/coriandertackd/tests/model/append.rs
@@ -17,7 +17,7 @@
     tokio::time::Instant,
 };
 
-use crate::{each, explore};
+use crate::{Changes, each, explore};
 
 const MAX_SENDS: u8 = 3;
 
@@ -112,7 +112,7 @@
 fn steps(world: &World, product: &mut Product, guards: Guards) -> Vec<World> {
     let jobs = product.jobs(&world.log[..world.read]);
     let fenced = world.log[..world.read].contains(&Logged::Fence);
-    let mut changes: Vec<Box<dyn Fn(&mut World)>> = Vec::new();
+    let mut changes: Changes<'static, World> = Vec::new();
     for index in 0..world.net.len() {
         // The copy takes effect; whether an answer comes back shows only in what the writer reads.
         changes.push(Box::new(move |world| {
@@ -142,7 +142,7 @@
     guards: Guards,
     jobs: usize,
     fenced: bool,
-    changes: &mut Vec<Box<dyn Fn(&mut World)>>,
+    changes: &mut Changes<'static, World>,
 ) {
     let mut tell = |told| changes.push(Box::new(move |world: &mut World| world.told = Some(told)));
     match (jobs, fenced, world.sends) {
--- a/crates/coriandertackd/tests/model/binding.rs
+++ b/crates/coriandertackd/tests/model/binding.rs
@@ -5,7 +5,7 @@
 //! it. Requests are under way for any time. An owner learns of the new home from `b`'s question, or earlier
 //! from the log.
 
-use crate::{each, explore};
+use crate::{Changes, each, explore};
 
 /// Epochs of the two homes.
 const EPOCH_A: u8 = 1;
@@ -44,7 +44,7 @@
 const ALL: Guards = Guards { epoch: true, all_owners: true };
 
 fn steps(world: &World, guards: Guards) -> Vec<World> {
-    let mut changes: Vec<Box<dyn Fn(&mut World)>> = Vec::new();
+    let mut changes: Changes<'static, World> = Vec::new();
     if !world.a_asked && !world.b_ready {
         // `a` checks its validity before it sends, and `b` is ready only after that has lapsed.
         changes.push(Box::new(|world| {
--- a/crates/coriandertackd/tests/model/lease.rs
+++ b/crates/coriandertackd/tests/model/lease.rs
@@ -19,7 +19,7 @@
     tokio::time::Instant,
 };
 
-use crate::{at, each, explore};
+use crate::{Changes, at, each, explore};
 
 /// Ticks that are explored: long enough for a fence, the hold-off, and a lease after it.
 const LAST_TICK: u8 = 9;
@@ -167,7 +167,7 @@
 
 fn steps(world: &World, product: &Product, guards: Guards) -> Vec<World> {
     let now = world.now;
-    let mut changes: Vec<Box<dyn Fn(&mut World) + '_>> = Vec::new();
+    let mut changes: Changes<'_, World> = Vec::new();
     if now < LAST_TICK {
         changes.push(Box::new(tick));
     }
@@ -207,7 +207,7 @@
     world: &World,
     product: &'a Product,
     guards: Guards,
-    changes: &mut Vec<Box<dyn Fn(&mut World) + 'a>>,
+    changes: &mut Changes<'a, World>,
 ) {
     if !world.a_acts {
         return;
@@ -254,7 +254,7 @@
     world: &World,
     product: &'a Product,
     guards: Guards,
-    changes: &mut Vec<Box<dyn Fn(&mut World) + 'a>>,
+    changes: &mut Changes<'a, World>,
 ) {
     let now = world.now;
     let Some(read) = world.b_read else {
--- a/crates/coriandertackd/tests/model/main.rs
+++ b/crates/coriandertackd/tests/model/main.rs
@@ -44,8 +44,11 @@
     Ok(count)
 }
 
+/// Steps that can happen next, as changes of the world.
+type Changes<'a, W> = Vec<Box<dyn Fn(&mut W) + 'a>>;
+
 /// Returns a world for each change, without those that change nothing.
-fn each<W: Clone + Eq + Hash>(world: &W, changes: Vec<Box<dyn Fn(&mut W) + '_>>) -> Vec<W> {
+fn each<W: Clone + Eq + Hash>(world: &W, changes: Changes<'_, W>) -> Vec<W> {
     let mut seen = HashSet::new();
     let changed = changes.into_iter().map(|change| {
         let mut next = world.clone();
--- a/crates/coriandertackd/tests/model/settings.rs
+++ b/crates/coriandertackd/tests/model/settings.rs
@@ -15,7 +15,7 @@
     tokio::time::Instant,
 };
 
-use crate::{each, explore};
+use crate::{Changes, each, explore};
 
 const MAX_CHANGES: usize = 4;
 
@@ -89,7 +89,7 @@
 }
 
 fn steps(world: &World, product: &mut Product, guards: Guards) -> Vec<World> {
-    let mut changes: Vec<Box<dyn Fn(&mut World) + '_>> = Vec::new();
+    let mut changes: Changes<'_, World> = Vec::new();
     let latest = product.version(&world.log, world.snapshot);
     for operator in 0..2_u8 {
         let seen = world.seen[usize::from(operator)];
