Strike every fault at every step, and audit what remains

Cause: the roles were tried only on the demo's path.

Change: a fault matrix in virtual time on the product's own home, owner, recovery and membership tasks, with fakes of the log, the links and the workers at the channels.

--- /dev/null
+++ b/crates/coriandertackd/tests/matrix/faults.rs
@@ -0,0 +1,181 @@
+//! The faults of docs/design.md, section 1.2.
+
+use std::time::Duration;
+
+use {
+    coriandertack_core::{
+        keys::Version,
+        record::{Kind, Record, SettingChange},
+    },
+    tokio::time::sleep,
+};
+
+use crate::{
+    scenario::{self, Outcomes},
+    world::{VMS, World},
+};
+
+/// What strikes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Nothing,
+    VmCrash,
+    VmCrashTwice,
+    AllVmsCrash,
+    ShortPause,
+    LongPause,
+    LogDown,
+    LogCut,
+    LogSlow,
+    LostAnswers,
+    WorkerCrash,
+    WorkerSilent,
+    BadWorker,
+    LinkCut,
+    WrongSizes,
+    ImpossibleJob,
+    CancellationWave,
+    RacingOperators,
+}
+
+impl Fault {
+    pub const ALL: &[Self] = &[
+        Self::Nothing,
+        Self::VmCrash,
+        Self::VmCrashTwice,
+        Self::AllVmsCrash,
+        Self::ShortPause,
+        Self::LongPause,
+        Self::LogDown,
+        Self::LogCut,
+        Self::LogSlow,
+        Self::LostAnswers,
+        Self::WorkerCrash,
+        Self::WorkerSilent,
+        Self::BadWorker,
+        Self::LinkCut,
+        Self::WrongSizes,
+        Self::ImpossibleJob,
+        Self::CancellationWave,
+        Self::RacingOperators,
+    ];
+
+    /// Strikes the VM `target` or what belongs to it, and ends after a while.
+    pub async fn strike(self, world: &World, target: usize, outcomes: &Outcomes) {
+        match self {
+            Self::Nothing => {}
+            Self::VmCrash => crash(world, target, Duration::from_secs(5)).await,
+            Self::VmCrashTwice => {
+                crash(world, target, Duration::from_secs(2)).await;
+                sleep(Duration::from_millis(1_500)).await;
+                crash(world, target, Duration::from_secs(5)).await;
+            }
+            Self::AllVmsCrash => {
+                (0..VMS).for_each(|index| world.crash_vm(index));
+                sleep(Duration::from_secs(3)).await;
+                (0..VMS).for_each(|index| world.start_vm(index));
+            }
+            Self::ShortPause => pause(world, target, Duration::from_millis(2_500)).await,
+            Self::LongPause => pause(world, target, Duration::from_secs(12)).await,
+            Self::LogDown => {
+                world.log.set_down(true);
+                sleep(Duration::from_secs(20)).await;
+                world.log.set_down(false);
+            }
+            Self::LogCut => {
+                world.switches(target).cut.send_replace(true);
+                sleep(Duration::from_secs(20)).await;
+                world.switches(target).cut.send_replace(false);
+            }
+            Self::LogSlow => {
+                world.log.set_latency(Duration::from_secs(1));
+                sleep(Duration::from_secs(20)).await;
+                world.log.set_latency(Duration::ZERO);
+            }
+            Self::LostAnswers => world.log.lose(6),
+            Self::WorkerCrash => {
+                let worker = busiest(world);
+                world.workers[worker].crash();
+                sleep(Duration::from_secs(45)).await;
+                world.workers[worker].set_down(false);
+            }
+            Self::WorkerSilent => {
+                let worker = busiest(world);
+                world.workers[worker].set_down(true);
+                sleep(Duration::from_secs(12)).await;
+                world.workers[worker].set_down(false);
+            }
+            Self::BadWorker => {
+                world.workers[busiest(world)].set_bad(true);
+                sleep(Duration::from_secs(30)).await;
+                world.workers.iter().for_each(|worker| worker.set_bad(false));
+            }
+            Self::LinkCut => {
+                let other = (target + 1) % VMS;
+                world.cuts.lock().expect("no panic while locked").push((target, other));
+                sleep(Duration::from_secs(25)).await;
+                world.cuts.lock().expect("no panic while locked").clear();
+            }
+            Self::WrongSizes => {
+                let command = "run_ms=1000 use_mib=300";
+                scenario::submit(world, target, outcomes, "wrong", Kind::Batch, 4, command).await;
+            }
+            Self::ImpossibleJob => {
+                scenario::submit_impossible(world, target, outcomes).await;
+            }
+            Self::CancellationWave => wave(world, target, outcomes).await,
+            Self::RacingOperators => race(world).await,
+        }
+    }
+}
+
+async fn crash(world: &World, target: usize, down: Duration) {
+    world.crash_vm(target);
+    sleep(down).await;
+    world.start_vm(target);
+}
+
+async fn pause(world: &World, target: usize, length: Duration) {
+    let switches = world.switches(target);
+    switches.frozen.send_replace(true);
+    sleep(length).await;
+    switches.frozen.send_replace(false);
+}
+
+fn busiest(world: &World) -> usize {
+    let runs = |index: &usize| {
+        let open = world.workers[*index].record().into_iter().filter(|run| run.end.is_none());
+        open.count()
+    };
+    (0..world.workers.len()).max_by_key(runs).unwrap_or(0)
+}
+
+/// Submits many jobs and cancels all of them at once.
+async fn wave(world: &World, target: usize, outcomes: &Outcomes) {
+    let mut jobs = Vec::new();
+    for _ in 0..30 {
+        let command = "run_ms=60000";
+        let job = scenario::submit(world, target, outcomes, "wave", Kind::Batch, 2, command).await;
+        jobs.extend(job);
+    }
+    let Some(node) = world.any_serving(target) else { return };
+    let cancels = jobs.into_iter().map(|job| node.submit_one("operator", Record::Cancel(job)));
+    futures::future::join_all(cancels).await;
+}
+
+/// Lets operators at every VM change one setting from the same version.
+async fn race(world: &World) {
+    let changes = (0..VMS).filter_map(|index| world.node(index).map(|node| (index, node)));
+    let raced = changes.map(|(index, node)| async move {
+        let seen = node.with(|inner| {
+            inner.state.settings.get("api.burst").map_or(Version(0), |setting| setting.version)
+        });
+        let change = SettingChange {
+            name: "api.burst".into(),
+            expect: seen,
+            value: Some((index + 1).to_string()),
+        };
+        node.submit_one("operator", Record::Setting(change)).await
+    });
+    futures::future::join_all(raced).await;
+}
--- /dev/null
+++ b/crates/coriandertackd/tests/matrix/worker.rs
@@ -0,0 +1,308 @@
+//! Fake of a worker: tasks under leases, usage by intervals, ends that are kept until acknowledged.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use {
+    coriandertack_core::{
+        keys::{Epoch, LeaseId},
+        message::{Ask, EndCause, Running, WorkerCommand, WorkerEvent},
+        record::Usage,
+        resources::Resources,
+    },
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    tokio::{
+        sync::Notify,
+        time::{Instant, sleep},
+    },
+};
+
+/// Length of a usage interval.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Resolution of the worker's clock.
+const TICK: Duration = Duration::from_millis(10);
+
+/// One run of a task.
+#[derive(Clone, Debug)]
+pub struct Stretch {
+    pub lease: LeaseId,
+    pub start: Instant,
+    pub end: Option<Instant>,
+}
+
+struct Task {
+    ask: Ask,
+    start: Instant,
+    lease_end: Instant,
+    /// When it ends by itself.
+    done: Option<Instant>,
+    charged: Instant,
+    interval: u32,
+}
+
+#[derive(Default)]
+struct Inner {
+    tasks: BTreeMap<LeaseId, Task>,
+    /// Events that are kept, with a number that only grows.
+    events: BTreeMap<u64, WorkerEvent>,
+    next: u64,
+    epoch: Epoch,
+    record: Vec<Stretch>,
+    granted: Resources,
+    used: BTreeMap<LeaseId, u64>,
+    down: bool,
+    bad: bool,
+}
+
+/// A worker.
+#[derive(Clone)]
+pub struct Worker {
+    pub name: String,
+    inner: Arc<Mutex<Inner>>,
+    rng: Arc<Mutex<ChaCha8Rng>>,
+    changed: Arc<Notify>,
+}
+
+impl Worker {
+    pub fn new(index: usize, seed: u64) -> Self {
+        let worker = Self {
+            name: format!("w{index}"),
+            inner: Arc::default(),
+            rng: Arc::new(Mutex::new(ChaCha8Rng::seed_from_u64(seed + index as u64))),
+            changed: Arc::default(),
+        };
+        tokio::spawn(worker.clone().tick());
+        worker
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panic while locked")
+    }
+
+    /// Waits until the worker has something to tell.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    async fn tick(self) {
+        loop {
+            sleep(TICK).await;
+            let now = Instant::now();
+            let mut inner = self.lock();
+            let over: Vec<(LeaseId, EndCause)> = inner
+                .tasks
+                .iter()
+                .filter_map(|(&lease, task)| match task.done {
+                    Some(done) if done <= now => Some((lease, self.outcome(&task.ask, inner.bad))),
+                    _ if task.lease_end <= now => Some((lease, EndCause::LeaseExpired)),
+                    _ => None,
+                })
+                .collect();
+            let due: Vec<LeaseId> = inner
+                .tasks
+                .iter()
+                .filter(|(_, task)| now - task.charged >= INTERVAL)
+                .map(|(&lease, _)| lease)
+                .collect();
+            for lease in due {
+                inner.charge(lease, now, false);
+            }
+            let news = !over.is_empty();
+            for (lease, cause) in over {
+                inner.end(lease, cause, now);
+            }
+            drop(inner);
+            if news {
+                self.changed.notify_one();
+            }
+        }
+    }
+
+    /// Returns how a task that runs to its end ends: memory beyond the grant ends it early.
+    fn outcome(&self, ask: &Ask, bad: bool) -> EndCause {
+        let number = |key: &str| {
+            let words = ask.command.split_whitespace().filter_map(|word| word.split_once('='));
+            words.filter(|(name, _)| *name == key).find_map(|(_, value)| value.parse::<f64>().ok())
+        };
+        if number("use_mib").is_some_and(|mib| mib > f64::from(ask.need.memory_mib)) {
+            return EndCause::OutOfMemory;
+        }
+        let fail = number("fail").unwrap_or(0.0);
+        let failed = self.rng.lock().expect("no panic while locked").random_bool(fail);
+        if bad || failed { EndCause::Failed } else { EndCause::Succeeded }
+    }
+
+    pub fn is_reachable(&self) -> bool {
+        !self.lock().down
+    }
+
+    /// Cuts the worker off, or connects it again. Its tasks run on until their leases end.
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+    }
+
+    /// Makes every task that ends from now on fail, or no longer.
+    pub fn set_bad(&self, bad: bool) {
+        self.lock().bad = bad;
+    }
+
+    /// Loses all tasks at once, as a crash of the machine does.
+    pub fn crash(&self) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let leases: Vec<LeaseId> = inner.tasks.keys().copied().collect();
+        for lease in leases {
+            inner.end(lease, EndCause::Failed, now);
+        }
+        // Usage that was reported is charged; the ends and the rest are forgotten with the machine.
+        inner.events.retain(|_, event| matches!(event, WorkerEvent::Usage { .. }));
+        inner.down = true;
+    }
+
+    /// Returns the running tasks, and refuses lower epochs from now on.
+    pub fn list(&self, epoch: Epoch) -> Vec<Running> {
+        let mut inner = self.lock();
+        inner.epoch = inner.epoch.max(epoch);
+        let running = inner.tasks.iter().map(|(&lease, task)| Running {
+            lease,
+            class: Arc::clone(&task.ask.class),
+            kind: task.ask.kind,
+            grant: task.ask.need,
+            urgent: task.ask.urgent,
+        });
+        running.collect()
+    }
+
+    pub fn renew(&self, epoch: Epoch, until: Instant) {
+        let mut inner = self.lock();
+        if epoch < inner.epoch || inner.down {
+            return;
+        }
+        for task in inner.tasks.values_mut() {
+            task.lease_end = task.lease_end.max(until);
+        }
+    }
+
+    /// Carries out a command that arrives.
+    pub fn command(&self, epoch: Epoch, command: &WorkerCommand, valid: Instant) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        if epoch < inner.epoch || inner.down {
+            return;
+        }
+        match command {
+            WorkerCommand::Start { ask, until } => {
+                inner.start(ask, (*until).min(valid), now);
+            }
+            WorkerCommand::Stop(lease) => inner.end(*lease, EndCause::Stopped, now),
+            WorkerCommand::AckEnd(lease) => {
+                let is_end = |event: &WorkerEvent| matches!(event, WorkerEvent::Ended { lease: ended, .. } if ended == lease);
+                inner.events.retain(|_, event| !is_end(event));
+            }
+            WorkerCommand::AckUsage { lease, to } => {
+                let is_charged = |event: &WorkerEvent| {
+                    matches!(event, WorkerEvent::Usage { lease: used, interval, .. }
+                        if used == lease && interval < to)
+                };
+                inner.events.retain(|_, event| !is_charged(event));
+            }
+            WorkerCommand::Checkpoint(_) | WorkerCommand::Throttle { .. } => {}
+        }
+        drop(inner);
+        self.changed.notify_one();
+    }
+
+    /// Returns the events above `told`, and moves it on.
+    pub fn events(&self, told: &mut u64) -> Vec<WorkerEvent> {
+        let inner = self.lock();
+        let fresh = inner.events.range(*told..).map(|(_, event)| event.clone()).collect();
+        *told = inner.next;
+        fresh
+    }
+
+    /// Returns the runs so far.
+    pub fn record(&self) -> Vec<Stretch> {
+        self.lock().record.clone()
+    }
+
+    /// Returns the most that was granted at any time.
+    pub fn granted(&self) -> Resources {
+        self.lock().granted
+    }
+
+    /// Returns the processor time given in core-milliseconds.
+    pub fn used(&self) -> u64 {
+        self.lock().used.values().sum()
+    }
+}
+
+impl Inner {
+    fn push(&mut self, event: WorkerEvent) {
+        self.events.insert(self.next, event);
+        self.next += 1;
+    }
+
+    fn start(&mut self, ask: &Ask, until: Instant, now: Instant) {
+        let lease = ask.lease;
+        if self.record.iter().any(|run| run.lease == lease) {
+            return;
+        }
+        if until <= now {
+            let (cause, peak) = (EndCause::Refused, Resources::ZERO);
+            self.push(WorkerEvent::Ended { lease, cause, run_ms: 0, peak });
+            return;
+        }
+        let words = ask.command.split_whitespace();
+        let run = words.filter_map(|word| word.strip_prefix("run_ms=")).next();
+        let run = run.and_then(|text| text.parse().ok()).map(Duration::from_millis);
+        let done = run.map(|run| now + run);
+        let task = Task {
+            ask: ask.clone(),
+            start: now,
+            lease_end: until,
+            done,
+            charged: now,
+            interval: 0,
+        };
+        self.tasks.insert(lease, task);
+        self.record.push(Stretch { lease, start: now, end: None });
+        let granted: Resources = self.tasks.values().map(|task| task.ask.need).sum();
+        self.granted = Resources {
+            millicores: self.granted.millicores.max(granted.millicores),
+            memory_mib: self.granted.memory_mib.max(granted.memory_mib),
+            accelerators: self.granted.accelerators.max(granted.accelerators),
+        };
+        self.push(WorkerEvent::Started(lease));
+    }
+
+    fn charge(&mut self, lease: LeaseId, now: Instant, last: bool) {
+        let Some(task) = self.tasks.get_mut(&lease) else { return };
+        let ms = u64::try_from((now - task.charged).as_millis()).expect("a short time");
+        let core_ms = ms * u64::from(task.ask.need.millicores) / 1_000;
+        let interval = task.interval;
+        task.interval += 1;
+        task.charged = now;
+        *self.used.entry(lease).or_default() += core_ms;
+        let usage = Usage { core_ms, ..Usage::default() };
+        let event = WorkerEvent::Usage { lease, interval, usage, end_ms: 0, last };
+        // Reports come twice.
+        self.push(event.clone());
+        self.push(event);
+    }
+
+    fn end(&mut self, lease: LeaseId, cause: EndCause, now: Instant) {
+        self.charge(lease, now, true);
+        let Some(task) = self.tasks.remove(&lease) else { return };
+        if let Some(run) = self.record.iter_mut().find(|run| run.lease == lease) {
+            run.end = Some(now);
+        }
+        let run_ms = u64::try_from((now - task.start).as_millis()).expect("a short time");
+        let peak = task.ask.need;
+        self.push(WorkerEvent::Ended { lease, cause, run_ms, peak });
+    }
+}
