--- a/crates/coriandertack-log/src/client.rs
+++ b/crates/coriandertack-log/src/client.rs
@@ -143,7 +143,13 @@
         let status = response.status();
         let body = collect(response, until).await?;
         match status {
-            StatusCode::OK => Ok(Read::Page(decode_page(&body, from)?)),
+            StatusCode::OK => {
+                let page = decode_page(&body, from)?;
+                // Without this check, a reader would ask again and again without a pause.
+                let complete = page.tail == from || !page.records.is_empty();
+                ensure!(complete, "no record at offset {from}, before the tail {}", page.tail);
+                Ok(Read::Page(page))
+            }
             StatusCode::GONE => Ok(Read::Gone(decode_page(&body, from)?)),
             status => bail!("the log service answered {status}"),
         }
--- a/crates/coriandertack-log/src/restore.rs
+++ b/crates/coriandertack-log/src/restore.rs
@@ -1,13 +1,13 @@
 //! Start of a VM from the retained part of the log.
 //!
-//! A first pass over the log finds the newest complete snapshot and keeps only its parts. The replay
-//! then reads from the snapshot's base on. Two passes cost a second read of a part of the log, but
-//! keep no records in memory.
+//! A first pass goes back from the tail to the newest complete snapshot and keeps only its parts. The
+//! replay then reads from the snapshot's base on. Two passes cost a second read of the records since
+//! the snapshot, but keep no records in memory, and read no more than the newest part of the log.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use {
-    anyhow::Context,
+    anyhow::{Context, bail},
     coriandertack_core::{
         keys::{Incarnation, Offset},
         node::Node,
@@ -19,24 +19,35 @@
 
 use crate::{
     backoff::Backoff,
-    client::{Client, FIRST, Page, Read},
+    client::{Client, FIRST, Read, Stored},
     codec,
 };
 
+/// Records that one step of the way back reads. Small records of that number fill a page.
+const SCAN_RECORDS: u64 = 8_192;
+
 /// Parts of snapshots that a pass over the log has found.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Found {
-    /// Snapshots with missing parts, one for each author.
-    partial: BTreeMap<Incarnation, Parts>,
+    /// Lowest offset that is kept; a snapshot with a gap after its base is useless.
+    earliest: Offset,
+    /// Snapshots with missing parts.
+    partial: BTreeMap<SnapshotId, Parts>,
     /// The newest complete one.
     newest: Option<Parts>,
 }
 
+/// Origin of a snapshot. Snapshots of several authors may be mixed in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct SnapshotId {
+    base: Offset,
+    author: Incarnation,
+}
+
 /// Parts of one snapshot.
 #[derive(Debug)]
 struct Parts {
     base: Offset,
-    count: u32,
     bodies: BTreeMap<u32, Vec<u8>>,
 }
 
@@ -72,26 +83,44 @@
     Snapshot(Parts),
 }
 
-/// Reads the retained log once. Returns nothing if no start is possible.
+/// Looks for the newest complete snapshot. Returns nothing if no start is possible.
 async fn scan(client: &Client) -> anyhow::Result<Option<Start>> {
     let bounds = match client.read(FIRST, Duration::ZERO).await? {
         Read::Page(page) | Read::Gone(page) => page,
     };
-    let mut found = Found::default();
-    let mut from = bounds.earliest;
-    while from < bounds.tail {
+    let earliest = bounds.earliest;
+    let mut found = Found { earliest, partial: BTreeMap::new(), newest: None };
+    let mut end = bounds.tail;
+    while end > earliest && found.newest.is_none() {
+        let begin = Offset(end.0.saturating_sub(SCAN_RECORDS)).max(earliest);
+        scan_range(client, begin, end, &mut found).await?;
+        end = begin;
+    }
+    Ok(match found.newest {
+        Some(parts) => Some(Start::Snapshot(parts)),
+        None if earliest == FIRST => Some(Start::Empty),
+        None => None,
+    })
+}
+
+/// Reads the records from `begin` up to but not including `end`.
+async fn scan_range(
+    client: &Client,
+    begin: Offset,
+    end: Offset,
+    found: &mut Found,
+) -> anyhow::Result<()> {
+    let mut from = begin;
+    while from < end {
         let page = match client.read(from, Duration::ZERO).await? {
             Read::Page(page) => page,
-            Read::Gone(_) => anyhow::bail!("the retention passed offset {from} during the scan"),
+            Read::Gone(_) => bail!("the retention passed offset {from} during the scan"),
         };
+        let records = page.records.iter().take_while(|record| record.offset < end);
+        records.for_each(|record| found.add_record(record));
         from = Offset(from.0 + page.records.len() as u64);
-        found.add_page(&page);
     }
-    Ok(match found.newest {
-        Some(parts) if parts.base.next() >= bounds.earliest => Some(Start::Snapshot(parts)),
-        _ if bounds.earliest == FIRST => Some(Start::Empty),
-        _ => None,
-    })
+    Ok(())
 }
 
 fn load(node: &Node, parts: Parts) -> anyhow::Result<Offset> {
@@ -104,15 +133,11 @@
 }
 
 impl Found {
-    fn add_page(&mut self, page: &Page) {
-        for record in &page.records {
-            match codec::decode(&record.body) {
-                Ok(batch) => self.add_batch(batch),
-                // The replay meets this record again, unless a snapshot includes its effect.
-                Err(error) => {
-                    log::warn!("event=scan_skipped offset={} error={error}", record.offset);
-                }
-            }
+    fn add_record(&mut self, record: &Stored) {
+        match codec::decode(&record.body) {
+            Ok(batch) => self.add_batch(batch),
+            // The replay meets this record again, unless a snapshot includes its effect.
+            Err(error) => log::warn!("event=scan_skipped offset={} error={error}", record.offset),
         }
     }
 
@@ -125,17 +150,17 @@
     }
 
     fn add_part(&mut self, author: Incarnation, part: SnapshotPart) {
-        if self.newest.as_ref().is_some_and(|newest| part.base <= newest.base) {
+        let base = part.base;
+        let newest = self.newest.as_ref().map(|newest| newest.base);
+        if base.next() < self.earliest || newest.is_some_and(|newest| base <= newest) {
             return;
         }
-        let fresh = Parts { base: part.base, count: part.parts, bodies: BTreeMap::new() };
-        let parts = self.partial.entry(author).or_insert(fresh);
-        if parts.base != part.base || parts.count != part.parts {
-            *parts = Parts { base: part.base, count: part.parts, bodies: BTreeMap::new() };
-        }
+        let id = SnapshotId { base, author };
+        let fresh = || Parts { base, bodies: BTreeMap::new() };
+        let parts = self.partial.entry(id).or_insert_with(fresh);
         parts.bodies.insert(part.part, part.body);
-        if parts.bodies.len() == parts.count as usize {
-            self.newest = self.partial.remove(&author);
+        if parts.bodies.len() == part.parts as usize {
+            self.newest = self.partial.remove(&id);
         }
     }
 }
--- a/crates/coriandertack-log/src/snapshot.rs
+++ b/crates/coriandertack-log/src/snapshot.rs
@@ -14,6 +14,7 @@
     },
     tokio::{
         select,
+        task::spawn_blocking,
         time::{Instant, sleep, sleep_until},
     },
 };
@@ -65,8 +66,9 @@
             due = Instant::now() + every.period;
         }
         if let Some(image) = image_if_due(node, every, due) {
-            if let Err(error) = append(node, &image).await {
-                log::warn!("event=snapshot_failed base={} error={error:#}", image.base);
+            let base = image.base;
+            if let Err(error) = append(node, image).await {
+                log::warn!("event=snapshot_failed base={base} error={error:#}");
                 sleep(RETRY_PAUSE).await;
             }
             continue;
@@ -93,19 +95,21 @@
     })
 }
 
-async fn append(node: &Node, image: &Image) -> anyhow::Result<()> {
-    let body = codec::encode_image(image);
+async fn append(node: &Node, image: Image) -> anyhow::Result<()> {
+    let base = image.base;
+    // At the target size the encoding takes tens of milliseconds, for which other tasks would wait.
+    let body = spawn_blocking(move || codec::encode_image(&image)).await?;
     let parts = body.len().div_ceil(PART_BYTES);
     for (index, chunk) in body.chunks(PART_BYTES).enumerate() {
         let part = SnapshotPart {
-            base: image.base,
+            base,
             part: u32::try_from(index)?,
             parts: u32::try_from(parts)?,
             body: chunk.to_vec(),
         };
         append_part(node, part).await?;
     }
-    log::info!("event=snapshot_appended base={} parts={parts} bytes={}", image.base, body.len());
+    log::info!("event=snapshot_appended base={base} parts={parts} bytes={}", body.len());
     Ok(())
 }
 
--- a/crates/coriandertack-log/tests/retention.rs
+++ b/crates/coriandertack-log/tests/retention.rs
@@ -6,8 +6,8 @@
 
 use {
     coriandertack_core::{
-        keys::Incarnation,
-        record::{Record, SnapshotPart},
+        keys::{Incarnation, Offset},
+        record::{Batch, Record, SnapshotPart},
     },
     coriandertack_log::{codec, tail::Ended},
     coriandertack_standins::log::Outage,
@@ -69,6 +69,37 @@
     assert_eq!(second.settings.len(), 3);
 }
 
+/// Guards against a snapshot that is missed or torn because it lies far before the tail.
+#[tokio::test]
+async fn a_snapshot_far_before_the_tail_is_found() {
+    let service = common::service().await;
+    service.set_retention(25_000, HOUR);
+    let one = common::joined(&service, "one", 1).await;
+    common::append_settings(&one.node, 3).await;
+    let image = one.node.with(|inner| inner.state.image());
+    let body = codec::encode_image(&image);
+    let (head, rest) = body.split_at(body.len() / 2);
+    // Void, because its author is no member.
+    let filler = part_of(image.base, 0, 2, &[]);
+    for (part, chunk) in (0..).zip([head, rest]) {
+        service.inject(STREAM, codec::encode(&part_of(image.base, part, 2, chunk)));
+        for _ in 0..10_000 {
+            service
+                .inject(STREAM, codec::encode(&Batch { author: Incarnation(8), ..filler.clone() }));
+        }
+    }
+    service.set_retention(20_002, HOUR);
+    let two = common::joined(&service, "two", 2).await;
+    let [first, second] = common::same_images(&one.node, &two.node).await;
+    assert_eq!(first, second);
+}
+
+fn part_of(base: Offset, part: u32, parts: u32, body: &[u8]) -> Batch {
+    let part = SnapshotPart { base, part, parts, body: body.to_vec() };
+    let entry = common::entry(Record::Snapshot(part));
+    Batch { author: Incarnation(9), seq: 1, entries: vec![entry] }
+}
+
 /// Guards against a VM that takes a log without its beginning for an empty one.
 #[tokio::test]
 async fn without_a_snapshot_a_new_vm_waits() {
