Keep the validity with a slow log, and fence a VM that cannot read on

Cause: a read was given up after 0.8 s beyond its long poll, so that a slower log service kept every VM without validity. A VM stopped by a corrupt record kept its workers until its peers suspected it.

Change: a read may take 1.5 s beyond its long poll, and does not wait for records when less than 2 s of the validity are left. After a corrupt record the VM appends a fence of its own session.

--- a/crates/coriandertack-log/src/client.rs
+++ b/crates/coriandertack-log/src/client.rs
@@ -34,8 +34,9 @@
 
 /// Time that a read may take beyond its long poll.
 ///
-/// Two reads that fail after it still leave a part of the validity of 3 s for a third.
-const READ_GRACE: Duration = Duration::from_millis(800);
+/// With a long poll of 500 ms, a read that hangs is given up while the validity of 3 s from the read
+/// before it still holds. A service that takes longer cannot keep a VM valid anyway.
+const READ_GRACE: Duration = Duration::from_millis(1_500);
 
 /// Client of one stream of the log service.
 #[derive(Clone, Debug)]
--- a/crates/coriandertack-log/src/tail.rs
+++ b/crates/coriandertack-log/src/tail.rs
@@ -6,7 +6,12 @@
 use std::{sync::Arc, time::Duration};
 
 use {
-    coriandertack_core::{code::Code, keys::Offset, node::Node},
+    coriandertack_core::{
+        code::Code,
+        keys::Offset,
+        node::{Node, now_ms},
+        record::{Batch, Entry, Record},
+    },
     derive_more::Display,
     tokio::time::{Instant, sleep, sleep_until},
 };
@@ -20,12 +25,23 @@
 /// Longest wait of a long poll. An idle VM renews its validity of 3 s with each one.
 const POLL_WAIT: Duration = Duration::from_millis(500);
 
+/// Validity that must be left for a long poll. Less is left if the answers are slow, and then a wait
+/// for records on top of the slowness would let the validity lapse.
+const LEAST_VALIDITY: Duration = Duration::from_millis(2_000);
+
 /// Least time between the starts of two reads that found the tail.
 ///
 /// At 300 appends/s it turns a read for each record into 100 reads/s, which bounds the cost of
 /// following the log.
 const READ_SPACING: Duration = Duration::from_millis(10);
 
+/// Attempts of a VM to end its own session after a corrupt record.
+const FENCE_ATTEMPTS: usize = 3;
+
+/// Time that each of these attempts may take. Together they take about as long as the suspicion and
+/// the fence by a peer would.
+const FENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Why the task has ended without a fault in the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum Ended {
@@ -60,19 +76,45 @@
             node.stop(Code::OutcomeUnknown);
             let code = Code::CorruptLog.number();
             log::error!("event=log_alarm code={code} vm={} error={error:#}", node.info.name);
+            fence_self(&node, &client).await;
         }
     }
     ended
 }
 
+/// Ends the own session, so that the peers need not first suspect this VM.
+///
+/// It is a `Fence` and no `Leave`, because the VM has not drained. A failure only costs the time
+/// until the peers notice the silence.
+async fn fence_self(node: &Node, client: &Client) {
+    let Some(session) = node.session() else {
+        return;
+    };
+    let record = Record::Fence(session);
+    let entries = vec![Entry { actor: "system".into(), at_ms: now_ms(), record }];
+    // The batch in flight has a lower number; it is void if it arrives after this one.
+    let seq = node.with(|inner| inner.commits.expect(Vec::new()));
+    let body = codec::encode(&Batch { author: node.author, seq, entries });
+    let mut backoff = Backoff::default();
+    for _ in 0..FENCE_ATTEMPTS {
+        match client.append(body.clone(), Instant::now() + FENCE_TIMEOUT).await {
+            Ok(offset) => {
+                log::info!("event=self_fenced vm={} offset={offset}", node.info.name);
+                return;
+            }
+            Err(error) => log::warn!("event=self_fence_failed vm={} error={error}", node.info.name),
+        }
+        sleep(backoff.fail()).await;
+    }
+}
+
 async fn follow(node: &Node, client: &Client) -> anyhow::Result<Ended> {
     let mut from = restore::start(node, client).await?;
     let mut backoff = Backoff::default();
     let mut current = false;
     loop {
         let began = Instant::now();
-        // Without the permission to act, an idle log must not delay its return by a long poll.
-        let wait = if began < node.valid_until() { POLL_WAIT } else { Duration::ZERO };
+        let wait = poll_wait(began, node.valid_until());
         let page = match client.read(from, wait).await {
             Ok(Read::Page(page)) => page,
             // The arena keys that other tasks hold would mean something else in a restored state.
@@ -102,6 +144,11 @@
     }
 }
 
+/// Returns how long a read may wait for records. A VM whose validity is short or lapsed does not wait.
+fn poll_wait(now: Instant, valid_until: Instant) -> Duration {
+    if now + LEAST_VALIDITY <= valid_until { POLL_WAIT } else { Duration::ZERO }
+}
+
 /// Applies the records of a page up to the end of the own session. Returns the next offset to read.
 fn apply(node: &Node, from: Offset, page: &Page) -> anyhow::Result<Offset> {
     let mut next = from;
