Refuse starts that a former owner never sent, and save traffic of idle polls

Cause: starts queued when ownership ended were dropped without a word, the bound for an unlisted worker ignored the hold-off and drift over 2 h, and each idle worker cost a poll every 10 s. Change: such starts are reported as refused, the bound counts from the end of the hold-off, a poll waits for 30 s. Tests for the first, and for the epoch that is raised before the list is read.

--- a/crates/coriandertack-standins/src/audit.rs
+++ b/crates/coriandertack-standins/src/audit.rs
@@ -51,6 +51,8 @@
     pub late: u64,
     /// Requests refused because of a low epoch.
     pub stale: u64,
+    /// Highest epoch seen at each reading of the list.
+    pub listings: Vec<u64>,
 }
 
 /// What a set of workers did together.
--- a/crates/coriandertack-standins/src/worker/engine.rs
+++ b/crates/coriandertack-standins/src/worker/engine.rs
@@ -302,6 +302,12 @@
         Events { now_ms, events }
     }
 
+    /// Answers a reading of the list.
+    pub fn list(&mut self) -> Tasks {
+        self.audit.listings.push(self.epoch);
+        self.tasks()
+    }
+
     /// Lists the running tasks and the ends that are not acknowledged.
     pub fn tasks(&mut self) -> Tasks {
         let now_ms = self.advance();
--- a/crates/coriandertack-standins/src/worker/http.rs
+++ b/crates/coriandertack-standins/src/worker/http.rs
@@ -117,7 +117,7 @@
     match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/commands") => commands(shared, request).await,
         (&Method::GET, "/v1/events") => events(shared, request.uri().query().unwrap_or("")).await,
-        (&Method::GET, "/v1/tasks") => json(&shared.with(|engine| engine.tasks())),
+        (&Method::GET, "/v1/tasks") => json(&shared.with(|engine| engine.list())),
         (&Method::POST, path) => match path.strip_prefix("/serve/") {
             Some(service) => run(shared, slots, service, request).await,
             None => status(StatusCode::NOT_FOUND),
--- a/crates/coriandertack-workers/src/client.rs
+++ b/crates/coriandertack-workers/src/client.rs
@@ -6,7 +6,7 @@
     anyhow::{Context, anyhow},
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
-    hyper::{Method, Request, StatusCode, header},
+    hyper::{Method, Request, StatusCode},
     hyper_util::{
         client::legacy::{self, connect::HttpConnector},
         rt::TokioExecutor,
@@ -23,8 +23,9 @@
 /// Time for an answer. A worker answers in milliseconds; one that takes longer counts as lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How long a worker holds a poll for events that do not come.
-const POLL_MS: u64 = 10_000;
+/// How long a worker holds a poll for events that do not come. Each empty poll costs traffic for every
+/// worker, and a worker that is lost is noticed by the next renewal anyway.
+const POLL_MS: u64 = 30_000;
 
 /// Largest answer: a full page of events takes about 200 KB.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -110,7 +111,6 @@
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
-            .header(header::CONTENT_TYPE, "application/json")
             .body(Full::from(body))?;
         let answer = self.http.request(request).await.context("no answer")?;
         let status = answer.status();
--- a/crates/coriandertack-workers/src/control.rs
+++ b/crates/coriandertack-workers/src/control.rs
@@ -41,6 +41,9 @@
 /// How long leases are renewed without a valid copy of the state.
 pub const OUTAGE_LIMIT: Duration = Duration::from_secs(2 * 60 * 60);
 
+/// Drift of a former owner's clock over the outage limit: 1% of it.
+const OUTAGE_DRIFT: Duration = Duration::from_secs(72);
+
 /// Most commands in one request.
 const MAX_COMMANDS: usize = 256;
 
@@ -72,9 +75,9 @@
 ) -> Finish {
     let known = node.with(|inner| {
         let known = inner.state.workers.get(worker);
-        known.map(|known| (known.info.name.clone(), known.owner.epoch))
+        known.map(|known| (known.info.name.clone(), known.owner))
     });
-    let Some((name, epoch)) = known else {
+    let Some((name, owner)) = known else {
         return Finish::Gone;
     };
     let now = Instant::now();
@@ -82,7 +85,7 @@
         node,
         worker,
         name,
-        epoch,
+        epoch: owner.epoch,
         commands,
         events,
         pending: Vec::new(),
@@ -92,9 +95,11 @@
         listed: false,
         renew_at: now,
         // Until the list is read, the former owner may have renewed for as long as an outage allows.
-        lease_end: now + OUTAGE_LIMIT + TERM,
+        // Its validity ended before the hold-off was over.
+        lease_end: owner.ready.max(now) + OUTAGE_LIMIT + OUTAGE_DRIFT + TERM,
     };
     let finish = control.work().await;
+    control.refuse_unsent().await;
     log::info!("event=worker_released worker={} reason={finish}", control.name);
     finish
 }
@@ -436,6 +441,22 @@
         Ok(())
     }
 
+    /// Reports the starts that were never sent, so that their homes need not wait for a successor.
+    async fn refuse_unsent(&mut self) {
+        self.commands.close();
+        while let Ok(command) = self.commands.try_recv() {
+            self.pending.push(command);
+        }
+        for command in std::mem::take(&mut self.pending) {
+            if let WorkerCommand::Start { ask, .. } = command
+                && self.tell_end(ask.lease, EndCause::Refused).await.is_err()
+            {
+                // Nobody listens any more.
+                return;
+            }
+        }
+    }
+
     async fn tell_end(&mut self, lease: LeaseId, cause: EndCause) -> Result<(), Finish> {
         self.running.remove(&lease);
         self.tell(WorkerNews::Event(End::bare(lease, cause).into())).await
--- a/crates/coriandertack-workers/tests/control.rs
+++ b/crates/coriandertack-workers/tests/control.rs
@@ -98,6 +98,29 @@
     assert_eq!(bench.worker.audit().stretches.len(), 2);
 }
 
+/// Guards against a list that a former owner changes after it has been read.
+#[tokio::test(start_paused = true)]
+async fn epoch_is_raised_before_the_list_is_read() {
+    let bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    assert_eq!(bench.worker.audit().listings, [1]);
+}
+
+/// Guards against homes that wait for starts that a former owner never sent.
+#[tokio::test(start_paused = true)]
+async fn unsent_starts_are_refused_when_ownership_ends() {
+    let mut bench = Bench::start().await;
+    let mut task = bench.control();
+    task.listed().await;
+    bench.fence();
+    task.send(bench.start_of(lease(1, 0), ""));
+    task.send(bench.start_of(lease(2, 0), ""));
+    assert_eq!(task.end_of(lease(1, 0)).await.0, EndCause::Refused);
+    assert_eq!(task.end_of(lease(2, 0)).await.0, EndCause::Refused);
+    assert_eq!(bench.worker.audit().stretches.len(), 0);
+}
+
 /// Guards against a former owner that goes on after the worker has met its successor.
 #[tokio::test(start_paused = true)]
 async fn higher_epoch_stops_the_task() {
