--- a/crates/coriandertack-workers/src/client.rs
+++ b/crates/coriandertack-workers/src/client.rs
@@ -25,7 +25,10 @@
 
 /// How long a worker holds a poll for events that do not come. Each empty poll costs traffic for every
 /// worker, and a worker that is lost is noticed by the next renewal anyway.
-const POLL_MS: u64 = 30_000;
+const POLL_MS: u64 = 60_000;
+
+/// Idle time after which the kernel probes a connection, so that a poll on a dead one fails early.
+const PROBE_AFTER: Duration = Duration::from_secs(10);
 
 /// Largest answer: a full page of events takes about 200 KB.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -50,6 +53,8 @@
     pub fn new(address: SocketAddr) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(PROBE_AFTER));
+        connector.set_keepalive_interval(Some(PROBE_AFTER));
         connector.set_connect_timeout(Some(ANSWER_TIMEOUT));
         let http = legacy::Client::builder(TokioExecutor::new()).build(connector);
         Self { address, http }
