--- a/crates/coriandertack-workers/src/client.rs
+++ b/crates/coriandertack-workers/src/client.rs
@@ -6,7 +6,7 @@
     anyhow::{Context, anyhow},
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
-    hyper::{Method, Request, StatusCode, header},
+    hyper::{Method, Request, StatusCode},
     hyper_util::{
         client::legacy::{self, connect::HttpConnector},
         rt::TokioExecutor,
@@ -23,8 +23,12 @@
 /// Time for an answer. A worker answers in milliseconds; one that takes longer counts as lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How long a worker holds a poll for events that do not come.
-const POLL_MS: u64 = 10_000;
+/// How long a worker holds a poll for events that do not come. Each empty poll costs traffic for every
+/// worker, and a worker that is lost is noticed by the next renewal anyway.
+const POLL_MS: u64 = 60_000;
+
+/// Idle time after which the kernel probes a connection, so that a poll on a dead one fails early.
+const PROBE_AFTER: Duration = Duration::from_secs(10);
 
 /// Largest answer: a full page of events takes about 200 KB.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -49,6 +53,8 @@
     pub fn new(address: SocketAddr) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(PROBE_AFTER));
+        connector.set_keepalive_interval(Some(PROBE_AFTER));
         connector.set_connect_timeout(Some(ANSWER_TIMEOUT));
         let http = legacy::Client::builder(TokioExecutor::new()).build(connector);
         Self { address, http }
@@ -110,7 +116,6 @@
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
-            .header(header::CONTENT_TYPE, "application/json")
             .body(Full::from(body))?;
         let answer = self.http.request(request).await.context("no answer")?;
         let status = answer.status();
