Let a home correct the summaries of owners by their answers

Cause: between two heartbeats a home sent all work to the same owner, full or not. Change: Estimate holds the last summary and the grants and refusals since; rank_owners leaves out what is refused.

--- a/crates/coriandertack-core/src/home_choice.rs
+++ b/crates/coriandertack-core/src/home_choice.rs
@@ -11,13 +11,60 @@
     resources::Resources,
 };
 
+/// Refusals that are remembered for each owner until its next summary.
+const MOST_REFUSALS: usize = 16;
+
+/// What a home expects of an owner: its last summary, and the answers since.
+///
+/// Without the answers, a home would send all work between two heartbeats to the same owner, full or not.
+#[derive(Clone, Debug, Default)]
+pub struct Estimate {
+    summary: Summary,
+    refused: Vec<(Reach, Resources)>,
+}
+
+impl From<Summary> for Estimate {
+    fn from(summary: Summary) -> Self {
+        Self { summary, refused: Vec::new() }
+    }
+}
+
+impl Estimate {
+    /// Notes that the owner has granted capacity for one task.
+    pub fn granted(&mut self, need: Resources, reach: Reach) {
+        let room = match reach {
+            Reach::Kept => &mut self.summary.plain,
+            Reach::Any => &mut self.summary.accelerated,
+        };
+        room.free = room.free.saturating_sub(need);
+        if !need.fits(room.partial) {
+            // A worker was opened, and the rest of it is in use now.
+            room.partial = room.largest.saturating_sub(need);
+        }
+    }
+
+    /// Notes that the owner had no room for one task. It has none for larger ones either.
+    pub fn refused(&mut self, need: Resources, reach: Reach) {
+        if self.refused.len() == MOST_REFUSALS {
+            self.refused.remove(0);
+        }
+        self.refused.push((reach, need));
+    }
+
+    fn is_ruled_out(&self, need: Resources, reach: Reach) -> bool {
+        // What an owner refuses within a wide reach, it refuses within a narrow one.
+        let covers = |known: Reach| known == reach || known == Reach::Any;
+        self.refused.iter().any(|&(known, refused)| covers(known) && refused.fits(need))
+    }
+}
+
 /// What a home knows of an owner.
 #[derive(Clone, Copy, Debug)]
-pub struct Owner {
+pub struct Owner<'a> {
     /// The owner.
     pub vm: VmKey,
-    /// Its last summary.
-    pub summary: Summary,
+    /// What the home expects of it.
+    pub estimate: &'a Estimate,
     /// Copies of the service that the home has bound there; 0 for other work.
     pub copies: u32,
 }
@@ -33,7 +80,7 @@
 
 /// Returns the owner to ask first, if any may have room.
 #[must_use]
-pub fn choose_owner(owners: &[Owner], ask: &Ask) -> Option<Choice> {
+pub fn choose_owner(owners: &[Owner<'_>], ask: &Ask) -> Option<Choice> {
     rank_owners(owners, std::slice::from_ref(ask)).first().copied()
 }
 
@@ -45,12 +92,15 @@
 /// holes elsewhere stay whole, and the one with the most room for services. An owner whose summary
 /// shows no fitting hole, but does not rule one out, comes after those that show one.
 #[must_use]
-pub fn rank_owners(owners: &[Owner], asks: &[Ask]) -> Vec<Choice> {
+pub fn rank_owners(owners: &[Owner<'_>], asks: &[Ask]) -> Vec<Choice> {
     let demand = Demand::of(asks);
     let mut ranked: Vec<(Rank, Choice)> = Vec::with_capacity(2 * owners.len());
     for owner in owners {
-        let Summary { plain, accelerated, .. } = owner.summary;
+        let Summary { plain, accelerated, .. } = owner.estimate.summary;
         let mut offer = |room, reach, spoils| {
+            if owner.estimate.is_ruled_out(demand.largest, reach) {
+                return;
+            }
             let rank = demand.rank(room, owner.copies, spoils);
             ranked.extend(rank.map(|rank| (rank, Choice { vm: owner.vm, reach })));
         };
--- a/crates/coriandertack-core/tests/placement/owners.rs
+++ b/crates/coriandertack-core/tests/placement/owners.rs
@@ -3,7 +3,7 @@
 use {
     coriandertack_core::{
         cell::{Phase, Reach},
-        home_choice::{Choice, Owner, choose_owner, rank_owners},
+        home_choice::{Choice, Estimate, Owner, choose_owner, rank_owners},
         keys::VmKey,
         message::Summary,
         record::Kind,
@@ -16,11 +16,23 @@
 
 const CORE: Resources = Resources::new(1_000, 1_024, 0);
 
-fn owners(summaries: &[Summary]) -> (Vec<VmKey>, Vec<Owner>) {
-    let mut keys: SlotMap<VmKey, ()> = SlotMap::with_key();
-    let vms: Vec<VmKey> = summaries.iter().map(|_| keys.insert(())).collect();
-    let known = vms.iter().zip(summaries);
-    (vms.clone(), known.map(|(&vm, &summary)| Owner { vm, summary, copies: 0 }).collect())
+/// Owners as a home knows them.
+struct Known {
+    vms: Vec<VmKey>,
+    estimates: Vec<Estimate>,
+}
+
+impl Known {
+    fn new(summaries: &[Summary]) -> Self {
+        let mut keys: SlotMap<VmKey, ()> = SlotMap::with_key();
+        let vms = summaries.iter().map(|_| keys.insert(())).collect();
+        Self { vms, estimates: summaries.iter().map(|&summary| summary.into()).collect() }
+    }
+
+    fn owners(&self) -> Vec<Owner<'_>> {
+        let known = self.vms.iter().zip(&self.estimates);
+        known.map(|(&vm, estimate)| Owner { vm, estimate, copies: 0 }).collect()
+    }
 }
 
 /// Returns the summary of workers of which the first has the given use.
@@ -36,7 +48,8 @@
 fn batch_work_goes_to_the_tightest_owner_and_copies_to_the_one_with_fewest() {
     let tight = summary(2, PLAIN, Resources::new(12_000, 1_024, 0));
     let loose = summary(2, PLAIN, Resources::new(1_000, 1_024, 0));
-    let (vms, mut owners) = owners(&[loose, tight]);
+    let known = Known::new(&[loose, tight]);
+    let (vms, mut owners) = (&known.vms, known.owners());
     let kept = |vm| Some(Choice { vm, reach: Reach::Kept });
     assert_eq!(choose_owner(&owners, &ask(1, Kind::Batch, CORE)), kept(vms[1]));
     assert_eq!(choose_owner(&owners, &ask(1, Kind::Service, CORE)), kept(vms[0]));
@@ -48,7 +61,8 @@
 fn other_owners_come_before_accelerated_workers() {
     let accelerated = summary(2, ACCELERATED, CORE);
     let plain = summary(2, PLAIN, Resources::ZERO);
-    let (vms, owners) = owners(&[accelerated, plain]);
+    let known = Known::new(&[accelerated, plain]);
+    let (vms, owners) = (&known.vms, known.owners());
     let ranked = rank_owners(&owners, &[ask(1, Kind::Batch, CORE)]);
     assert_eq!(ranked[0], Choice { vm: vms[1], reach: Reach::Kept });
     assert!(ranked.contains(&Choice { vm: vms[0], reach: Reach::Any }));
@@ -70,8 +84,9 @@
     let unclear = fleet.cell.summary();
     let need = Resources::new(2_000, 8_192, 0);
     assert!(!need.fits(unclear.plain.largest));
-    let (vms, owners) = owners(&[unclear, summary(9, PLAIN, Resources::ZERO)]);
-    let ranked = rank_owners(&owners, &[ask(3, Kind::Batch, need)]);
+    let known = Known::new(&[unclear, summary(9, PLAIN, Resources::ZERO)]);
+    let vms = &known.vms;
+    let ranked = rank_owners(&known.owners(), &[ask(3, Kind::Batch, need)]);
     assert_eq!(ranked.first().map(|choice| choice.vm), Some(vms[1]));
     assert!(ranked.iter().any(|choice| choice.vm == vms[0]));
     assert!(fleet.cell.place(&ask(3, Kind::Batch, need), Phase::Running).is_ok());
@@ -80,9 +95,38 @@
 #[test]
 fn an_owner_that_is_certainly_full_is_not_asked() {
     let full = summary(1, PLAIN, PLAIN);
-    let (_, owners) = owners(&[full]);
-    assert_eq!(choose_owner(&owners, &ask(1, Kind::Batch, CORE)), None);
+    let known = Known::new(&[full]);
+    assert_eq!(choose_owner(&known.owners(), &ask(1, Kind::Batch, CORE)), None);
     let small = summary(1, PLAIN, Resources::ZERO);
-    let (_, owners) = self::owners(&[small]);
-    assert!(rank_owners(&owners, &gang(1, 3, Resources::new(8_000, 1_024, 0))).is_empty());
+    let known = Known::new(&[small]);
+    assert!(rank_owners(&known.owners(), &gang(1, 3, Resources::new(8_000, 1_024, 0))).is_empty());
+}
+
+#[test]
+fn answers_correct_an_old_summary() {
+    let empty = summary(1, PLAIN, Resources::ZERO);
+    let mut known = Known::new(&[empty, empty]);
+    let half = Resources::new(8_000, 8_192, 0);
+    let first = choose_owner(&known.owners(), &ask(1, Kind::Batch, half)).expect("both have room");
+    let at = known.vms.iter().position(|&vm| vm == first.vm).expect("it is one of them");
+    known.estimates[at].granted(half, first.reach);
+    // The rest of the worker that was opened is filled before the other one.
+    let second = choose_owner(&known.owners(), &ask(2, Kind::Batch, half));
+    assert_eq!(second, Some(first));
+    known.estimates[at].granted(half, first.reach);
+    let third = choose_owner(&known.owners(), &ask(3, Kind::Batch, half));
+    assert_ne!(third.map(|choice| choice.vm), Some(first.vm));
+}
+
+#[test]
+fn an_owner_that_refused_is_not_asked_for_as_much_until_its_next_summary() {
+    let empty = summary(1, PLAIN, Resources::ZERO);
+    let mut known = Known::new(&[empty]);
+    let larger = CORE + CORE;
+    known.estimates[0].refused(CORE, Reach::Any);
+    assert_eq!(choose_owner(&known.owners(), &ask(1, Kind::Batch, larger)), None);
+    let smaller = Resources::new(500, 512, 0);
+    assert!(choose_owner(&known.owners(), &ask(2, Kind::Batch, smaller)).is_some());
+    known.estimates[0] = empty.into();
+    assert!(choose_owner(&known.owners(), &ask(3, Kind::Batch, larger)).is_some());
 }
--- a/crates/coriandertack/src/bench/packing.rs
+++ b/crates/coriandertack/src/bench/packing.rs
@@ -37,6 +37,15 @@
 /// Most workers used, as a multiple of those that first-fit-decreasing uses.
 const WORKERS_TARGET: f64 = 1.05;
 
+/// Decisions between two heartbeats in the part with split ownership.
+const HEARTBEAT_EVERY: usize = 20;
+
+/// Workers in the part that counts requests to owners.
+const LARGE: usize = 1_000;
+
+/// Decisions between two heartbeats in that part: half a second at 2,000 placements per second.
+const LARGE_HEARTBEAT: usize = 1_000;
+
 /// Workers in the part with a queue that is never empty.
 const SATURATED: usize = 200;
 
@@ -156,6 +165,27 @@
     }
 }
 
+/// Measures how often a home asks owners for each job, with summaries that are old.
+fn requests(name: &str, jobs: Jobs, weights: Weights) -> Row {
+    let fleet = fleet(LARGE);
+    let mut split = Split::new(&fleet, weights, LARGE_HEARTBEAT);
+    let mut count = 0;
+    fill(jobs, usize::MAX, |asks| {
+        count += 1;
+        split.place(asks)
+    });
+    Row {
+        scenario: "packing".into(),
+        metric: format!("{name}, 8 owners of {LARGE} workers: requests to owners for each job"),
+        unit: "requests".into(),
+        target: None,
+        measured: split.requests as f64 / f64::from(count),
+        baseline: None,
+        baseline_name: None,
+        met: None,
+    }
+}
+
 /// Runs the packing experiment.
 #[must_use]
 pub fn run(seed: u64) -> Vec<Row> {
@@ -163,7 +193,7 @@
     for (preset, weights) in [("agency", Weights::AGENCY), ("vukic", Weights::VUKIC)] {
         for mix in MIXES {
             let jobs = || Jobs::new(seed, mix);
-            let whole = fleet(1_000);
+            let whole = fleet(LARGE);
             let one = |limit| {
                 let mut cell = cells(&whole, 1, weights).remove(0);
                 let placed = fill(jobs(), limit, |asks| place_job(&mut cell, asks, Reach::Any));
@@ -173,13 +203,15 @@
             rows.extend(compare(&name, &whole, jobs, one));
             let small = fleet(50);
             let split = |limit| {
-                let mut split = Split::new(&small, weights);
+                let mut split = Split::new(&small, weights, HEARTBEAT_EVERY);
                 let placed = fill(jobs(), limit, |asks| split.place(asks));
                 (placed, used(&split.cells))
             };
             let name = format!("{preset}, {} scarce, 8 owners of 50 workers", mix.name);
             rows.extend(compare(&name, &small, jobs, split));
-            rows.push(saturated(&format!("{preset}, {} scarce", mix.name), jobs, weights));
+            let name = format!("{preset}, {} scarce", mix.name);
+            rows.push(saturated(&name, jobs, weights));
+            rows.push(requests(&name, jobs(), weights));
         }
     }
     for workers in [1_000, 10_000] {
