Let homes prefer their own workers in large fleets

Cause: the experiment had one home; with 8 homes on 1000 workers a home sent 0.95 to 1.10 messages for each job, retries included, although it has workers of its own. Change: with at least 25 workers for each owner, a home goes first among owners where no unused worker is needed. The experiment has 8 homes, and a part with 8 owners of 1000 workers and a summary for each 1000 jobs.

--- a/crates/coriandertack-core/src/home_choice.rs
+++ b/crates/coriandertack-core/src/home_choice.rs
@@ -11,6 +11,12 @@
     resources::Resources,
 };
 
+/// Workers for each owner from which on a home prefers itself.
+///
+/// It saves messages, but owners that fill in parallel each have a worker in part use, half of one on average. With
+/// 25 workers for each owner that is 2% of the workers; with 6, packing suffers more than a message costs.
+const LOCAL_FROM: usize = 25;
+
 /// Refusals that are remembered for each owner until its next summary.
 const MOST_REFUSALS: usize = 16;
 
@@ -67,6 +73,8 @@
     pub estimate: &'a Estimate,
     /// Copies of the service that the home has bound there; 0 for other work.
     pub copies: u32,
+    /// Whether it is the home itself, which answers without a message.
+    pub local: bool,
 }
 
 /// An owner to ask, and what it may use.
@@ -88,12 +96,14 @@
 ///
 /// Work without accelerators goes to workers without them first, whichever owner has such room, so an
 /// owner can appear twice. Copies of a service go to the owner with the fewest. Then come owners where no
-/// unused worker is needed. Then the owner with the least room comes first for batch work and gangs, so that large
+/// unused worker is needed, and with many workers the home itself before others. Then the owner with the least room comes first for batch work and gangs, so that large
 /// holes elsewhere stay whole, and the one with the most room for services. An owner whose summary
 /// shows no fitting hole, but does not rule one out, comes after those that show one.
 #[must_use]
 pub fn rank_owners(owners: &[Owner<'_>], asks: &[Ask]) -> Vec<Choice> {
     let demand = Demand::of(asks);
+    let workers = owners.iter().map(|owner| owner.estimate.summary.workers as usize);
+    let near = workers.sum::<usize>() >= LOCAL_FROM * owners.len();
     let mut ranked: Vec<(Rank, Choice)> = Vec::with_capacity(2 * owners.len());
     for owner in owners {
         let Summary { plain, accelerated, .. } = owner.estimate.summary;
@@ -101,7 +111,7 @@
             if owner.estimate.is_ruled_out(demand.largest, reach) {
                 return;
             }
-            let rank = demand.rank(room, owner.copies, spoils);
+            let rank = demand.rank(room, owner, near, spoils);
             ranked.extend(rank.map(|rank| (rank, Choice { vm: owner.vm, reach })));
         };
         if demand.largest.accelerators > 0 {
@@ -136,6 +146,8 @@
     copies: u32,
     /// Whether an unused worker is needed.
     opens: bool,
+    /// Whether a message is needed.
+    remote: bool,
     accelerators: i64,
     processors: i64,
 }
@@ -151,7 +163,7 @@
     }
 
     /// Returns the rank of a room, or nothing if it is certainly too small.
-    fn rank(self, room: Room, copies: u32, spoils: bool) -> Option<Rank> {
+    fn rank(self, room: Room, owner: &Owner<'_>, near: bool, spoils: bool) -> Option<Rank> {
         if !self.largest.fits(room.most) || !self.total.fits(room.free) {
             return None;
         }
@@ -159,8 +171,9 @@
         Some(Rank {
             spoils,
             unsure: !self.largest.fits(room.largest),
-            copies,
+            copies: owner.copies,
             opens: !self.largest.fits(room.partial),
+            remote: near && !owner.local,
             accelerators: sign * i64::from(room.free.accelerators),
             processors: sign * i64::from(room.free.millicores),
         })
--- a/crates/coriandertack-core/tests/placement/owners.rs
+++ b/crates/coriandertack-core/tests/placement/owners.rs
@@ -31,7 +31,7 @@
 
     fn owners(&self) -> Vec<Owner<'_>> {
         let known = self.vms.iter().zip(&self.estimates);
-        known.map(|(&vm, estimate)| Owner { vm, estimate, copies: 0 }).collect()
+        known.map(|(&vm, estimate)| Owner { vm, estimate, copies: 0, local: false }).collect()
     }
 }
 
@@ -130,3 +130,18 @@
     known.estimates[0] = empty.into();
     assert!(choose_owner(&known.owners(), &ask(3, Kind::Batch, larger)).is_some());
 }
+
+#[test]
+fn a_home_asks_itself_first_among_equals_when_there_are_many_workers() {
+    let first = |workers| {
+        let used = summary(workers, PLAIN, CORE);
+        let less = summary(workers, PLAIN, CORE + CORE);
+        let known = Known::new(&[less, used, less]);
+        let mut owners = known.owners();
+        owners[1].local = true;
+        let choice = choose_owner(&owners, &ask(1, Kind::Batch, CORE));
+        choice.map(|choice| choice.vm == known.vms[1])
+    };
+    assert_eq!(first(25), Some(true));
+    assert_eq!(first(6), Some(false), "with few workers, packing decides");
+}
--- a/crates/coriandertack/src/bench/packing.rs
+++ b/crates/coriandertack/src/bench/packing.rs
@@ -37,13 +37,13 @@
 /// Most workers used, as a multiple of those that first-fit-decreasing uses.
 const WORKERS_TARGET: f64 = 1.05;
 
-/// Decisions between two heartbeats in the part with split ownership.
-const HEARTBEAT_EVERY: usize = 20;
+/// Workers of a small deployment with several owners, and decisions between two heartbeats there.
+const SMALL: usize = 50;
+const SMALL_HEARTBEAT: usize = 20;
 
-/// Workers in the part that counts requests to owners.
+/// Workers of a large deployment, and decisions between two heartbeats there: half a second at 2,000
+/// placements per second.
 const LARGE: usize = 1_000;
-
-/// Decisions between two heartbeats in that part: half a second at 2,000 placements per second.
 const LARGE_HEARTBEAT: usize = 1_000;
 
 /// Workers in the part with a queue that is never empty.
@@ -199,16 +199,18 @@
                 let placed = fill(jobs(), limit, |asks| place_job(&mut cell, asks, Reach::Any));
                 (placed, used(&[cell]))
             };
-            let name = format!("{preset}, {} scarce, 1 owner of 1000 workers", mix.name);
+            let name = format!("{preset}, {} scarce, 1 owner of {LARGE} workers", mix.name);
             rows.extend(compare(&name, &whole, jobs, one));
-            let small = fleet(50);
-            let split = |limit| {
-                let mut split = Split::new(&small, weights, HEARTBEAT_EVERY);
-                let placed = fill(jobs(), limit, |asks| split.place(asks));
-                (placed, used(&split.cells))
-            };
-            let name = format!("{preset}, {} scarce, 8 owners of 50 workers", mix.name);
-            rows.extend(compare(&name, &small, jobs, split));
+            for (workers, heartbeat) in [(SMALL, SMALL_HEARTBEAT), (LARGE, LARGE_HEARTBEAT)] {
+                let fleet = fleet(workers);
+                let split = |limit| {
+                    let mut split = Split::new(&fleet, weights, heartbeat);
+                    let placed = fill(jobs(), limit, |asks| split.place(asks));
+                    (placed, used(&split.cells))
+                };
+                let name = format!("{preset}, {} scarce, 8 owners of {workers} workers", mix.name);
+                rows.extend(compare(&name, &fleet, jobs, split));
+            }
             let name = format!("{preset}, {} scarce", mix.name);
             rows.push(saturated(&name, jobs, weights));
             rows.push(requests(&name, jobs(), weights));
--- a/crates/coriandertack/src/bench/packing/split.rs
+++ b/crates/coriandertack/src/bench/packing/split.rs
@@ -19,17 +19,22 @@
 /// Owners in the part with split ownership.
 const OWNERS: usize = 8;
 
-/// Owners with the summaries that a home has of them.
-pub(super) struct Split {
-    pub(super) cells: Vec<Cell>,
-    vms: Vec<VmKey>,
+/// What one home knows.
+struct Home {
     estimates: Vec<Estimate>,
     /// Copies of each service at each owner.
     copies: HashMap<Arc<str>, Vec<u32>>,
+}
+
+/// Owners, and homes that share them. Each VM is both.
+pub(super) struct Split {
+    pub(super) cells: Vec<Cell>,
+    vms: Vec<VmKey>,
+    homes: Vec<Home>,
     decisions: usize,
     /// Decisions between two heartbeats.
     every: usize,
-    /// Requests to owners, and jobs placed.
+    /// Requests of homes to other owners.
     pub(super) requests: usize,
 }
 
@@ -38,58 +43,55 @@
         let cells = cells(fleet, OWNERS, weights);
         let mut keys: SlotMap<VmKey, ()> = SlotMap::with_key();
         let vms = (0..OWNERS).map(|_| keys.insert(())).collect();
-        let copies = HashMap::new();
-        let mut split =
-            Self { cells, vms, estimates: Vec::new(), copies, decisions: 0, every, requests: 0 };
-        split.hear();
+        let home = || Home { estimates: Vec::new(), copies: HashMap::new() };
+        let homes = (0..OWNERS).map(|_| home()).collect();
+        let mut split = Self { cells, vms, homes, decisions: 0, every, requests: 0 };
+        split.hear_all();
         split
     }
 
-    /// Takes the summaries of all owners, as from their heartbeats.
-    fn hear(&mut self) {
-        self.estimates = self.cells.iter().map(|cell| cell.summary().into()).collect();
+    fn hear_all(&mut self) {
+        (0..OWNERS).for_each(|home| self.hear(home));
     }
 
-    /// Returns what the home knows of the owners.
-    fn owners(&self, ask: &Ask) -> Vec<Owner<'_>> {
-        let copies = self.copies.get(&ask.class);
-        let owner = |at: usize| Owner {
-            vm: self.vms[at],
-            estimate: &self.estimates[at],
-            copies: copies.map_or(0, |copies| copies[at]),
-        };
-        (0..OWNERS).map(owner).collect()
+    /// Takes the summaries of all owners, as from their heartbeats.
+    fn hear(&mut self, home: usize) {
+        self.homes[home].estimates = self.cells.iter().map(|cell| cell.summary().into()).collect();
     }
 
-    /// Places a job as a home does: on the owner that the summaries suggest, then on the next.
+    /// Places a job as its home does: on the owner that the estimates suggest, then on the next.
     pub(super) fn place(&mut self, asks: &[Ask]) -> Result<(), Refusal> {
+        // Jobs of one class have one home, since the classes repeat after a multiple of 8 jobs.
+        let home = asks[0].lease.task.job.0 as usize % OWNERS;
         self.decisions += 1;
         if self.decisions.is_multiple_of(self.every) {
-            self.hear();
+            self.hear_all();
         }
-        if self.try_job(asks).is_ok() {
+        // A home always knows its own workers.
+        self.homes[home].estimates[home] = self.cells[home].summary().into();
+        if self.try_job(home, asks).is_ok() {
             return Ok(());
         }
         // A refused job is queued and tried again with the next summaries.
-        self.hear();
-        self.try_job(asks)
+        self.hear(home);
+        self.try_job(home, asks)
     }
 
     /// Tries the owners that may hold the whole job, then several together. Workers with accelerators
     /// are used for other work only when that fails.
-    fn try_job(&mut self, asks: &[Ask]) -> Result<(), Refusal> {
+    fn try_job(&mut self, home: usize, asks: &[Ask]) -> Result<(), Refusal> {
         for reach in [Reach::Kept, Reach::Any] {
-            for at in self.ranked(asks, reach) {
-                self.requests += 1;
+            for at in self.ranked(home, asks, reach) {
+                self.requests += usize::from(at != home);
                 if place_job(&mut self.cells[at], asks, reach).is_ok() {
-                    self.note(at, asks, reach);
+                    self.note(home, at, asks, reach);
                     return Ok(());
                 }
                 if let [ask] = asks {
-                    self.estimates[at].refused(ask.need, reach);
+                    self.homes[home].estimates[at].refused(ask.need, reach);
                 }
             }
-            if asks.len() > 1 && self.try_parts(asks, reach).is_ok() {
+            if asks.len() > 1 && self.try_parts(home, asks, reach).is_ok() {
                 return Ok(());
             }
         }
@@ -97,27 +99,37 @@
     }
 
     /// Returns the positions of the owners to ask, in order.
-    fn ranked(&self, asks: &[Ask], reach: Reach) -> Vec<usize> {
-        let ranked = rank_owners(&self.owners(&asks[0]), asks);
+    fn ranked(&self, home: usize, asks: &[Ask], reach: Reach) -> Vec<usize> {
+        let known = &self.homes[home];
+        let copies = known.copies.get(&asks[0].class);
+        let owner = |at: usize| Owner {
+            vm: self.vms[at],
+            estimate: &known.estimates[at],
+            copies: copies.map_or(0, |copies| copies[at]),
+            local: at == home,
+        };
+        let owners: Vec<Owner<'_>> = (0..OWNERS).map(owner).collect();
+        let ranked = rank_owners(&owners, asks);
         let own = ranked.into_iter().filter(|choice| choice.reach == reach);
         own.filter_map(|choice| self.vms.iter().position(|&vm| vm == choice.vm)).collect()
     }
 
     /// Notes what an owner has granted.
-    fn note(&mut self, at: usize, asks: &[Ask], reach: Reach) {
+    fn note(&mut self, home: usize, at: usize, asks: &[Ask], reach: Reach) {
+        let home = &mut self.homes[home];
         for ask in asks {
-            self.estimates[at].granted(ask.need, reach);
+            home.estimates[at].granted(ask.need, reach);
         }
         for ask in asks.iter().filter(|ask| ask.kind == Kind::Service) {
             let class = Arc::clone(&ask.class);
-            self.copies.entry(class).or_insert_with(|| vec![0; OWNERS])[at] += 1;
+            home.copies.entry(class).or_insert_with(|| vec![0; OWNERS])[at] += 1;
         }
     }
 
     /// Places the tasks of a gang on several owners, or none of them.
-    fn try_parts(&mut self, asks: &[Ask], reach: Reach) -> Result<(), Refusal> {
+    fn try_parts(&mut self, home: usize, asks: &[Ask], reach: Reach) -> Result<(), Refusal> {
         for (count, ask) in asks.iter().enumerate() {
-            if !self.try_part(ask, reach) {
+            if !self.try_part(home, ask, reach) {
                 for ask in &asks[..count] {
                     for cell in &mut self.cells {
                         cell.release(ask.lease);
@@ -129,14 +141,14 @@
         Ok(())
     }
 
-    fn try_part(&mut self, ask: &Ask, reach: Reach) -> bool {
-        for at in self.ranked(std::slice::from_ref(ask), reach) {
-            self.requests += 1;
+    fn try_part(&mut self, home: usize, ask: &Ask, reach: Reach) -> bool {
+        for at in self.ranked(home, std::slice::from_ref(ask), reach) {
+            self.requests += usize::from(at != home);
             if self.cells[at].place_within(ask, Phase::Running, reach).is_ok() {
-                self.note(at, std::slice::from_ref(ask), reach);
+                self.note(home, at, std::slice::from_ref(ask), reach);
                 return true;
             }
-            self.estimates[at].refused(ask.need, reach);
+            self.homes[home].estimates[at].refused(ask.need, reach);
         }
         false
     }
