--- a/crates/coriandertack/src/bench/packing.rs
+++ b/crates/coriandertack/src/bench/packing.rs
@@ -37,6 +37,15 @@
 /// Most workers used, as a multiple of those that first-fit-decreasing uses.
 const WORKERS_TARGET: f64 = 1.05;
 
+/// Workers of a small deployment with several owners, and decisions between two heartbeats there.
+const SMALL: usize = 50;
+const SMALL_HEARTBEAT: usize = 20;
+
+/// Workers of a large deployment, and decisions between two heartbeats there: half a second at 2,000
+/// placements per second.
+const LARGE: usize = 1_000;
+const LARGE_HEARTBEAT: usize = 1_000;
+
 /// Workers in the part with a queue that is never empty.
 const SATURATED: usize = 200;
 
@@ -156,6 +165,27 @@
     }
 }
 
+/// Measures how often a home asks owners for each job, with summaries that are old.
+fn requests(name: &str, jobs: Jobs, weights: Weights) -> Row {
+    let fleet = fleet(LARGE);
+    let mut split = Split::new(&fleet, weights, LARGE_HEARTBEAT);
+    let mut count = 0;
+    fill(jobs, usize::MAX, |asks| {
+        count += 1;
+        split.place(asks)
+    });
+    Row {
+        scenario: "packing".into(),
+        metric: format!("{name}, 8 owners of {LARGE} workers: requests to owners for each job"),
+        unit: "requests".into(),
+        target: None,
+        measured: split.requests as f64 / f64::from(count),
+        baseline: None,
+        baseline_name: None,
+        met: None,
+    }
+}
+
 /// Runs the packing experiment.
 #[must_use]
 pub fn run(seed: u64) -> Vec<Row> {
@@ -163,23 +193,27 @@
     for (preset, weights) in [("agency", Weights::AGENCY), ("vukic", Weights::VUKIC)] {
         for mix in MIXES {
             let jobs = || Jobs::new(seed, mix);
-            let whole = fleet(1_000);
+            let whole = fleet(LARGE);
             let one = |limit| {
                 let mut cell = cells(&whole, 1, weights).remove(0);
                 let placed = fill(jobs(), limit, |asks| place_job(&mut cell, asks, Reach::Any));
                 (placed, used(&[cell]))
             };
-            let name = format!("{preset}, {} scarce, 1 owner of 1000 workers", mix.name);
+            let name = format!("{preset}, {} scarce, 1 owner of {LARGE} workers", mix.name);
             rows.extend(compare(&name, &whole, jobs, one));
-            let small = fleet(50);
-            let split = |limit| {
-                let mut split = Split::new(&small, weights);
-                let placed = fill(jobs(), limit, |asks| split.place(asks));
-                (placed, used(&split.cells))
-            };
-            let name = format!("{preset}, {} scarce, 8 owners of 50 workers", mix.name);
-            rows.extend(compare(&name, &small, jobs, split));
-            rows.push(saturated(&format!("{preset}, {} scarce", mix.name), jobs, weights));
+            for (workers, heartbeat) in [(SMALL, SMALL_HEARTBEAT), (LARGE, LARGE_HEARTBEAT)] {
+                let fleet = fleet(workers);
+                let split = |limit| {
+                    let mut split = Split::new(&fleet, weights, heartbeat);
+                    let placed = fill(jobs(), limit, |asks| split.place(asks));
+                    (placed, used(&split.cells))
+                };
+                let name = format!("{preset}, {} scarce, 8 owners of {workers} workers", mix.name);
+                rows.extend(compare(&name, &fleet, jobs, split));
+            }
+            let name = format!("{preset}, {} scarce", mix.name);
+            rows.push(saturated(&name, jobs, weights));
+            rows.push(requests(&name, jobs(), weights));
         }
     }
     for workers in [1_000, 10_000] {
