Eject hanging instances at the deadlines, and guard keyed requests by validity

- An instance that accepts requests and never answers was judged only when its late answers were given up, 10 s after each deadline.
- A pair of VMs that is cut off from the log and from all others could run a keyed request that its successors run too.
- Services without instances are forgotten.

--- a/crates/coriandertack-callers/src/router.rs
+++ b/crates/coriandertack-callers/src/router.rs
@@ -220,12 +220,18 @@
     }
 
     /// Runs a request here.
+    ///
+    /// A request under a key that must not run twice needs a valid copy of the membership: a pair that
+    /// is cut off could otherwise run what its successors run too. The successors claim to know a
+    /// key only if it was minted well after the validity of the former pair has ended
+    /// ([`KEY_MARGIN`]).
     pub(crate) async fn run(&self, call: &Call) -> Result<Answer, Code> {
         let (reply, answer) = oneshot::channel();
         let job = Job {
             service: Arc::clone(&call.service),
             class: Arc::clone(&call.class),
             repeatable: call.repeatable,
+            guarded: call.key.is_some() && !call.repeatable,
             until: call.until,
             body: Arc::clone(&call.body),
             reply,
--- a/crates/coriandertack-callers/src/task.rs
+++ b/crates/coriandertack-callers/src/task.rs
@@ -41,6 +41,8 @@
     pub(crate) service: Arc<str>,
     pub(crate) class: Arc<str>,
     pub(crate) repeatable: bool,
+    /// Whether it may be sent only while the VM may act on its copy of the state.
+    pub(crate) guarded: bool,
     pub(crate) until: Instant,
     pub(crate) body: Arc<[u8]>,
     pub(crate) reply: oneshot::Sender<Result<Answer, Code>>,
@@ -249,7 +251,11 @@
         let job = &self.jobs[start.request];
         if job.reply.is_closed() {
             // The caller has gone, and nothing has been sent in this attempt.
-            self.abandon(start.request);
+            self.abandon(start.request, Code::NoUpstream);
+            return;
+        }
+        if job.guarded && !self.node.is_valid() {
+            self.abandon(start.request, Code::LogUnavailable);
             return;
         }
         let exchange = Exchange {
@@ -266,12 +272,12 @@
         let key = key.unwrap_or_else(|| self.open(start.upstream));
         if let Err(refused) = self.connections[key].queue.try_send(exchange) {
             log::error!("event=connection_lost error=\"{refused}\"");
-            self.abandon(start.request);
+            self.abandon(start.request, Code::NoUpstream);
         }
     }
 
-    fn abandon(&mut self, request: RequestKey) {
-        let code = self.dispatch.abandon(request);
+    fn abandon(&mut self, request: RequestKey, otherwise: Code) {
+        let code = self.dispatch.abandon(request, otherwise);
         self.answer(request, Err(code));
     }
 
@@ -301,7 +307,7 @@
         let upstream = connection.upstream;
         match report.news {
             News::Overdue(request) => {
-                self.dispatch.overdue(request);
+                self.dispatch.overdue(request, Instant::now());
                 if let Some(job) = self.jobs.remove(request) {
                     answer(job, Err(Code::OutcomeUnknown));
                 }
--- a/crates/coriandertack-callers/tests/keys.rs
+++ b/crates/coriandertack-callers/tests/keys.rs
@@ -7,13 +7,13 @@
 use {
     coriandertack_core::{
         code::Code,
-        keys::Session,
+        keys::{Offset, Session},
         route::keys::{id_of, pair},
     },
     coriandertack_standins::serving::{Act, Reply},
     futures::future::join_all,
-    support::{SERVICE, Vm, echo, fence, key, keyed, scripted, start, text},
-    tokio::sync::Semaphore,
+    support::{SERVICE, Vm, call, echo, fence, key, keyed, scripted, start, text},
+    tokio::{sync::Semaphore, time::Instant},
 };
 
 /// Returns the indexes of the keeper and the backup of a key among all VMs.
@@ -161,3 +161,26 @@
     assert_eq!(answer.as_deref(), Ok("a"));
     assert_eq!(worker.tally().ran[&b"a"[..]], 1);
 }
+
+/// Guards against running a request twice: by a pair of VMs that is cut off, and by their successors.
+#[tokio::test]
+async fn pair_without_a_valid_membership_runs_nothing_once_only() {
+    let worker = echo(Duration::ZERO).await;
+    let vms = start(2, &[&worker]).await;
+    for vm in &vms {
+        vm.node.with(|inner| inner.validity.revoke(Instant::now()));
+    }
+    let key = key(Duration::ZERO);
+    let answer = vms[0].router.call(keyed("a", &key)).await;
+    assert_eq!(answer, Err(Code::LogUnavailable));
+    assert!(worker.tally().ran.is_empty());
+    // Other requests are routed while the log is down.
+    assert!(vms[0].router.call(call("b")).await.is_ok());
+    // A VM that alone is cut off notices by its links that the others have gone on.
+    vms[0].node.with(|inner| {
+        for link in inner.links.values_mut() {
+            link.offset = Offset(99);
+        }
+    });
+    assert_eq!(vms[0].router.call(call("c")).await, Err(Code::NotReady));
+}
--- a/crates/coriandertack-callers/tests/support/mod.rs
+++ b/crates/coriandertack-callers/tests/support/mod.rs
@@ -89,7 +89,8 @@
     let batch = Batch { author: Incarnation(author), seq: 1, entries: vec![entry(record)] };
     for vm in vms {
         vm.node.apply(Offset(author), &batch);
-        vm.node.extend(Instant::now());
+        // No test depends on how long it takes, so the validity outlasts all of them.
+        vm.node.extend(Instant::now() + AMPLE * 60);
     }
     connect(vms);
     joining.stage.send_replace(Stage::Serving);
--- a/crates/coriandertack-core/src/route/admission.rs
+++ b/crates/coriandertack-core/src/route/admission.rs
@@ -148,6 +148,12 @@
         });
     }
 
+    /// Tells whether something is known of a service.
+    #[must_use]
+    pub fn knows(&self, service: ServiceKey) -> bool {
+        self.lines.contains_key(service)
+    }
+
     /// Returns how many requests are queued for all services.
     #[must_use]
     pub fn queued(&self) -> usize {
--- a/crates/coriandertack-core/src/route/dispatch.rs
+++ b/crates/coriandertack-core/src/route/dispatch.rs
@@ -142,6 +142,8 @@
         self.table.update(instances, &self.shares);
         let table = &self.table;
         self.queues.retain(|service| table.is_served(service));
+        let queues = &self.queues;
+        self.table.retain_services(|service| queues.knows(service));
     }
 
     /// Returns how many requests are queued or in flight.
@@ -259,8 +261,8 @@
     }
 
     /// Gives back the slot of a request that was started but not sent, and drops the request. Returns
-    /// the code for its caller, who may have gone.
-    pub fn abandon(&mut self, key: RequestKey) -> Code {
+    /// the code for its caller: `otherwise`, unless an earlier attempt may have run.
+    pub fn abandon(&mut self, key: RequestKey, otherwise: Code) -> Code {
         let Some(request) = self.requests.remove(key) else {
             return Code::Internal;
         };
@@ -271,15 +273,18 @@
                 self.table.vacate(site);
             }
         }
-        request.refusal(Code::NoUpstream)
+        request.refusal(otherwise)
     }
 
     /// Notes that the deadline of a request in flight has passed. Its slot stays in use until
     /// [`Dispatch::end`], because the worker may still be running it.
-    pub fn overdue(&mut self, key: RequestKey) {
-        if let Some(Request { phase: Phase::Running { late, .. }, .. }) = self.requests.get_mut(key)
+    pub fn overdue(&mut self, key: RequestKey, now: Instant) {
+        if let Some(Request { phase: Phase::Running { site, late, .. }, .. }) =
+            self.requests.get_mut(key)
         {
             *late = true;
+            // A worker that hangs is ejected by this; the end of the attempt comes only much later.
+            self.table.failed(*site, now);
         }
     }
 
--- a/crates/coriandertack-core/src/route/table.rs
+++ b/crates/coriandertack-core/src/route/table.rs
@@ -230,6 +230,18 @@
         });
     }
 
+    /// Drops services without instances that `keep` does not want.
+    pub fn retain_services(&mut self, keep: impl Fn(ServiceKey) -> bool) {
+        let names = &mut self.service_names;
+        self.services.retain(|key, service| {
+            let keep = !service.sites.is_empty() || keep(key);
+            if !keep {
+                names.remove(&service.name);
+            }
+            keep
+        });
+    }
+
     /// Computes the share of each worker anew.
     pub fn reshare(&mut self, shares: &Shares) {
         for upstream in self.upstreams.values_mut() {
--- a/crates/coriandertack-core/tests/route/admission.rs
+++ b/crates/coriandertack-core/tests/route/admission.rs
@@ -56,8 +56,8 @@
     let running = start_all(&mut dispatch, now);
     let late = offer(&mut dispatch, "", now + ms(400), now).expect("admitted");
     let early = offer(&mut dispatch, "", now + ms(300), now).expect("admitted");
-    dispatch.abandon(running[0].request);
-    dispatch.abandon(running[1].request);
+    dispatch.abandon(running[0].request, Code::NoUpstream);
+    dispatch.abandon(running[1].request, Code::NoUpstream);
     let order: Vec<_> = start_all(&mut dispatch, now).iter().map(|start| start.request).collect();
     assert_eq!(order, [early, late]);
 }
@@ -81,7 +81,7 @@
         .map(|_| offer(&mut dispatch, "single", now + ms(3_000), now).expect("admitted"))
         .collect();
     for start in &running[..4] {
-        dispatch.abandon(start.request);
+        dispatch.abandon(start.request, Code::NoUpstream);
     }
     let started: Vec<_> = start_all(&mut dispatch, now).iter().map(|start| start.request).collect();
     assert!(single.iter().all(|request| started.contains(request)));
@@ -113,7 +113,7 @@
     let mut running: Vec<_> = std::iter::from_fn(|| dispatch.start_any(now)).collect();
     for _ in 0..80 {
         let ended = running.remove(0);
-        dispatch.abandon(ended.request);
+        dispatch.abandon(ended.request, Code::NoUpstream);
         let start = dispatch.start_on(ended.upstream, now).expect("a queued request");
         let (_, service) = services.iter().find(|(key, _)| *key == start.request).expect("known");
         of_herders += u32::from(*service == "herders.questions");
--- a/crates/coriandertack-core/tests/route/ejection.rs
+++ b/crates/coriandertack-core/tests/route/ejection.rs
@@ -2,7 +2,7 @@
 
 use {
     coriandertack_core::route::{
-        dispatch::{Dispatch, Ending},
+        dispatch::{Dispatch, Ending, Step},
         eject::Standing,
     },
     tokio::time::Instant,
@@ -106,3 +106,23 @@
     let upstream = site.expect("one is ejected").upstream;
     assert_eq!(&*dispatch.table.upstreams[upstream].name, "w0");
 }
+
+/// Guards against an instance that accepts requests and never answers, and that would hold each of
+/// them until long after its deadline.
+#[test]
+fn hanging_instance_is_ejected_at_the_deadlines() {
+    let now = Instant::now();
+    let mut dispatch = dispatch(2);
+    for _ in 0..16 {
+        offer(&mut dispatch, "", now + ms(100), now).expect("admitted");
+    }
+    for start in start_all(&mut dispatch, now) {
+        match &*dispatch.table.upstreams[start.upstream].name {
+            "w0" => dispatch.overdue(start.request, now + ms(100)),
+            _ => assert_eq!(dispatch.end(start.request, Ending::Answered, now), Step::Answer),
+        }
+    }
+    assert_eq!(out(&dispatch), 1);
+    let got = run(&mut dispatch, &[], 20, now + ms(200));
+    assert_eq!(got.get("w0"), None);
+}
--- a/crates/coriandertack-core/tests/route/lanes.rs
+++ b/crates/coriandertack-core/tests/route/lanes.rs
@@ -1,4 +1,7 @@
-use {coriandertack_core::route::lanes::long_limit, tokio::time::Instant};
+use {
+    coriandertack_core::{code::Code, route::lanes::long_limit},
+    tokio::time::Instant,
+};
 
 use crate::support::{dispatch, ms, offer, start_all, teach};
 
@@ -24,9 +27,9 @@
         let short = offer(&mut dispatch, "question", now + ms(10), now).expect("admitted");
         assert_eq!(dispatch.start_for(short, now).map(|start| start.request), Some(short));
         for request in queued {
-            dispatch.abandon(request);
+            dispatch.abandon(request, Code::NoUpstream);
         }
-        dispatch.abandon(short);
+        dispatch.abandon(short, Code::NoUpstream);
     }
 }
 
--- a/crates/coriandertack-core/tests/route/table.rs
+++ b/crates/coriandertack-core/tests/route/table.rs
@@ -1,6 +1,9 @@
 use std::sync::Arc;
 
-use {coriandertack_core::route::dispatch::Dispatch, tokio::time::Instant};
+use {
+    coriandertack_core::{code::Code, route::dispatch::Dispatch},
+    tokio::time::Instant,
+};
 
 use crate::support::{SERVICE, dispatch, instance, ms, offer, start_all, teach};
 
@@ -41,7 +44,19 @@
     offer(&mut dispatch, "", now + ms(60_000), now).expect("admitted");
     assert!(start_all(&mut dispatch, now).is_empty());
     for start in started {
-        dispatch.abandon(start.request);
+        dispatch.abandon(start.request, Code::NoUpstream);
     }
     assert_eq!(start_all(&mut dispatch, now).len(), 1);
 }
+
+/// Guards against a table that grows with every service that ever ran.
+#[test]
+fn services_without_instances_are_forgotten() {
+    let now = Instant::now();
+    let mut dispatch = dispatch(1);
+    teach(&mut dispatch, "", ms(5), now);
+    dispatch.update(&[instance("vukic.other", "w0", "a")]);
+    let names: Vec<_> =
+        dispatch.table.services.values().map(|service| Arc::clone(&service.name)).collect();
+    assert_eq!(names, ["vukic.other".into()]);
+}
