--- a/crates/coriandertack-core/src/route/dispatch.rs
+++ b/crates/coriandertack-core/src/route/dispatch.rs
@@ -13,7 +13,6 @@
     route::{
         ClassKey, RequestKey, ServiceKey, SiteKey, UpstreamKey,
         admission::{Place, Queues, millis},
-        budget::Budget,
         lanes::long_limit,
         shares::Shares,
         table::{Table, Wanted},
@@ -120,7 +119,6 @@
     pub table: Table,
     /// Queues.
     pub queues: Queues,
-    budget: Budget,
     requests: SlotMap<RequestKey, Request>,
 }
 
@@ -132,7 +130,6 @@
             shares: Shares::default(),
             table: Table::new(zone),
             queues: Queues::default(),
-            budget: Budget::default(),
             requests: SlotMap::with_key(),
         }
     }
@@ -142,6 +139,8 @@
         self.table.update(instances, &self.shares);
         let table = &self.table;
         self.queues.retain(|service| table.is_served(service));
+        let queues = &self.queues;
+        self.table.retain_services(|service| queues.knows(service));
     }
 
     /// Returns how many requests are queued or in flight.
@@ -166,7 +165,7 @@
         if !self.queues.admits(service, class, offer.until, now) {
             return Err(Code::Overloaded);
         }
-        self.budget.deposit();
+        self.table.services[service].budget.deposit();
         let queues = &mut self.queues;
         let key = self.requests.insert_with_key(|key| Request {
             service,
@@ -259,8 +258,8 @@
     }
 
     /// Gives back the slot of a request that was started but not sent, and drops the request. Returns
-    /// the code for its caller, who may have gone.
-    pub fn abandon(&mut self, key: RequestKey) -> Code {
+    /// the code for its caller: `otherwise`, unless an earlier attempt may have run.
+    pub fn abandon(&mut self, key: RequestKey, otherwise: Code) -> Code {
         let Some(request) = self.requests.remove(key) else {
             return Code::Internal;
         };
@@ -271,15 +270,18 @@
                 self.table.vacate(site);
             }
         }
-        request.refusal(Code::NoUpstream)
+        request.refusal(otherwise)
     }
 
     /// Notes that the deadline of a request in flight has passed. Its slot stays in use until
     /// [`Dispatch::end`], because the worker may still be running it.
-    pub fn overdue(&mut self, key: RequestKey) {
-        if let Some(Request { phase: Phase::Running { late, .. }, .. }) = self.requests.get_mut(key)
+    pub fn overdue(&mut self, key: RequestKey, now: Instant) {
+        if let Some(Request { phase: Phase::Running { site, late, .. }, .. }) =
+            self.requests.get_mut(key)
         {
             *late = true;
+            // A worker that hangs is ejected by this; the end of the attempt comes only much later.
+            self.table.failed(*site, now);
         }
     }
 
@@ -319,7 +321,8 @@
         let may_repeat = request.repeatable || !request.tainted;
         let need = millis(self.queues.classes[request.class].response.mean());
         let in_time = now + need < request.until && request.attempts < MOST_ATTEMPTS;
-        if may_repeat && in_time && self.budget.withdraw() {
+        let budget = &mut self.table.services[request.service].budget;
+        if may_repeat && in_time && budget.withdraw() {
             Step::Again
         } else {
             Step::Refuse(request.refusal(otherwise))
--- a/crates/coriandertack-core/src/route/table.rs
+++ b/crates/coriandertack-core/src/route/table.rs
@@ -16,6 +16,7 @@
     message::Instance,
     route::{
         ServiceKey, SiteKey, UpstreamKey,
+        budget::Budget,
         eject::{Health, Standing, is_slow, may_eject},
         estimate::Estimate,
         shares::{Share, Shares},
@@ -103,6 +104,8 @@
     pub name: Arc<str>,
     /// Its instances.
     pub sites: Vec<SiteKey>,
+    /// Retries left; each service has its own, so a failing one uses up nobody else's.
+    pub budget: Budget,
     turn: usize,
 }
 
@@ -230,6 +233,18 @@
         });
     }
 
+    /// Drops services without instances that `keep` does not want.
+    pub fn retain_services(&mut self, keep: impl Fn(ServiceKey) -> bool) {
+        let names = &mut self.service_names;
+        self.services.retain(|key, service| {
+            let keep = !service.sites.is_empty() || keep(key);
+            if !keep {
+                names.remove(&service.name);
+            }
+            keep
+        });
+    }
+
     /// Computes the share of each worker anew.
     pub fn reshare(&mut self, shares: &Shares) {
         for upstream in self.upstreams.values_mut() {
