--- a/crates/coriandertackd/src/lib.rs
+++ b/crates/coriandertackd/src/lib.rs
@@ -1,5 +1,6 @@
 //! An entry VM process.
 
 pub mod args;
+pub mod http;
 pub mod logging;
 pub mod settings;
--- /dev/null
+++ b/crates/coriandertackd/tests/http.rs
@@ -0,0 +1,70 @@
+//! Bounds of the HTTP server on connections whose request never comes.
+
+use std::net::SocketAddr;
+
+use {
+    coriandertackd::http::{HEAD_TIME, MAX_HEAD_BYTES, serve},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        task::JoinHandle,
+        time::Instant,
+    },
+    viz::{Request, Router},
+};
+
+async fn listen() -> (SocketAddr, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let routes = Router::new().get("/", |_: Request| async { Ok::<_, viz::Error>("hello") });
+    (address, tokio::spawn(serve(listener, routes)))
+}
+
+/// Sends bytes and reads until the server closes the connection.
+async fn exchange(address: SocketAddr, sent: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    // The server may close before it has read everything.
+    let _ = stream.write_all(sent).await;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8(answer).unwrap()
+}
+
+/// Guards against connections that hold a task and a socket for ever. Time is virtual.
+#[tokio::test(start_paused = true)]
+async fn a_head_that_does_not_come_closes_the_connection() {
+    let (address, _server) = listen().await;
+    for sent in ["", "GET", "GET / HTTP/1.1\r\nhost: a\r\n", "GET / HTTP/1.1\r\nhost: a\r\n\r\n"] {
+        let start = Instant::now();
+        let answer = exchange(address, sent.as_bytes()).await;
+        assert!(start.elapsed() >= HEAD_TIME, "{sent:?}");
+        let is_whole = sent.ends_with("\r\n\r\n");
+        assert_eq!(answer.starts_with("HTTP/1.1 200"), is_whole, "{sent:?}: {answer}");
+    }
+}
+
+/// Guards against a head that takes more memory than a request may cost.
+#[tokio::test]
+async fn a_head_that_is_too_large_is_refused() {
+    let (address, _server) = listen().await;
+    let head =
+        format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "x".repeat(8 * MAX_HEAD_BYTES));
+    let answer = exchange(address, head.as_bytes()).await;
+    // The reset of a connection with unread bytes can overtake the answer.
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 431"), "{answer}");
+}
+
+/// Guards against connections that outlive the session of the VM that served them.
+#[tokio::test]
+async fn all_connections_end_with_the_server() {
+    let (address, server) = listen().await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).await.unwrap();
+    assert_eq!(&start, b"HTTP/1.1 200");
+    server.abort();
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest).await;
+    assert!(TcpStream::connect(address).await.is_err());
+}
