Tell a sender of the resource API from a caller of a service

The glossary uses caller for those who send requests to services; the resource API calls its senders principals now. Objects carry an ETag that can be sent back as If-Match. A change is waited for 12 s, so that the log task's answer "not run" after 10 s is not lost.

--- a/crates/coriandertack-operators/src/access.rs
+++ b/crates/coriandertack-operators/src/access.rs
@@ -35,9 +35,9 @@
     pub digest: String,
 }
 
-/// Who sent a request.
+/// Who sent a request to the resource API. Callers of services are not meant.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Display)]
-pub enum Caller {
+pub enum Principal {
     /// An operator.
     #[display("operator:{_0}")]
     Operator(String),
@@ -46,7 +46,7 @@
     Team(String),
 }
 
-impl Caller {
+impl Principal {
     /// Tells whether the work and the account of `team` may be seen and changed.
     #[must_use]
     pub fn is_over(&self, team: &str) -> bool {
@@ -56,7 +56,7 @@
         }
     }
 
-    /// Returns the team to which the caller is limited.
+    /// Returns the team to which the principal is limited.
     #[must_use]
     pub fn team(&self) -> Option<&str> {
         match self {
@@ -65,7 +65,7 @@
         }
     }
 
-    /// Checks that the caller is an operator.
+    /// Checks that the principal is an operator.
     ///
     /// # Errors
     ///
@@ -77,7 +77,7 @@
         }
     }
 
-    /// Checks that the caller may see and change what belongs to `team`.
+    /// Checks that the principal may see and change what belongs to `team`.
     ///
     /// # Errors
     ///
@@ -146,24 +146,24 @@
     digest: &TokenDigest,
     operators: &[Operator],
     state: &State,
-) -> Result<Caller, Fault> {
+) -> Result<Principal, Fault> {
     let unknown = || Fault::new(Code::Unauthenticated, "unknown token");
     find(digest, operators, state).ok_or_else(unknown)
 }
 
 /// Compares with every known digest, and does not stop at the one that matches.
-fn find(digest: &TokenDigest, operators: &[Operator], state: &State) -> Option<Caller> {
+fn find(digest: &TokenDigest, operators: &[Operator], state: &State) -> Option<Principal> {
     let mut found = None;
     for team in state.teams.values() {
         for known in &team.spec.tokens {
             if digest.matches(known) {
-                found = Some(Caller::Team(team.name.clone()));
+                found = Some(Principal::Team(team.name.clone()));
             }
         }
     }
     for operator in operators {
         if digest.matches(&operator.digest) {
-            found = Some(Caller::Operator(operator.name.clone()));
+            found = Some(Principal::Operator(operator.name.clone()));
         }
     }
     found
--- a/crates/coriandertack-operators/src/api.rs
+++ b/crates/coriandertack-operators/src/api.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    access::{Caller, Operator},
+    access::{Operator, Principal},
     metrics::Metrics,
     rates::{Rate, Rates},
     refusals::Refusals,
@@ -46,7 +46,7 @@
     pub(crate) refusals: Refusals,
     submit: Submit,
     admit: Admit,
-    rates: Mutex<Rates<Caller>>,
+    rates: Mutex<Rates<Principal>>,
 }
 
 impl Api {
@@ -89,12 +89,12 @@
         tokio::join!(watch::follow(&self.ring), self.refusals.write(&self.node));
     }
 
-    /// Takes one request out of the caller's allowance.
-    pub(crate) fn allow(&self, caller: &Caller) -> bool {
+    /// Takes one request out of the principal's allowance.
+    pub(crate) fn allow(&self, principal: &Principal) -> bool {
         let live = self.node.with(|inner| Live::read(&inner.state));
         let rate = Rate { per_s: live.rate, burst: live.burst };
         let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
-        rates.take(caller, rate, Instant::now())
+        rates.take(principal, rate, Instant::now())
     }
 
     /// Checks that this VM may accept a change now.
--- a/crates/coriandertack-operators/src/call.rs
+++ b/crates/coriandertack-operators/src/call.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    access::{Caller, authenticate, read_token},
+    access::{Principal, authenticate, read_token},
     api::Api,
     refusals::{ANONYMOUS, Refused},
     reply::{Answer, Fault, Reply},
@@ -40,7 +40,10 @@
 const READ_TIME: Duration = Duration::from_secs(5);
 
 /// Time that a change may take until it is applied; a longer wait is answered with 5002.
-const CHANGE_TIME: Duration = Duration::from_secs(10);
+///
+/// The log task gives up a record that was never sent after 10 s. Its "not run" is the better answer, so this
+/// is longer.
+const CHANGE_TIME: Duration = Duration::from_secs(12);
 
 /// Objects of a page if the request names no limit.
 const PAGE_DEFAULT: u64 = 100;
@@ -52,12 +55,12 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     /// Who calls.
-    pub caller: Caller,
+    pub principal: Principal,
     /// The name or the identifier in the path, or nothing.
     pub name: String,
     /// Parameters of the query.
     query: BTreeMap<String, String>,
-    /// Version that the caller expects, from `expect` or `If-Match`.
+    /// Version that the principal expects, from `expect` or `If-Match`.
     pub expect: Option<Version>,
     /// Idempotency key of the header, if any.
     pub key: Option<String>,
@@ -120,7 +123,7 @@
         parse("job", &self.name)
     }
 
-    /// Returns the version that the caller expects; 0 for a new object.
+    /// Returns the version that the principal expects; 0 for a new object.
     ///
     /// # Errors
     ///
@@ -186,7 +189,9 @@
     let is_dry = request.query_string().is_some_and(|query| query.contains("dry_run=true"));
     let is_change = endpoint.method != Method::GET && !is_dry;
     let (actor, answer) = match admit(&api, &request) {
-        Ok(caller) => (caller.to_string(), run(&api, endpoint, &mut request, caller).await),
+        Ok(principal) => {
+            (principal.to_string(), run(&api, endpoint, &mut request, principal).await)
+        }
         Err(fault) => (refused.actor.clone(), Err(fault)),
     };
     api.metrics.answered(answer.as_ref().map_or_else(|fault| fault.code, |reply| reply.code));
@@ -200,29 +205,29 @@
 }
 
 /// Finds out who calls and whether the rate allows the request.
-fn admit(api: &Api, request: &Request) -> Result<Caller, Fault> {
+fn admit(api: &Api, request: &Request) -> Result<Principal, Fault> {
     let header = request.headers().get(header::AUTHORIZATION);
     let header = header.and_then(|value| value.to_str().ok());
     // The token is hashed before the state is locked.
     let digest = read_token(header)?;
-    let caller = api.node.with(|inner| authenticate(&digest, &api.operators, &inner.state))?;
-    if !api.allow(&caller) {
+    let principal = api.node.with(|inner| authenticate(&digest, &api.operators, &inner.state))?;
+    if !api.allow(&principal) {
         return Err(Code::TooManyRequests.into());
     }
-    Ok(caller)
+    Ok(principal)
 }
 
-/// Reads the request and runs the handler, if the caller may use the endpoint.
+/// Reads the request and runs the handler, if the principal may use the endpoint.
 async fn run(
     api: &Arc<Api>,
     endpoint: &'static Endpoint,
     request: &mut Request,
-    caller: Caller,
+    principal: Principal,
 ) -> Answer {
     if endpoint.operator_only {
-        caller.require_operator()?;
+        principal.require_operator()?;
     }
-    let call = read(request, endpoint, caller).await?;
+    let call = read(request, endpoint, principal).await?;
     (endpoint.handler)(Arc::clone(api), call).await
 }
 
@@ -246,7 +251,11 @@
     path.char_indices().nth(MAX_NAME_CHARS * 2).map_or(path, |(at, _)| &path[..at])
 }
 
-async fn read(request: &mut Request, endpoint: &Endpoint, caller: Caller) -> Result<Call, Fault> {
+async fn read(
+    request: &mut Request,
+    endpoint: &Endpoint,
+    principal: Principal,
+) -> Result<Call, Fault> {
     let query = read_query(request)?;
     if let Some(name) = query.keys().find(|name| !endpoint.query.contains(&name.as_str())) {
         let known = match endpoint.query {
@@ -261,7 +270,7 @@
     let key = request.header::<_, String>("idempotency-key");
     let body =
         if endpoint.method == Method::GET { Bytes::new() } else { read_body(request).await? };
-    Ok(Call { caller, name, query, expect, key, body })
+    Ok(Call { principal, name, query, expect, key, body })
 }
 
 fn read_query(request: &Request) -> Result<BTreeMap<String, String>, Fault> {
--- a/crates/coriandertack-operators/src/changes.rs
+++ b/crates/coriandertack-operators/src/changes.rs
@@ -21,7 +21,7 @@
     let verdict = if dry_run {
         api.node.with(|inner| preview::verdict(&inner.state, &record))
     } else {
-        in_time(api.append(&call.caller.to_string(), record.clone())).await
+        in_time(api.append(&call.principal.to_string(), record.clone())).await
     };
     match verdict {
         Ok(applied) => Ok(reply(applied, dry_run)),
@@ -35,14 +35,17 @@
 fn reply(applied: Applied, dry_run: bool) -> Reply {
     let reply = match applied {
         Applied::Unchanged => Reply::new(Code::Unchanged),
-        Applied::Version(version) => Reply::new(Code::Done).with("version", version),
+        Applied::Version(version) if dry_run => Reply::new(Code::Done).with("version", version),
+        Applied::Version(version) => {
+            Reply::new(Code::Done).with("version", version).tagged(version)
+        }
         Applied::Job(job) => Reply::new(Code::Accepted).with("job", job),
         Applied::Done | Applied::Session(_) => Reply::new(Code::Done),
     };
     if dry_run { reply.with("dry_run", true) } else { reply }
 }
 
-/// Adds what the caller needs for the next attempt.
+/// Adds what the principal needs for the next attempt.
 fn explain(state: &State, record: &Record, code: Code) -> Fault {
     let current = match record {
         Record::Team(change) => state.team(&change.name).map(|team| team.version),
--- a/crates/coriandertack-operators/src/jobs.rs
+++ b/crates/coriandertack-operators/src/jobs.rs
@@ -85,7 +85,7 @@
     if call.key.is_some() {
         spec.key.clone_from(&call.key);
     }
-    call.caller.require_team(&spec.team)?;
+    call.principal.require_team(&spec.team)?;
     check(&spec)?;
     api.require_serving()?;
     api.node.with(|inner| {
@@ -98,7 +98,7 @@
         api.node.with(|inner| preview::verdict(&inner.state, &record))?;
         return Ok(Reply::new(Code::Done).with("dry_run", true));
     }
-    let submitted = api.submit(call.caller.to_string(), spec);
+    let submitted = api.submit(call.principal.to_string(), spec);
     let verdict = in_time(async { submitted.await.map(Applied::Job) }).await;
     match verdict.map_err(|code| Fault::from(code).void())? {
         Applied::Job(job) => Ok(Reply::new(Code::Accepted).with("job", job)),
@@ -155,10 +155,10 @@
     })
 }
 
-/// Finds the job in the path, if the caller may see it.
+/// Finds the job in the path, if the principal may see it.
 pub(crate) fn find<'a>(state: &'a State, call: &Call) -> Result<&'a Job, Fault> {
     let job = state.jobs.get(call.job()?).ok_or(Code::NotFound)?;
-    call.caller.require_team(&job.spec.team)?;
+    call.principal.require_team(&job.spec.team)?;
     Ok(job)
 }
 
@@ -184,7 +184,7 @@
 
     fn matches(&self, job: &Job) -> bool {
         let is = |wanted: Option<&str>, value: &str| wanted.is_none_or(|wanted| wanted == value);
-        self.call.caller.is_over(&job.spec.team)
+        self.call.principal.is_over(&job.spec.team)
             && is(self.team, &job.spec.team)
             && is(self.name, &job.spec.name)
             && is(self.kind, &job.spec.kind.to_string())
--- a/crates/coriandertack-operators/src/live.rs
+++ b/crates/coriandertack-operators/src/live.rs
@@ -66,8 +66,9 @@
 pub(crate) async fn get(api: Arc<Api>, call: Call) -> Answer {
     let schema = settings_schema::find(&call.name).ok_or(Code::NotFound)?;
     api.node.with(|inner| {
+        let view = view(&inner.state, schema);
         let reply = Reply::new(Code::Done).with("position", inner.state.offset);
-        Ok(reply.with("setting", view(&inner.state, schema)))
+        Ok(reply.tagged(view.version).with("setting", view))
     })
 }
 
--- a/crates/coriandertack-operators/src/rates.rs
+++ b/crates/coriandertack-operators/src/rates.rs
@@ -1,13 +1,13 @@
 //! Limits on the rate of requests.
 //!
-//! A [`Bucket`] is refilled as time passes; [`Rates`] keeps one for each caller. The map is bounded: a
-//! caller whose bucket is full again is the same as one never seen, so such buckets are dropped first.
+//! A [`Bucket`] is refilled as time passes; [`Rates`] keeps one for each key. The map is bounded: a
+//! key whose bucket is full again is the same as one never seen, so such buckets are dropped first.
 
 use std::{collections::HashMap, hash::Hash};
 
 use tokio::time::Instant;
 
-/// The most callers with a bucket of their own: 140 teams and their operators, several times over.
+/// The most keys with a bucket of their own: 140 teams and their operators, several times over.
 const MAX_BUCKETS: usize = 1_024;
 
 /// How fast a bucket is refilled and how much it holds.
@@ -50,7 +50,7 @@
     }
 }
 
-/// One bucket for each caller.
+/// One bucket for each key.
 #[derive(Clone, Debug)]
 pub struct Rates<K> {
     buckets: HashMap<K, Bucket>,
@@ -65,7 +65,7 @@
 impl<K: Eq + Hash + Clone> Rates<K> {
     /// Takes one request out of the bucket of `key`.
     ///
-    /// If the map is full of callers that are all in use, a new caller is refused.
+    /// If the map is full of keys that are all in use, a new key is refused.
     pub fn take(&mut self, key: &K, rate: Rate, now: Instant) -> bool {
         if let Some(bucket) = self.buckets.get_mut(key) {
             return bucket.take(rate, now);
--- a/crates/coriandertack-operators/src/records.rs
+++ b/crates/coriandertack-operators/src/records.rs
@@ -104,7 +104,7 @@
     }
 
     fn matches(&self, key: &LineKey) -> bool {
-        self.call.caller.is_over(&key.team)
+        self.call.principal.is_over(&key.team)
             && self.team.is_none_or(|team| team == key.team)
             && self.kind.is_none_or(|kind| kind == key.kind.to_string())
     }
--- a/crates/coriandertack-operators/src/reply.rs
+++ b/crates/coriandertack-operators/src/reply.rs
@@ -28,6 +28,8 @@
 pub struct Reply {
     /// Result code.
     pub code: Code,
+    /// Version of the object, for the header `ETag`.
+    version: Option<Version>,
     content: Content,
 }
 
@@ -35,13 +37,13 @@
     /// Returns a reply without fields.
     #[must_use]
     pub fn new(code: Code) -> Self {
-        Self { code, content: Content::Fields(Map::new()) }
+        Self { code, version: None, content: Content::Fields(Map::new()) }
     }
 
     /// Returns a reply that is a table in the format `media`.
     #[must_use]
     pub fn table(media: &'static str, body: Vec<u8>) -> Self {
-        Self { code: Code::Done, content: Content::Table { media, body } }
+        Self { code: Code::Done, version: None, content: Content::Table { media, body } }
     }
 
     /// Adds a field. A value that has no JSON form becomes null.
@@ -54,13 +56,25 @@
         self
     }
 
+    /// Says which version the object has, so that a client can send it back as `If-Match`.
+    #[must_use]
+    pub fn tagged(mut self, version: Version) -> Self {
+        self.version = Some(version);
+        self
+    }
+
     /// Returns the HTTP response.
     #[must_use]
     pub fn response(self) -> Response {
-        match self.content {
+        let mut response = match self.content {
             Content::Fields(fields) => json_response(self.code, fields),
             Content::Table { media, body } => respond(self.code, media, body),
+        };
+        let tag = self.version.map(|version| format!("\"{version}\""));
+        if let Some(tag) = tag.and_then(|tag| header::HeaderValue::try_from(tag).ok()) {
+            response.headers_mut().insert(header::ETAG, tag);
         }
+        response
     }
 }
 
--- a/crates/coriandertack-operators/src/settings_schema.rs
+++ b/crates/coriandertack-operators/src/settings_schema.rs
@@ -59,13 +59,13 @@
         name: "api.burst",
         form: Form::Whole(1, 100_000),
         default: "200",
-        text: "requests to the resource API that one caller may send at once",
+        text: "requests to the resource API that one operator or team may send at once",
     },
     Schema {
         name: "api.rate_per_s",
         form: Form::Number(0.1, 100_000.0),
         default: "100.0",
-        text: "requests per second to the resource API for each caller and VM",
+        text: "requests per second to the resource API for each operator or team, and VM",
     },
     Schema {
         name: "log.level",
--- a/crates/coriandertack-operators/src/teams.rs
+++ b/crates/coriandertack-operators/src/teams.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    access::{Caller, is_digest},
+    access::{Principal, is_digest},
     api::Api,
     call::{Call, check_name},
     changes,
@@ -47,22 +47,22 @@
     tokens: Vec<String>,
 }
 
-fn view(state: &State, team: &Team, caller: &Caller) -> View {
+fn view(state: &State, team: &Team, principal: &Principal) -> View {
     let home = team.home.vm.and_then(|vm| state.vms.get(vm)).map(|vm| vm.info.name.clone());
-    let tokens = if caller.team().is_none() { team.spec.tokens.clone() } else { Vec::new() };
+    let tokens = if principal.team().is_none() { team.spec.tokens.clone() } else { Vec::new() };
     View { name: team.name.clone(), version: team.version, quota: team.spec.quota, tokens, home }
 }
 
-/// Lists the teams that the caller may see, in the order of names.
+/// Lists the teams that the principal may see, in the order of names.
 pub(crate) async fn list(api: Arc<Api>, call: Call) -> Answer {
     let limit = call.limit()?;
     let after = call.text("after").unwrap_or_default();
     let (position, mut teams) = api.node.with(|inner| {
         let state = &inner.state;
         let range = state.team_names.range::<str, _>((Bound::Excluded(after), Bound::Unbounded));
-        let own = range.filter(|(name, _)| call.caller.is_over(name)).take(limit + 1);
+        let own = range.filter(|(name, _)| call.principal.is_over(name)).take(limit + 1);
         let teams: Vec<View> =
-            own.map(|(_, &key)| view(state, &state.teams[key], &call.caller)).collect();
+            own.map(|(_, &key)| view(state, &state.teams[key], &call.principal)).collect();
         (state.offset, teams)
     });
     let is_more = teams.len() > limit;
@@ -74,13 +74,14 @@
 
 /// Answers with one team.
 pub(crate) async fn get(api: Arc<Api>, call: Call) -> Answer {
-    call.caller.require_team(&call.name)?;
+    call.principal.require_team(&call.name)?;
     api.node.with(|inner| {
         let state = &inner.state;
         let team = state.team(&call.name).ok_or(Code::NotFound)?;
         Ok(Reply::new(Code::Done)
             .with("position", state.offset)
-            .with("team", view(state, team, &call.caller)))
+            .with("team", view(state, team, &call.principal))
+            .tagged(team.version))
     })
 }
 
@@ -103,7 +104,7 @@
     changes::make(&api, &call, Record::Team(change)).await
 }
 
-/// A digest must identify one caller.
+/// A digest must identify one principal.
 fn check_tokens(api: &Api, name: &str, tokens: &[String]) -> Result<(), Fault> {
     let refuse = |reason: &str| Err(Fault::new(Code::OutOfRange, reason));
     if tokens.len() > MAX_TOKENS {
--- a/crates/coriandertack-operators/src/watch.rs
+++ b/crates/coriandertack-operators/src/watch.rs
@@ -1,7 +1,7 @@
 //! Following changes from a position in the log.
 //!
 //! A position is a log offset. `GET /v1/watch?from=P` answers with every change after `P` that the
-//! caller may see, and with the position to go on from; if there is none, it waits up to `wait_ms`.
+//! principal may see, and with the position to go on from; if there is none, it waits up to `wait_ms`.
 //! `from` may also be `oldest` or `now`. The changes of one
 //! offset are never split, so a resume from the returned position loses none. Positions mean the
 //! same on every VM. Each VM keeps the newest [`MAX_CHANGES`] changes; an older position is answered with 4010,
@@ -27,7 +27,7 @@
 };
 
 use crate::{
-    access::Caller,
+    access::Principal,
     api::Api,
     call::Call,
     reply::{Answer, Fault, Reply},
@@ -219,7 +219,7 @@
     let mut position = api.ring.position.subscribe();
     loop {
         position.borrow_and_update();
-        let page = api.ring.after(from, |change| is_visible(&call.caller, change))?;
+        let page = api.ring.after(from, |change| is_visible(&call.principal, change))?;
         let moved = timeout_at(until, position.changed());
         if !page.changes.is_empty() || !matches!(moved.await, Ok(Ok(()))) {
             let reply = Reply::new(Code::Done).with("position", page.position);
@@ -229,8 +229,8 @@
 }
 
 /// A team sees its own work and account; an operator sees everything.
-fn is_visible(caller: &Caller, change: &Change) -> bool {
-    match (caller.team(), &change.team) {
+fn is_visible(principal: &Principal, change: &Change) -> bool {
+    match (principal.team(), &change.team) {
         (None, _) => true,
         (Some(own), Some(team)) => own == team,
         (Some(_), None) => false,
--- a/crates/coriandertack-operators/tests/access.rs
+++ b/crates/coriandertack-operators/tests/access.rs
@@ -108,7 +108,7 @@
     assert_eq!(bed.get("/v1/jobs", VANS).await.code, 4001);
 }
 
-/// Guards against a digest that identifies two callers.
+/// Guards against a digest that identifies two principals.
 #[tokio::test(start_paused = true)]
 async fn a_token_of_somebody_else_is_refused() {
     let bed = Bed::start().await;
@@ -123,9 +123,9 @@
     }
 }
 
-/// Guards against one caller that takes the time of all others.
+/// Guards against one team that takes the time of all others.
 #[tokio::test(start_paused = true)]
-async fn a_caller_beyond_its_rate_is_refused_alone_and_for_a_while() {
+async fn a_team_beyond_its_rate_is_refused_alone_and_for_a_while() {
     let bed = Bed::start().await;
     let mut codes = Vec::new();
     for _ in 0..201 {
--- a/crates/coriandertack-operators/tests/changes.rs
+++ b/crates/coriandertack-operators/tests/changes.rs
@@ -55,6 +55,27 @@
     }
 }
 
+/// Guards against a tag that does not work as `If-Match`.
+#[tokio::test(start_paused = true)]
+async fn the_tag_of_an_object_is_what_a_change_expects() {
+    let bed = Bed::start().await;
+    let mut tag = bed.get(WEIGHT, OPERATOR).await.tag.unwrap();
+    for _ in 0..3 {
+        let request = Request::builder()
+            .method(Method::PUT)
+            .uri(WEIGHT)
+            .header("authorization", format!("Bearer {OPERATOR}"))
+            .header("if-match", &tag)
+            .body(Body::Full(r#"{"value":"0.1"}"#.into()))
+            .unwrap();
+        let changed = bed.send(request).await;
+        assert_eq!(changed.code, 2000, "{}", changed.text);
+        tag = bed.get(WEIGHT, OPERATOR).await.tag.unwrap();
+        assert_eq!(changed.tag.as_ref(), Some(&tag));
+    }
+    assert_eq!(bed.get("/v1/teams/vans", OPERATOR).await.tag.as_deref(), Some("\"1\""));
+}
+
 /// Guards against versions that start again after a removal, which would let an old writer win.
 #[tokio::test(start_paused = true)]
 async fn versions_go_on_after_a_removal() {
--- a/crates/coriandertack-operators/tests/common/mod.rs
+++ b/crates/coriandertack-operators/tests/common/mod.rs
@@ -44,6 +44,8 @@
     pub json: Value,
     /// Content as text.
     pub text: String,
+    /// The header `ETag`.
+    pub tag: Option<String>,
 }
 
 /// A resource API under test.
@@ -157,10 +159,11 @@
 
 async fn got(response: Response) -> Got {
     let status = response.status().as_u16();
+    let tag = response.headers().get("etag").map(|tag| tag.to_str().unwrap().to_owned());
     let body = response.into_body().collect().await.unwrap().to_bytes();
     let text = String::from_utf8(body.to_vec()).unwrap();
     let json: Value = serde_json::from_str(&text).unwrap_or_default();
-    Got { status, code: json["code"].as_u64().unwrap_or(0), json, text }
+    Got { status, code: json["code"].as_u64().unwrap_or(0), json, text, tag }
 }
 
 /// Returns the worker with this number.
