Let a planned stop of the HTTP server finish requests in flight

Dropping the server cuts off connections, which is right for a crash and wrong for a planned stop. serve takes a future now; once it resolves, idle connections close and requests in flight get their answers.

--- a/crates/coriandertackd/tests/http.rs
+++ b/crates/coriandertackd/tests/http.rs
@@ -1,12 +1,13 @@
 //! Bounds of the HTTP server on connections whose request never comes.
 
-use std::net::SocketAddr;
+use std::{future::pending, net::SocketAddr, sync::Arc};
 
 use {
     coriandertackd::http::{HEAD_TIME, MAX_HEAD_BYTES, serve},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        sync::{Notify, oneshot},
         task::JoinHandle,
         time::Instant,
     },
@@ -17,7 +18,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let routes = Router::new().get("/", |_: Request| async { Ok::<_, viz::Error>("hello") });
-    (address, tokio::spawn(serve(listener, routes)))
+    (address, tokio::spawn(serve(listener, routes, pending())))
 }
 
 /// Sends bytes and reads until the server closes the connection.
@@ -68,3 +69,37 @@
     let _ = stream.read_to_end(&mut rest).await;
     assert!(TcpStream::connect(address).await.is_err());
 }
+
+/// Guards against a planned stop that cuts off a request in flight, or waits for idle connections.
+#[tokio::test]
+async fn a_planned_stop_finishes_requests_in_flight() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (arrived, finish) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let signals = (Arc::clone(&arrived), Arc::clone(&finish));
+    let routes = Router::new().get("/", move |_: Request| {
+        let (arrived, finish) = signals.clone();
+        async move {
+            arrived.notify_one();
+            finish.notified().await;
+            Ok::<_, viz::Error>("finished")
+        }
+    });
+    let (stop, stopped) = oneshot::channel::<()>();
+    let server = tokio::spawn(serve(listener, routes, async {
+        let _ = stopped.await;
+    }));
+    let mut idle = TcpStream::connect(address).await.unwrap();
+    let request =
+        tokio::spawn(async move { exchange(address, b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await });
+    arrived.notified().await;
+    stop.send(()).unwrap();
+    // The idle connection ends while the request is still in flight.
+    assert_eq!(idle.read(&mut [0; 1]).await.unwrap(), 0);
+    assert!(!server.is_finished());
+    assert!(TcpStream::connect(address).await.is_err());
+    finish.notify_one();
+    server.await.unwrap();
+    let answer = request.await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("finished"), "{answer}");
+}
