--- a/crates/coriandertackd/src/lib.rs
+++ b/crates/coriandertackd/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capacity;
 pub mod dispatch;
 pub mod gang;
+pub mod http;
 pub mod logging;
 pub mod members;
 pub mod owners;
--- a/crates/coriandertackd/src/process.rs
+++ b/crates/coriandertackd/src/process.rs
@@ -31,7 +31,7 @@
     },
 };
 
-use crate::{capacity, dispatch, logging, members, peers, routes, settings::Settings};
+use crate::{capacity, dispatch, http, logging, members, peers, routes, settings::Settings};
 
 /// News of workers that wait for the owner's task.
 const NEWS_QUEUE: usize = 4_096;
@@ -152,8 +152,8 @@
 
     let mut tasks = JoinSet::new();
     let mut reader = start_log(settings, &node, submissions, &mut tasks)?;
-    let calls = start_http(settings, &node, &mut tasks).await?;
-    start_links(settings, &node, &calls, &mut tasks).await?;
+    let http = Http::start(settings, &node, &mut tasks).await?;
+    start_links(settings, &node, &http.calls, &mut tasks).await?;
     tokio::select! {
         ended = &mut reader => return lost(&node, ended),
         joined = member::join(&node) => match joined {
@@ -167,9 +167,13 @@
     }
     start_roles(settings, &node, &mut tasks);
     tokio::select! {
-        ended = &mut reader => lost(&node, ended),
+        ended = &mut reader => {
+            // Requests in flight do not depend on the session; they finish while a new one begins.
+            tokio::spawn(http.finish(settings.common.drain));
+            lost(&node, ended)
+        }
         () = asked(&mut stop) => {
-            drain(settings, &node, &calls).await;
+            drain(settings, &node, http).await;
             Ok(Ended::Stopped)
         }
     }
@@ -210,31 +214,45 @@
     Ok(Ended::Lost)
 }
 
-/// Serves operators and callers. Until the VM serves, readiness says no and requests are refused.
-async fn start_http(
-    settings: &Settings,
-    node: &Arc<Node>,
-    tasks: &mut JoinSet<()>,
-) -> Result<Arc<Calls>> {
-    let calls = Calls::new(Arc::clone(node), CallerConfig::default());
-    let metrics = Arc::new(Metrics::new()?);
-    let api = Api::new(Arc::clone(node), settings.common.operators.clone(), metrics)
-        .with_submit(Box::new(|node, actor, spec| peers::submit(node, actor, spec)))
-        .with_admit(Box::new(feasible::check_job));
-    let api = Arc::new(api);
-    tasks.spawn(Arc::clone(&api).run());
-    let routes = viz::Router::new()
-        .nest("/", coriandertack_operators::routes(api))
-        .nest("/", coriandertack_callers::routes(Arc::clone(node), Arc::clone(&calls)));
-    let listener = TcpListener::bind(settings.vm.http)
-        .await
-        .with_context(|| format!("cannot listen for HTTP at {}", settings.vm.http))?;
-    tasks.spawn(async move {
-        if let Err(error) = viz::serve(listener, routes).await {
-            log::error!("event=http_failed error=\"{error}\"");
+/// The HTTP interfaces of one session.
+struct Http {
+    calls: Arc<Calls>,
+    stop: watch::Sender<bool>,
+    server: tokio::task::JoinHandle<()>,
+}
+
+impl Http {
+    /// Serves operators and callers. Until the VM serves, readiness says no and requests are refused.
+    async fn start(settings: &Settings, node: &Arc<Node>, tasks: &mut JoinSet<()>) -> Result<Self> {
+        let calls = Calls::new(Arc::clone(node), CallerConfig::default());
+        let metrics = Arc::new(Metrics::new()?);
+        let api = Api::new(Arc::clone(node), settings.common.operators.clone(), metrics)
+            .with_submit(Box::new(|node, actor, spec| peers::submit(node, actor, spec)))
+            .with_admit(Box::new(feasible::check_job));
+        let api = Arc::new(api);
+        tasks.spawn(Arc::clone(&api).run());
+        let routes = viz::Router::new()
+            .nest("/", coriandertack_operators::routes(api))
+            .nest("/", coriandertack_callers::routes(Arc::clone(node), Arc::clone(&calls)));
+        let listener = TcpListener::bind(settings.vm.http)
+            .await
+            .with_context(|| format!("cannot listen for HTTP at {}", settings.vm.http))?;
+        let (stop, mut stopped) = watch::channel(false);
+        let server = tokio::spawn(async move {
+            http::serve(listener, routes, async move { asked(&mut stopped).await }).await;
+        });
+        Ok(Self { calls, stop, server })
+    }
+
+    /// Accepts no more connections, and waits up to `limit` for the requests in flight.
+    async fn finish(self, limit: Duration) {
+        self.stop.send_replace(true);
+        let mut server = self.server;
+        if timeout(limit, &mut server).await.is_err() {
+            log::warn!("event=drain_limit calls={}", self.calls.in_progress());
+            server.abort();
         }
-    });
-    Ok(calls)
+    }
 }
 
 /// Serves the links of the other VMs.
@@ -291,12 +309,10 @@
 }
 
 /// Stops as planned: refuses new work, finishes requests, flushes records and leaves.
-async fn drain(settings: &Settings, node: &Arc<Node>, calls: &Arc<Calls>) {
+async fn drain(settings: &Settings, node: &Arc<Node>, http: Http) {
     log::info!("event=draining vm={}", settings.vm.name);
     node.stage.send_replace(Stage::Draining);
-    if timeout(settings.common.drain, calls.drained()).await.is_err() {
-        log::warn!("event=drain_limit vm={} calls={}", settings.vm.name, calls.in_progress());
-    }
+    http.finish(settings.common.drain).await;
     capacity::charge_usage(Arc::clone(node)).await;
     match member::leave(node).await {
         Ok(()) => log::info!("event=left vm={}", settings.vm.name),
