Count requests under way in the estimate of an owner

Cause: a home that sends many requests at once would count on the same room for all until the answers come. Change: Estimate::ask subtracts when the request is sent, Estimate::refuse gives it back and rules the size out.

--- a/crates/coriandertack-core/src/home_choice.rs
+++ b/crates/coriandertack-core/src/home_choice.rs
@@ -20,9 +20,9 @@
 /// Refusals that are remembered for each owner until its next summary.
 const MOST_REFUSALS: usize = 16;
 
-/// What a home expects of an owner: its last summary, and the answers since.
+/// What a home expects of an owner: its last summary, and the requests and refusals since.
 ///
-/// Without the answers, a home would send all work between two heartbeats to the same owner, full or not.
+/// Without the latter, a home would send all work between two heartbeats to the same owner, full or not.
 #[derive(Clone, Debug, Default)]
 pub struct Estimate {
     summary: Summary,
@@ -36,27 +36,45 @@
 }
 
 impl Estimate {
-    /// Notes that the owner has granted capacity for one task.
-    pub fn granted(&mut self, need: Resources, reach: Reach) {
-        let room = match reach {
-            Reach::Kept => &mut self.summary.plain,
-            Reach::Any => &mut self.summary.accelerated,
-        };
+    /// Takes a new summary, which knows of all answers before.
+    pub fn update(&mut self, summary: Summary) {
+        *self = summary.into();
+    }
+
+    /// Returns the number of workers that take work.
+    #[must_use]
+    pub fn workers(&self) -> u32 {
+        self.summary.workers
+    }
+
+    /// Subtracts what the owner is asked for one task, so that requests under way are not counted on twice.
+    pub fn ask(&mut self, need: Resources, reach: Reach) {
+        let room = self.room_mut(reach);
         room.free = room.free.saturating_sub(need);
         if !need.fits(room.partial) {
-            // A worker was opened, and the rest of it is in use now.
+            // A worker is opened, and the rest of it is in use then.
             room.partial = room.largest.saturating_sub(need);
         }
     }
 
     /// Notes that the owner had no room for one task. It has none for larger ones either.
-    pub fn refused(&mut self, need: Resources, reach: Reach) {
+    pub fn refuse(&mut self, need: Resources, reach: Reach) {
+        let room = self.room_mut(reach);
+        room.free = room.free.saturating_add(need);
         if self.refused.len() == MOST_REFUSALS {
             self.refused.remove(0);
         }
         self.refused.push((reach, need));
     }
 
+    /// Returns the workers that a request will mostly use: those with accelerators are asked for last.
+    fn room_mut(&mut self, reach: Reach) -> &mut Room {
+        match reach {
+            Reach::Kept => &mut self.summary.plain,
+            Reach::Any => &mut self.summary.accelerated,
+        }
+    }
+
     fn is_ruled_out(&self, need: Resources, reach: Reach) -> bool {
         // What an owner refuses within a wide reach, it refuses within a narrow one.
         let covers = |known: Reach| known == reach || known == Reach::Any;
--- a/crates/coriandertack-core/tests/placement/owners.rs
+++ b/crates/coriandertack-core/tests/placement/owners.rs
@@ -109,11 +109,11 @@
     let half = Resources::new(8_000, 8_192, 0);
     let first = choose_owner(&known.owners(), &ask(1, Kind::Batch, half)).expect("both have room");
     let at = known.vms.iter().position(|&vm| vm == first.vm).expect("it is one of them");
-    known.estimates[at].granted(half, first.reach);
+    known.estimates[at].ask(half, first.reach);
     // The rest of the worker that was opened is filled before the other one.
     let second = choose_owner(&known.owners(), &ask(2, Kind::Batch, half));
     assert_eq!(second, Some(first));
-    known.estimates[at].granted(half, first.reach);
+    known.estimates[at].ask(half, first.reach);
     let third = choose_owner(&known.owners(), &ask(3, Kind::Batch, half));
     assert_ne!(third.map(|choice| choice.vm), Some(first.vm));
 }
@@ -123,7 +123,7 @@
     let empty = summary(1, PLAIN, Resources::ZERO);
     let mut known = Known::new(&[empty]);
     let larger = CORE + CORE;
-    known.estimates[0].refused(CORE, Reach::Any);
+    known.estimates[0].refuse(CORE, Reach::Any);
     assert_eq!(choose_owner(&known.owners(), &ask(1, Kind::Batch, larger)), None);
     let smaller = Resources::new(500, 512, 0);
     assert!(choose_owner(&known.owners(), &ask(2, Kind::Batch, smaller)).is_some());
--- a/crates/coriandertack/src/bench/packing/split.rs
+++ b/crates/coriandertack/src/bench/packing/split.rs
@@ -88,7 +88,7 @@
                     return Ok(());
                 }
                 if let [ask] = asks {
-                    self.homes[home].estimates[at].refused(ask.need, reach);
+                    self.refuse(home, at, ask, reach);
                 }
             }
             if asks.len() > 1 && self.try_parts(home, asks, reach).is_ok() {
@@ -114,11 +114,17 @@
         own.filter_map(|choice| self.vms.iter().position(|&vm| vm == choice.vm)).collect()
     }
 
+    fn refuse(&mut self, home: usize, at: usize, ask: &Ask, reach: Reach) {
+        let estimate = &mut self.homes[home].estimates[at];
+        estimate.ask(ask.need, reach);
+        estimate.refuse(ask.need, reach);
+    }
+
     /// Notes what an owner has granted.
     fn note(&mut self, home: usize, at: usize, asks: &[Ask], reach: Reach) {
         let home = &mut self.homes[home];
         for ask in asks {
-            home.estimates[at].granted(ask.need, reach);
+            home.estimates[at].ask(ask.need, reach);
         }
         for ask in asks.iter().filter(|ask| ask.kind == Kind::Service) {
             let class = Arc::clone(&ask.class);
@@ -148,7 +154,7 @@
                 self.note(home, at, std::slice::from_ref(ask), reach);
                 return true;
             }
-            self.homes[home].estimates[at].refused(ask.need, reach);
+            self.refuse(home, at, ask, reach);
         }
         false
     }
