Let the matrix rely on no worker that refuses an epoch

Change: the workers of the matrix refuse no epoch, two jobs are submitted without a key, and the audit counts them.

--- a/crates/coriandertack-core/src/link.rs
+++ b/crates/coriandertack-core/src/link.rs
@@ -8,6 +8,7 @@
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
+    home_choice::Estimate,
     keys::{Offset, Session},
     message::{Heartbeat, Instance, Outgoing, Summary},
 };
@@ -28,6 +29,8 @@
     pub settled: Offset,
     /// Its free capacity.
     pub summary: Summary,
+    /// What a home expects of it: the summary, and its answers since.
+    pub estimate: Estimate,
     /// Members that it does not hear.
     pub suspects: Vec<Session>,
     /// Services on its workers.
@@ -44,6 +47,7 @@
             offset: Offset(0),
             settled: Offset(0),
             summary: Summary::default(),
+            estimate: Estimate::default(),
             suspects: Vec::new(),
             instances: Vec::new(),
         }
@@ -55,6 +59,8 @@
         self.offset = self.offset.max(heartbeat.offset);
         self.settled = self.settled.max(heartbeat.settled);
         self.summary = heartbeat.summary.unwrap_or(self.summary);
+        // A summary that is left out is unchanged, so it replaces the estimate all the same.
+        self.estimate.update(self.summary);
         self.suspects = heartbeat.suspects;
         match heartbeat.instances {
             Some(instances) if instances != self.instances => {
--- a/crates/coriandertackd/src/dispatch.rs
+++ b/crates/coriandertackd/src/dispatch.rs
@@ -142,6 +142,7 @@
     let now = Instant::now();
     node.with(|inner| {
         for (place, placed) in places.into_iter().zip(placed) {
+            owners::answered(inner, Choice { vm, reach: place.reach }, &place.ask, placed);
             if placed == Placed::Full && now < place.until {
                 again.push(place);
             } else {
@@ -172,6 +173,7 @@
         place.reach = choice.reach;
         node.with(|inner| inner.homes.asked(lease, vm, now));
         let placed = place_at(node, me, vm, place.clone()).await;
+        node.with(|inner| owners::answered(inner, choice, &place.ask, placed));
         if placed != Placed::Full {
             let now = Instant::now();
             node.with(|inner| inner.homes.placed(lease, vm, placed, place.until, now));
--- a/crates/coriandertackd/src/owners.rs
+++ b/crates/coriandertackd/src/owners.rs
@@ -3,9 +3,9 @@
 use {
     coriandertack_core::{
         cell::Reach,
-        home_choice::{Choice, Owner, rank_owners},
+        home_choice::{Choice, Estimate, Owner, rank_owners},
         keys::VmKey,
-        message::Ask,
+        message::{Ask, Placed},
         node::Inner,
         record::Kind,
     },
@@ -14,10 +14,8 @@
 
 /// Returns the owner to ask for all of `asks`, or nothing if none of those left may have room.
 ///
-/// For batch work this VM goes first when it shows room, since that saves a message; the order of the others,
-/// and of all owners for services and gangs, is that of [`rank_owners`]. The capacity asked for is subtracted from what is
-/// known of the owner until its next heartbeat, so that one round does not send everything to the same
-/// VM.
+/// The order is that of [`rank_owners`]. What is asked for counts as taken until the answer comes, so that one
+/// round does not send everything to the same VM.
 pub fn choose(
     inner: &mut Inner,
     me: VmKey,
@@ -26,35 +24,34 @@
     now: Instant,
 ) -> Option<Choice> {
     let first = asks.first()?;
-    let here = Choice { vm: me, reach: Reach::Kept };
-    if first.kind == Kind::Batch && first.need.accelerators == 0 && !tried.contains(&here) {
-        let plain = inner.cell.summary().plain;
-        if first.need.fits(plain.largest) {
-            return Some(here);
-        }
-    }
-    let owners = owners(inner, me, first, now);
-    let choice = rank_owners(&owners, asks).into_iter().find(|choice| !tried.contains(choice))?;
+    let own = Estimate::from(inner.cell.summary());
+    let copies = |vm: VmKey| match first.kind {
+        Kind::Service => u32::try_from(inner.homes.copies(&first.class, vm)).unwrap_or(u32::MAX),
+        Kind::Batch | Kind::Gang => 0,
+    };
+    let heard = inner.links.iter().filter(|(_, link)| !link.is_suspected(now));
+    let others = heard.map(|(vm, link)| Owner {
+        vm,
+        estimate: &link.estimate,
+        copies: copies(vm),
+        local: false,
+    });
+    let here = Owner { vm: me, estimate: &own, copies: copies(me), local: true };
+    let owners: Vec<Owner<'_>> = others.chain([here]).collect();
+    let ranked = rank_owners(&owners, asks);
+    let choice = ranked.into_iter().find(|choice| !tried.contains(choice))?;
     if let Some(link) = inner.links.get_mut(choice.vm) {
-        let total = asks.iter().map(|ask| ask.need).sum();
-        let plain = &mut link.summary.plain;
-        plain.free = plain.free.saturating_sub(total);
-        let accelerated = &mut link.summary.accelerated;
-        accelerated.free = accelerated.free.saturating_sub(total);
+        asks.iter().for_each(|ask| link.estimate.ask(ask.need, choice.reach));
     }
     Some(choice)
 }
 
-/// Returns what is known of every owner that is heard, this VM included.
-fn owners(inner: &Inner, me: VmKey, ask: &Ask, now: Instant) -> Vec<Owner> {
-    let copies = |vm: VmKey| match ask.kind {
-        Kind::Service => u32::try_from(inner.homes.copies(&ask.class, vm)).unwrap_or(u32::MAX),
-        Kind::Batch | Kind::Gang => 0,
-    };
-    let heard = inner.links.iter().filter(|(_, link)| !link.is_suspected(now));
-    let others = heard.map(|(vm, link)| Owner { vm, summary: link.summary, copies: copies(vm) });
-    let own = Owner { vm: me, summary: inner.cell.summary(), copies: copies(me) };
-    others.chain([own]).collect()
+/// Notes what an owner answered to a request for one task.
+pub fn answered(inner: &mut Inner, choice: Choice, ask: &Ask, placed: Placed) {
+    let link = inner.links.get_mut(choice.vm);
+    if let Some(link) = link.filter(|_| placed == Placed::Full) {
+        link.estimate.refuse(ask.need, choice.reach);
+    }
 }
 
 /// Returns the owner to ask for urgent work when no owner has room: this one if it has workers, else the
--- a/crates/coriandertackd/tests/matrix/audit.rs
+++ b/crates/coriandertackd/tests/matrix/audit.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    scenario::Outcomes,
+    scenario::{KEYLESS, Outcomes},
     worker::Stretch,
     world::{CAPACITY, World},
 };
@@ -95,6 +95,12 @@
     for key in told.not_run.iter().filter(|key| keys.contains(key.as_str())) {
         wrong.push(format!("{key} was refused as not run, but was accepted"));
     }
+    for name in KEYLESS {
+        let count = state.jobs.arena.values().filter(|job| job.spec.name == name).count();
+        if count > 1 {
+            wrong.push(format!("{name} was submitted once and accepted {count} times"));
+        }
+    }
     if told.reverted {
         wrong.push("a setting went back".into());
     }
--- a/crates/coriandertackd/tests/matrix/link.rs
+++ b/crates/coriandertackd/tests/matrix/link.rs
@@ -175,7 +175,7 @@
                 sleep(ROUND).await;
                 continue;
             }
-            let running = machine.list(epoch);
+            let running = machine.list();
             let listed: BTreeSet<LeaseId> = running.iter().map(|task| task.lease).collect();
             let lost: Vec<LeaseId> = sent.difference(&listed).copied().collect();
             let list = WorkerNews::Listed { running, ended: Vec::new() };
@@ -199,7 +199,7 @@
         if now >= renew_at {
             renew_at = now + RENEW;
             lease_end = now + LEASE_TERM;
-            late(&switches, || machine.renew(epoch, lease_end)).await;
+            late(&switches, || machine.renew(lease_end)).await;
         }
         if may_act(&node, worker) {
             while let Ok(command) = commands.try_recv() {
@@ -208,7 +208,7 @@
                 if let WorkerCommand::Start { ask, .. } = &command {
                     sent.insert(ask.lease);
                 }
-                late(&switches, || machine.command(epoch, &command, until)).await;
+                late(&switches, || machine.command(&command, until)).await;
             }
         }
         for event in machine.events(&mut told) {
--- a/crates/coriandertackd/tests/matrix/scenario.rs
+++ b/crates/coriandertackd/tests/matrix/scenario.rs
@@ -73,6 +73,9 @@
 /// The longest that everything may take to end after the last fault.
 const LIMIT: Duration = Duration::from_secs(600);
 
+/// Jobs that are submitted once, without a key.
+pub const KEYLESS: [&str; 2] = ["settle", "flaky"];
+
 /// Runs one cell and returns what was wrong at the end.
 pub async fn run(fault: Fault, step: Step, seed: u64) -> Vec<String> {
     let world = World::start(seed).await;
@@ -199,7 +202,8 @@
         urgent: false,
         retries: 20,
         command: command.into(),
-        key: Some(key.clone()),
+        // Without a key, only the number of the batch keeps a job from being accepted twice.
+        key: (!KEYLESS.contains(&name)).then(|| key.clone()),
     };
     let answer = world.submit(index, spec).await;
     let mut told = outcomes.told.lock().expect("no panic while locked");
--- a/crates/coriandertackd/tests/matrix/worker.rs
+++ b/crates/coriandertackd/tests/matrix/worker.rs
@@ -8,7 +8,7 @@
 
 use {
     coriandertack_core::{
-        keys::{Epoch, LeaseId},
+        keys::LeaseId,
         message::{Ask, EndCause, Running, WorkerCommand, WorkerEvent},
         record::Usage,
         resources::Resources,
@@ -51,7 +51,6 @@
     /// Events that are kept, with a number that only grows.
     events: BTreeMap<u64, WorkerEvent>,
     next: u64,
-    epoch: Epoch,
     record: Vec<Stretch>,
     granted: Resources,
     used: BTreeMap<LeaseId, u64>,
@@ -164,10 +163,9 @@
         inner.down = true;
     }
 
-    /// Returns the running tasks, and refuses lower epochs from now on.
-    pub fn list(&self, epoch: Epoch) -> Vec<Running> {
-        let mut inner = self.lock();
-        inner.epoch = inner.epoch.max(epoch);
+    /// Returns the running tasks.
+    pub fn list(&self) -> Vec<Running> {
+        let inner = self.lock();
         let running = inner.tasks.iter().map(|(&lease, task)| Running {
             lease,
             class: Arc::clone(&task.ask.class),
@@ -178,9 +176,9 @@
         running.collect()
     }
 
-    pub fn renew(&self, epoch: Epoch, until: Instant) {
+    pub fn renew(&self, until: Instant) {
         let mut inner = self.lock();
-        if epoch < inner.epoch || inner.down {
+        if inner.down {
             return;
         }
         for task in inner.tasks.values_mut() {
@@ -189,10 +187,12 @@
     }
 
     /// Carries out a command that arrives.
-    pub fn command(&self, epoch: Epoch, command: &WorkerCommand, valid: Instant) {
+    ///
+    /// It refuses no epoch: the protocol must be safe with workers that cannot tell a former owner.
+    pub fn command(&self, command: &WorkerCommand, valid: Instant) {
         let now = Instant::now();
         let mut inner = self.lock();
-        if epoch < inner.epoch || inner.down {
+        if inner.down {
             return;
         }
         match command {
