Check every verdict while answers are lost and batches are copied

Cause: the tests had one fault each, and none had several nodes under a stream of them.

Change: three nodes accept 150 jobs while 40% of the answers are lost and copies of batches arrive; each accepted job must exist once on every node. The append error implements `Error`.

--- a/crates/coriandertack-log/src/client.rs
+++ b/crates/coriandertack-log/src/client.rs
@@ -9,7 +9,7 @@
     anyhow::{Context, bail, ensure},
     bytes::Bytes,
     coriandertack_core::keys::Offset,
-    derive_more::Display,
+    derive_more::{Display, Error},
     http_body_util::{BodyExt, Full, Limited},
     hyper::{Method, Request, Response, StatusCode, body::Incoming, http::HeaderValue},
     hyper_util::{
@@ -76,14 +76,14 @@
 }
 
 /// Why an append has no offset.
-#[derive(Debug, Display)]
+#[derive(Debug, Display, Error)]
 pub enum AppendError {
     /// The service certainly did not take the record.
     #[display("not appended: {_0:#}")]
-    Refused(anyhow::Error),
+    Refused(#[error(not(source))] anyhow::Error),
     /// The service may have taken the record.
     #[display("outcome unknown: {_0:#}")]
-    Unclear(anyhow::Error),
+    Unclear(#[error(not(source))] anyhow::Error),
 }
 
 #[derive(Deserialize)]
--- a/crates/coriandertack-log/tests/faults.rs
+++ b/crates/coriandertack-log/tests/faults.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use {
     bytes::Bytes,
@@ -16,7 +16,7 @@
         validity::VALIDITY,
     },
     coriandertack_log::{codec, commit::OUTCOME_WAIT, tail::Ended},
-    coriandertack_standins::log::{LogService, Outage},
+    coriandertack_standins::log::{LogConfig, LogService, Outage},
     tokio::{task::JoinHandle, time::Instant},
 };
 
@@ -247,3 +247,34 @@
     let left = valid.borrow_and_update().duration_since(Instant::now());
     assert!(left <= VALIDITY - delay, "{left:?}");
 }
+
+/// Guards against a job that is lost, doubled or misreported when many answers are lost and copies
+/// of batches mix with those of other nodes.
+#[tokio::test]
+async fn each_verdict_is_true_when_answers_are_lost() {
+    let service = LogService::start(LogConfig::default(), 11).await.unwrap();
+    let mut nodes = Vec::new();
+    for author in 1..=3 {
+        nodes.push(common::joined(&service, &format!("vm-{author}"), author).await.node);
+    }
+    nodes[0].submit_one("operator", team("vans", 0, 1_000)).await.unwrap();
+    service.set_loss(0.4);
+    let mut submitted = Vec::new();
+    for node in nodes.iter().cycle().take(150) {
+        submitted.push(submit(node, job()));
+        // A copy of the newest batch, as if an earlier attempt arrived late.
+        let copy = service.records(STREAM).pop().unwrap().body;
+        service.inject(STREAM, copy);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let mut ids = BTreeSet::new();
+    for verdict in futures::future::join_all(submitted).await {
+        let Ok(Applied::Job(id)) = verdict.unwrap() else { panic!("not accepted") };
+        assert!(ids.insert(id), "job {id} answers two submissions");
+    }
+    for node in &nodes {
+        common::until_state(node, |state| state.jobs.ids.len() >= ids.len()).await;
+        let known: BTreeSet<_> = node.with(|inner| inner.state.jobs.ids.keys().copied().collect());
+        assert_eq!(known, ids);
+    }
+}
