--- a/crates/coriandertack-core/src/state/audit.rs
+++ b/crates/coriandertack-core/src/state/audit.rs
@@ -1,7 +1,8 @@
 //! Trail of the changes that operators made, and of those that were refused.
 //!
 //! The trail is part of the replicated state, so every VM gives the same answer. It keeps the newest
-//! [`MAX_ENTRIES`] entries.
+//! [`MAX_ENTRIES`] changes of configuration and membership, and apart from them the newest [`MAX_WORK`]
+//! submissions and cancellations: thousands of jobs a day must not push out the changes of configuration.
 
 use std::collections::VecDeque;
 
@@ -11,9 +12,20 @@
     state::{State, Verdict},
 };
 
-/// Entries kept: over three weeks at the 460 configuration changes a day of the target.
+/// Changes of configuration and membership kept: over 11 days at the target's 460 changes of configuration
+/// and 400 joins and leaves a day.
 pub const MAX_ENTRIES: usize = 10_000;
 
+/// Submissions and cancellations kept: about 5 hours at the target's 9,400 jobs a day. The jobs themselves are
+/// kept for longer.
+pub const MAX_WORK: usize = 2_000;
+
+/// Start of the action of a submission.
+const SUBMIT: &str = "submit ";
+
+/// Start of the action of a cancellation.
+const CANCEL: &str = "cancel job ";
+
 /// The most characters of a value that an entry keeps.
 const MAX_TEXT: usize = 400;
 
@@ -41,16 +53,67 @@
 /// The trail.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Audit {
-    /// Entries, oldest first.
-    pub entries: VecDeque<AuditEntry>,
+    /// Changes of configuration and membership, oldest first.
+    changes: VecDeque<AuditEntry>,
+    /// Submissions and cancellations, oldest first.
+    work: VecDeque<AuditEntry>,
 }
 
 impl Audit {
+    /// Returns the trail that holds these entries, oldest first.
+    #[must_use]
+    pub fn of(entries: Vec<AuditEntry>) -> Self {
+        let mut audit = Self::default();
+        entries.into_iter().for_each(|entry| audit.push(entry));
+        audit
+    }
+
+    /// Returns all entries, oldest first.
+    pub fn iter(&self) -> impl Iterator<Item = &AuditEntry> {
+        let (mut changes, mut work) = (self.changes.iter().peekable(), self.work.iter().peekable());
+        std::iter::from_fn(move || {
+            let next_work = work.peek().map(|entry| entry.place());
+            let is_change =
+                |entry: &&AuditEntry| next_work.is_none_or(|place| entry.place() < place);
+            changes.next_if(is_change).or_else(|| work.next())
+        })
+    }
+
+    /// Returns the number of entries.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.changes.len() + self.work.len()
+    }
+
+    /// Tells whether there are no entries.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     fn push(&mut self, entry: AuditEntry) {
-        if self.entries.len() == MAX_ENTRIES {
-            self.entries.pop_front();
+        let (kept, limit) = if entry.is_work() {
+            (&mut self.work, MAX_WORK)
+        } else {
+            (&mut self.changes, MAX_ENTRIES)
+        };
+        if kept.len() == limit {
+            kept.pop_front();
         }
-        self.entries.push_back(entry);
+        kept.push_back(entry);
+    }
+}
+
+impl AuditEntry {
+    /// Returns the place of the entry in the log.
+    #[must_use]
+    pub fn place(&self) -> (Offset, u32) {
+        (self.offset, self.index)
+    }
+
+    /// Tells whether the entry is about one job, as submissions and cancellations are.
+    fn is_work(&self) -> bool {
+        self.action.starts_with(SUBMIT) || self.action.starts_with(CANCEL)
     }
 }
 
@@ -111,9 +174,9 @@
         )),
         Record::Accept(spec) => {
             let after = format!("kind={} tasks={} need={}", spec.kind, spec.tasks, spec.need);
-            Some((format!("submit {}/{}", spec.team, spec.name), after))
+            Some((format!("{SUBMIT}{}/{}", spec.team, spec.name), after))
         }
-        Record::Cancel(job) => Some((format!("cancel job {job}"), String::new())),
+        Record::Cancel(job) => Some((format!("{CANCEL}{job}"), String::new())),
         Record::Refused(refusal) => Some((refusal.action.clone(), String::new())),
         Record::Join(join) => Some((format!("join vm {}", join.name), join.http.to_string())),
         Record::Leave => Some(("leave".into(), String::new())),
--- a/crates/coriandertack-core/src/state/image.rs
+++ b/crates/coriandertack-core/src/state/image.rs
@@ -10,7 +10,7 @@
 use crate::{
     keys::{Epoch, Incarnation, JobId, LeaseId, Offset, Session, Version},
     record::{Join, TeamSpec, WorkerInfo},
-    state::{AuditEntry, Author, Holding, Job, Line, Setting, State, Team, Vm, Worker},
+    state::{Audit, AuditEntry, Author, Holding, Job, Line, Setting, State, Team, Vm, Worker},
     validity::HOLD_OFF,
 };
 
@@ -133,7 +133,7 @@
                 .map(|(&lease, &mark)| LeaseImage { lease, mark })
                 .collect(),
             lines: self.ledger.lines().collect(),
-            audit: self.audit.entries.iter().cloned().collect(),
+            audit: self.audit.iter().cloned().collect(),
         }
     }
 
@@ -168,7 +168,7 @@
         state.ledger.marks =
             image.leases.into_iter().map(|image| (image.lease, image.mark)).collect();
         state.ledger.sums = image.lines.into_iter().map(|line| (line.key, line.usage)).collect();
-        state.audit.entries = image.audit.into();
+        state.audit = Audit::of(image.audit);
         state
     }
 
--- a/crates/coriandertack-operators/src/records.rs
+++ b/crates/coriandertack-operators/src/records.rs
@@ -224,9 +224,9 @@
     let result = call.number("result")?;
     let is_refused = call.flag("refused")?;
     let (position, mut found) = api.node.with(|inner| {
-        let trail = inner.state.audit.entries.iter();
+        let trail = inner.state.audit.iter();
         let found: Vec<AuditEntry> = trail
-            .filter(|entry| after.is_none_or(|after| (entry.offset, entry.index) > after))
+            .filter(|entry| after.is_none_or(|after| entry.place() > after))
             .filter(|entry| (from_ms..to_ms).contains(&entry.at_ms))
             .filter(|entry| actor.is_none_or(|actor| actor == entry.actor))
             .filter(|entry| action.is_none_or(|action| entry.action.contains(action)))
--- a/crates/coriandertack-operators/tests/changes.rs
+++ b/crates/coriandertack-operators/tests/changes.rs
@@ -220,7 +220,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_flood_of_refused_changes_writes_few_records() {
     let bed = Bed::start().await;
-    let start = bed.node.with(|inner| (inner.state.offset, inner.state.audit.entries.len()));
+    let start = bed.node.with(|inner| (inner.state.offset, inner.state.audit.len()));
     for _ in 0..100 {
         for _ in 0..100 {
             bed.call(Method::DELETE, "/v1/teams/vans?expect=1", "wrong", "").await;
@@ -230,7 +230,7 @@
         advance(Duration::from_secs(1)).await;
         tokio::task::yield_now().await;
     }
-    let end = bed.node.with(|inner| (inner.state.offset, inner.state.audit.entries.len()));
+    let end = bed.node.with(|inner| (inner.state.offset, inner.state.audit.len()));
     let (appends, entries) = (end.0.0 - start.0.0, end.1 - start.1);
     // Of each of two actors: a burst of 10 and one each minute.
     assert_eq!(entries, 2 * (10 + 1));
--- a/crates/coriandertack-operators/tests/reading.rs
+++ b/crates/coriandertack-operators/tests/reading.rs
@@ -3,13 +3,13 @@
 mod common;
 
 use {
-    common::{Bed, CHEESE, OPERATOR, VANS, job, worker},
+    common::{Bed, CHEESE, OPERATOR, VANS, entry, job, worker},
     coriandertack_core::{
         code::Code,
         keys::{JobId, LeaseId, TaskId},
         node::Stage,
-        record::{Outcome, Record, Span, TaskEnd, Usage},
-        state::PERIOD_MS,
+        record::{Cordon, JobSpec, Outcome, Record, Span, TaskEnd, Usage},
+        state::{AuditEntry, PERIOD_MS, State},
     },
     expect_test::expect,
     serde_json::Value,
@@ -61,13 +61,38 @@
     assert_eq!(read_all(&bed, "/v1/workers?zone=x&", "workers", "name", OPERATOR).await.len(), 0);
     assert_eq!(read_all(&bed, "/v1/teams?", "teams", "name", OPERATOR).await, ["cheese", "vans"]);
     let trail = read_all(&bed, "/v1/audit?", "entries", "position", OPERATOR).await;
-    assert_eq!(trail.len(), bed.node.with(|inner| inner.state.audit.entries.len()));
+    assert_eq!(trail.len(), bed.node.with(|inner| inner.state.audit.len()));
     for limit in ["0", "501", "x"] {
         let got = bed.get(&format!("/v1/jobs?limit={limit}"), VANS).await;
         assert!([4020, 4000].contains(&got.code), "{limit}");
     }
 }
 
+/// Guards against changes of configuration that thousands of jobs push out of the trail, and against a
+/// trail that is out of order or differs after a snapshot.
+#[tokio::test(start_paused = true)]
+async fn jobs_do_not_push_changes_out_of_the_trail() {
+    let bed = Bed::start().await;
+    let spec: JobSpec = serde_json::from_str(&job("vans", "plan")).unwrap();
+    let cordon = |cordoned| Record::Cordon(Cordon { worker: "w1".into(), cordoned });
+    for cordoned in [true, false, true] {
+        bed.append("operator:ana", cordon(cordoned)).await.unwrap();
+        let jobs = vec![entry(Record::Accept(spec.clone())); 2_500];
+        bed.node.submit(jobs).await.unwrap();
+    }
+    let (entries, same) = bed.node.with(|inner| {
+        let image = inner.state.image();
+        let restored = State::from_image(image, tokio::time::Instant::now());
+        let entries: Vec<AuditEntry> = inner.state.audit.iter().cloned().collect();
+        (entries, restored.audit == inner.state.audit)
+    });
+    assert!(same);
+    assert!(entries.is_sorted_by_key(AuditEntry::place));
+    let count =
+        |start: &str| entries.iter().filter(|entry| entry.action.starts_with(start)).count();
+    assert_eq!((count("cordon worker w1"), count("submit vans/plan")), (3, 2_000));
+}
+
 /// Guards against a standing that does not follow the ends of the tasks.
 #[tokio::test(start_paused = true)]
 async fn a_job_shows_where_it_stands() {
