End waits for changes at a planned stop, and let a watch go on

Waits end with 5034 when the stage changes; a VM without a state answers 5029. The watch of the command line asks again after a refusal, from where it was. A team's wait no longer looks again at changes that it may not see.

--- a/crates/coriandertack-operators/src/api.rs
+++ b/crates/coriandertack-operators/src/api.rs
@@ -97,6 +97,17 @@
         rates.take(principal, rate, Instant::now())
     }
 
+    /// Checks that this VM has a state to answer from.
+    ///
+    /// Before it has read the log up to its tail, objects and tokens would seem not to exist.
+    pub(crate) fn require_state(&self) -> Result<(), Fault> {
+        match *self.node.stage.borrow() {
+            Stage::Serving | Stage::Draining => Ok(()),
+            Stage::Starting => Err(Code::NotReady.into()),
+            Stage::Stopped => Err(Code::Stopping.into()),
+        }
+    }
+
     /// Checks that this VM may accept a change now.
     pub(crate) fn require_serving(&self) -> Result<(), Fault> {
         match *self.node.stage.borrow() {
--- a/crates/coriandertack-operators/src/call.rs
+++ b/crates/coriandertack-operators/src/call.rs
@@ -206,6 +206,7 @@
 
 /// Finds out who calls and whether the rate allows the request.
 fn admit(api: &Api, request: &Request) -> Result<Principal, Fault> {
+    api.require_state()?;
     let header = request.headers().get(header::AUTHORIZATION);
     let header = header.and_then(|value| value.to_str().ok());
     // The token is hashed before the state is locked.
--- a/crates/coriandertack-operators/src/watch.rs
+++ b/crates/coriandertack-operators/src/watch.rs
@@ -17,12 +17,12 @@
         change::{Change, Event, Step, Subject},
         code::Code,
         keys::Offset,
-        node::Node,
+        node::{Node, Stage},
     },
     serde::Serialize,
     tokio::{
         sync::{Semaphore, broadcast, watch},
-        time::{Duration, Instant, timeout_at},
+        time::{Duration, Instant, sleep_until, timeout_at},
     },
 };
 
@@ -209,7 +209,7 @@
     let busy = |_| Fault::new(Code::TooManyRequests, "too many requests wait for changes here");
     let _room = api.ring.room.try_acquire().map_err(busy)?;
     api.ring.catch_up(&api.node).await;
-    let from = match call.text("from").unwrap_or("oldest") {
+    let mut from = match call.text("from").unwrap_or("oldest") {
         "oldest" => api.ring.lock().floor,
         "now" => *api.ring.position.borrow(),
         _ => Offset(call.number("from")?.unwrap_or_default()),
@@ -217,14 +217,25 @@
     let wait_ms = call.number("wait_ms")?.unwrap_or(0).min(MAX_WAIT_MS);
     let until = Instant::now() + Duration::from_millis(wait_ms);
     let mut position = api.ring.position.subscribe();
+    let mut stage = api.node.stage.subscribe();
     loop {
         position.borrow_and_update();
         let page = api.ring.after(from, |change| is_visible(&call.principal, change))?;
-        let moved = timeout_at(until, position.changed());
-        if !page.changes.is_empty() || !matches!(moved.await, Ok(Ok(()))) {
+        if !page.changes.is_empty() || Instant::now() >= until {
             let reply = Reply::new(Code::Done).with("position", page.position);
             return Ok(reply.with("changes", page.changes));
         }
+        // What the principal may not see is not looked at again.
+        from = page.position;
+        // A wait must not hold up a planned stop.
+        if *stage.borrow_and_update() != Stage::Serving {
+            return Err(Code::Stopping.into());
+        }
+        tokio::select! {
+            _ = position.changed() => {}
+            _ = stage.changed() => {}
+            () = sleep_until(until) => {}
+        }
     }
 }
 
--- a/crates/coriandertack-operators/tests/changes.rs
+++ b/crates/coriandertack-operators/tests/changes.rs
@@ -249,6 +249,10 @@
     {
         bed.node.stage.send_replace(stage);
         assert_eq!(bed.call(Method::POST, path, VANS, &body).await.code, code, "{stage}");
+        // A VM without a state must not answer that nothing exists.
+        let read = if stage == Stage::Draining { 2000 } else { code };
+        assert_eq!(bed.get(path, VANS).await.code, read, "{stage}");
+        assert_eq!(bed.get(path, "wrong").await.code, if read == 2000 { 4001 } else { code });
     }
     bed.node.stage.send_replace(Stage::Serving);
     bed.is_valid = false;
--- a/crates/coriandertack-operators/tests/watching.rs
+++ b/crates/coriandertack-operators/tests/watching.rs
@@ -6,6 +6,7 @@
     common::{Bed, OPERATOR, VANS, entry, job},
     coriandertack_core::{
         keys::{Incarnation, Offset, TaskId},
+        node::Stage,
         record::{Batch, Cordon, Outcome, Record, SettingChange, TaskEnd},
     },
     serde_json::Value,
@@ -177,6 +178,19 @@
     assert_eq!((too_long.code, start.elapsed()), (2000, Duration::from_secs(50)));
 }
 
+/// Guards against a planned stop that waits for those who wait for changes.
+#[tokio::test(start_paused = true)]
+async fn a_planned_stop_ends_the_waits() {
+    let bed = Bed::start().await;
+    let start = Instant::now();
+    let (got, _) = tokio::join!(bed.get("/v1/watch?from=now&wait_ms=20000", OPERATOR), async {
+        bed.node.stage.send_replace(Stage::Draining)
+    });
+    assert_eq!((got.code, start.elapsed()), (5034, Duration::ZERO));
+    assert_eq!(bed.get("/v1/watch?from=now&wait_ms=20000", OPERATOR).await.code, 5034);
+    assert_eq!(bed.get("/v1/watch?from=now", OPERATOR).await.code, 2000);
+}
+
 /// Guards against idle connections without a bound.
 #[tokio::test(start_paused = true)]
 async fn the_number_of_requests_that_wait_is_bounded() {
--- a/crates/coriandertack/src/cli/follow.rs
+++ b/crates/coriandertack/src/cli/follow.rs
@@ -1,21 +1,37 @@
 //! `watch` and `events`.
 
-use {clap::ArgMatches, serde_json::Value};
+use std::time::Duration;
+
+use {clap::ArgMatches, serde_json::Value, tokio::time::sleep};
 
 use crate::cli::{
     Context, Failure, args,
+    failure::TRY_AGAIN,
     output::{Output, print},
 };
 
 /// Time that the server waits for a change, in milliseconds.
 const WAIT_MS: &str = "25000";
 
+/// Pause before a watch asks again after a failure.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Prints changes as they are made, until the process is ended.
+///
+/// Positions mean the same on every VM, so a watch goes on where it was when a VM is replaced behind the load
+/// balancer.
 pub async fn watch(context: &Context, matches: &ArgMatches) -> Result<(), Failure> {
     let mut from = args::text(matches, "from").unwrap_or("now").to_owned();
     loop {
-        let (position, _) = page(context, &from, WAIT_MS).await?;
-        from = position;
+        match page(context, &from, WAIT_MS).await {
+            Ok((position, _)) => from = position,
+            // Before the first answer there is no position to go on from.
+            Err(failure) if failure.exit == TRY_AGAIN && from != "now" => {
+                eprintln!("{failure}");
+                sleep(RETRY_AFTER).await;
+            }
+            Err(failure) => return Err(failure),
+        }
     }
 }
 
--- a/crates/coriandertack/tests/command_line.rs
+++ b/crates/coriandertack/tests/command_line.rs
@@ -5,13 +5,15 @@
 
 use std::{
     fs,
+    io::{BufRead, BufReader},
     net::SocketAddr,
     path::PathBuf,
-    process::{Command, Output},
+    process::{Command, Output, Stdio},
 };
 
 use {
     common::{Bed, CHEESE, OPERATOR, VANS},
+    coriandertack_core::node::Stage,
     expect_test::{Expect, expect},
 };
 
@@ -80,6 +82,13 @@
     }
 }
 
+/// Reads a line while the server runs on the other threads.
+fn read_line(reader: &mut impl BufRead) -> String {
+    let mut line = String::new();
+    tokio::task::block_in_place(|| reader.read_line(&mut line).unwrap());
+    line.trim_end().to_owned()
+}
+
 /// Writes a file for a test and returns its path.
 fn file(name: &str, text: &str) -> PathBuf {
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -403,7 +412,7 @@
             "#]],
         )
         .await;
-    bed.node.stage.send_replace(coriandertack_core::node::Stage::Draining);
+    bed.node.stage.send_replace(Stage::Draining);
     shell
         .expect_failure(
             "cancel 1",
@@ -426,6 +435,42 @@
         .await;
 }
 
+/// Guards against a watch that prints changes late, in another order, or not at all.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_watch_prints_changes_as_they_are_made() {
+    let mut bed = Bed::start().await;
+    let shell = Shell { server: bed.listen().await, token: OPERATOR };
+    let mut child = program()
+        .args(["watch", "--from", "4"])
+        .env("CORIANDERTACK_SERVER", shell.server.to_string())
+        .env("CORIANDERTACK_TOKEN", OPERATOR)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut out = BufReader::new(child.stdout.take().unwrap());
+    let mut err = BufReader::new(child.stderr.take().unwrap());
+    let mut seen = Vec::new();
+    for worker in ["w1", "w2", "w3"] {
+        assert_eq!(shell.run(&format!("drain {worker}")).await.exit, 0);
+        // Each line must come before the next change is made.
+        seen.push(read_line(&mut out));
+        // A VM that is being replaced refuses to wait; the watch goes on after it.
+        bed.node.stage.send_replace(Stage::Draining);
+        let failure = read_line(&mut err);
+        assert_eq!(failure, "5034 this VM is stopping, not run");
+        assert_eq!(read_line(&mut err), "nothing was changed; try again, or use another VM");
+        bed.node.stage.send_replace(Stage::Serving);
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    let expected = ["w1", "w2", "w3"].into_iter().zip(5..);
+    let expected: Vec<String> = expected
+        .map(|(worker, offset)| format!("{offset} worker {worker} set by operator:ana"))
+        .collect();
+    assert_eq!(seen, expected);
+}
+
 /// Guards against a wrong command line that is carried out in part.
 #[test]
 fn a_wrong_command_line_has_exit_code_2() {
