--- a/crates/coriandertack-operators/src/call.rs
+++ b/crates/coriandertack-operators/src/call.rs
@@ -1,6 +1,6 @@
 //! From an HTTP request to a handler and back.
 //!
-//! [`serve`] finds out who calls, checks the rate, reads the input within its bounds, runs the
+//! `serve` finds out who calls, checks the rate, reads the input within its bounds, runs the
 //! handler, counts the answer and notes a refused change for the audit trail. Handlers see a [`Call`]
 //! and nothing of HTTP.
 
--- a/crates/coriandertack-operators/src/watch.rs
+++ b/crates/coriandertack-operators/src/watch.rs
@@ -4,7 +4,7 @@
 //! principal may see, and with the position to go on from; if there is none, it waits up to `wait_ms`.
 //! `from` may also be `oldest` or `now`. The changes of one
 //! offset are never split, so a resume from the returned position loses none. Positions mean the
-//! same on every VM. Each VM keeps the newest [`MAX_CHANGES`] changes; an older position is answered with 4010,
+//! same on every VM. Each VM keeps the newest `MAX_CHANGES` changes; an older position is answered with 4010,
 //! and the reader then lists the objects again and watches from the `position` of that list.
 
 use std::{
