Account for starts whose worker crashes before they are settled

Also, refusals count as a sign of a bad worker, so starts dropped in a log outage could have led to quarantines. Change: leases seen in any list are kept until their end is forwarded; starts that were never sent or are not found end as lease_expired, and refused is only what the worker answers.

--- a/crates/coriandertack-standins/src/worker.rs
+++ b/crates/coriandertack-standins/src/worker.rs
@@ -136,27 +136,30 @@
 }
 
 impl Shared {
-    /// Runs `act` on the engine and wakes those who wait for its events or deadlines.
+    /// Runs `act` on the engine and wakes those who wait for its events.
     fn with<R>(&self, act: impl FnOnce(&mut Engine) -> R) -> R {
         let mut engine = self.engine.lock().unwrap_or_else(PoisonError::into_inner);
         let result = act(&mut engine);
         let seq = engine.seq();
         drop(engine);
-        self.changed.notify_one();
         self.news.send_if_modified(|last| std::mem::replace(last, seq) != seq);
         result
     }
 
+    /// Runs `act` like [`Shared::with`] and lets the timer look for earlier deadlines.
+    fn change<R>(&self, act: impl FnOnce(&mut Engine) -> R) -> R {
+        let result = self.with(act);
+        self.changed.notify_one();
+        result
+    }
+
     /// Carries out what falls due, until aborted.
     async fn keep_time(self: Arc<Self>) {
         loop {
-            let next = {
-                let mut engine = self.engine.lock().unwrap_or_else(PoisonError::into_inner);
+            let next = self.with(|engine| {
                 engine.advance();
-                let seq = engine.seq();
-                self.news.send_if_modified(|last| std::mem::replace(last, seq) != seq);
                 engine.next()
-            };
+            });
             let due = async {
                 match next {
                     Some(next) => sleep_until(next).await,
--- a/crates/coriandertack-standins/src/worker/engine.rs
+++ b/crates/coriandertack-standins/src/worker/engine.rs
@@ -40,6 +40,8 @@
     pub config: WorkerConfig,
     pub audit: Audit,
     pub leaving: bool,
+    /// Number of crashes so far.
+    pub boot: u32,
     origin: Instant,
     wall_ms: u64,
     seed: u64,
@@ -69,6 +71,7 @@
             config,
             audit: Audit::default(),
             leaving: false,
+            boot: 0,
             origin: now.checked_sub(skew).unwrap_or(now),
             wall_ms: u64::try_from(wall.as_millis()).unwrap_or(0).saturating_sub(skew_ms),
             seed,
@@ -362,6 +365,7 @@
         self.late.clear();
         self.epoch = 0;
         self.seq = 0;
+        self.boot += 1;
     }
 
     /// Returns the record of what was done, with the use up to now.
--- a/crates/coriandertack-workers/src/control.rs
+++ b/crates/coriandertack-workers/src/control.rs
@@ -54,6 +54,11 @@
 /// refused.
 const START_MARGIN: Duration = Duration::from_millis(300);
 
+/// Cause reported for starts that took no effect, or whose effect a crash of the worker undid.
+/// [`EndCause::Refused`] is only for what the worker itself refuses, because it counts as a sign of a
+/// bad worker, and an outage of the log must not lead to quarantines.
+const NOT_STARTED: EndCause = EndCause::LeaseExpired;
+
 /// Longest time until a change of ownership is noticed. Nothing is sent without a check.
 const CHECK_EVERY: Duration = Duration::from_secs(1);
 
@@ -89,7 +94,7 @@
         commands,
         events,
         pending: Vec::new(),
-        running: BTreeSet::new(),
+        known: BTreeSet::new(),
         open: BTreeMap::new(),
         after: 0,
         listed: false,
@@ -99,7 +104,7 @@
         lease_end: owner.ready.max(now) + OUTAGE_LIMIT + OUTAGE_DRIFT + TERM,
     };
     let finish = control.work().await;
-    control.refuse_unsent().await;
+    control.end_unsent().await;
     log::info!("event=worker_released worker={} reason={finish}", control.name);
     finish
 }
@@ -148,8 +153,8 @@
     events: mpsc::Sender<(WorkerKey, WorkerNews)>,
     /// Commands not sent yet.
     pending: Vec<WorkerCommand>,
-    /// Leases that run as far as known.
-    running: BTreeSet<LeaseId>,
+    /// Leases that were started and whose ends have not been forwarded.
+    known: BTreeSet<LeaseId>,
     /// Starts without an answer, with the ends of their first leases.
     open: BTreeMap<LeaseId, Instant>,
     /// Number of the last event that was forwarded.
@@ -239,22 +244,20 @@
         client.command(self.epoch.0, Vec::new()).await?;
         let asked = Instant::now();
         let (clock, tasks) = client.tasks().await?;
-        let running: BTreeSet<LeaseId> = tasks.running.iter().map(|task| task.lease).collect();
-        let ended: BTreeSet<LeaseId> = tasks.ended.iter().map(|end| end.lease).collect();
-        self.open.retain(|lease, _| !running.contains(lease) && !ended.contains(lease));
+        let running = tasks.running.iter().map(|task| task.lease);
+        let ended = tasks.ended.iter().map(|end| end.lease);
+        let listed: BTreeSet<LeaseId> = running.chain(ended).collect();
+        // Noted even if the list is read again, since the worker can crash in between.
+        self.known.extend(self.open.keys().filter(|lease| listed.contains(lease)));
+        self.open.retain(|lease, _| !listed.contains(lease));
         if self.open.values().any(|&until| asked < until + START_MARGIN) {
             return Ok(None);
         }
         let ends = tasks.running.iter().map(|task| clock.reaches(task.until_ms)).max();
         let known = if self.listed { self.lease_end } else { asked };
         self.lease_end = ends.map_or(known, |end| end.max(known));
-        let lost: Vec<LeaseId> = self
-            .running
-            .iter()
-            .filter(|lease| !running.contains(lease) && !ended.contains(lease))
-            .copied()
-            .collect();
-        self.running = running;
+        let lost: Vec<LeaseId> = self.known.difference(&listed).copied().collect();
+        self.known = listed;
         self.report(tasks, lost).await?;
         self.listed = true;
         self.after = 0;
@@ -265,7 +268,7 @@
     async fn report(&mut self, tasks: Tasks, lost: Vec<LeaseId>) -> Result<(), Finish> {
         let leaving = tasks.leaving;
         log::info!(
-            "event=worker_listed worker={} running={} ended={} lost={} refused={}",
+            "event=worker_listed worker={} running={} ended={} lost={} void={}",
             self.name,
             tasks.running.len(),
             tasks.ended.len(),
@@ -280,7 +283,7 @@
             self.tell_end(lease, EndCause::LeaseExpired).await?;
         }
         for lease in std::mem::take(&mut self.open).into_keys() {
-            self.tell_end(lease, EndCause::Refused).await?;
+            self.tell_end(lease, NOT_STARTED).await?;
         }
         if leaving {
             self.tell(WorkerNews::Event(WorkerEvent::Leaving)).await?;
@@ -369,7 +372,7 @@
         for (command, done) in batch.iter().zip(results) {
             match (command, done) {
                 (WorkerCommand::Start { ask, .. }, Effect::Done | Effect::Known) => {
-                    self.running.insert(ask.lease);
+                    self.known.insert(ask.lease);
                 }
                 (WorkerCommand::Start { ask, .. }, Effect::Refused | Effect::Unknown) => {
                     self.tell_end(ask.lease, EndCause::Refused).await?;
@@ -403,7 +406,7 @@
             self.after = self.after.max(event.seq);
             let event = WorkerEvent::from(event);
             if let WorkerEvent::Ended { lease, .. } = event {
-                self.running.remove(&lease);
+                self.known.remove(&lease);
             }
             self.tell(WorkerNews::Event(event)).await?;
         }
@@ -435,21 +438,21 @@
         let late: Vec<WorkerCommand> = self.pending.extract_if(.., late).collect();
         for command in late {
             if let WorkerCommand::Start { ask, .. } = command {
-                self.tell_end(ask.lease, EndCause::Refused).await?;
+                self.tell_end(ask.lease, NOT_STARTED).await?;
             }
         }
         Ok(())
     }
 
     /// Reports the starts that were never sent, so that their homes need not wait for a successor.
-    async fn refuse_unsent(&mut self) {
+    async fn end_unsent(&mut self) {
         self.commands.close();
         while let Ok(command) = self.commands.try_recv() {
             self.pending.push(command);
         }
         for command in std::mem::take(&mut self.pending) {
             if let WorkerCommand::Start { ask, .. } = command
-                && self.tell_end(ask.lease, EndCause::Refused).await.is_err()
+                && self.tell_end(ask.lease, NOT_STARTED).await.is_err()
             {
                 // Nobody listens any more.
                 return;
@@ -458,7 +461,7 @@
     }
 
     async fn tell_end(&mut self, lease: LeaseId, cause: EndCause) -> Result<(), Finish> {
-        self.running.remove(&lease);
+        self.known.remove(&lease);
         self.tell(WorkerNews::Event(End::bare(lease, cause).into())).await
     }
 
