List, stop and end urgent work that waits for preempted tasks, and report expired holds

Cause: three tests of claims failed: a new home did not see urgent work that was still waiting for its room and could place it again; a cancelled claim started all the same; claims on a lost worker started there. Capacity held for a gang fell silently, which a home that had taken over could count on for ever.

Change: lists name claims; release and expiry of a worker end claims first; expired holds are reported as ended.

--- a/crates/coriandertack-core/src/owner.rs
+++ b/crates/coriandertack-core/src/owner.rs
@@ -189,6 +189,11 @@
 /// Lets go of held capacity and stops tasks.
 pub fn release(inner: &mut Inner, leases: &[LeaseId]) {
     for &lease in leases {
+        if let Some(worker) = inner.cell.claim(lease).map(|claim| claim.worker) {
+            // It has not started, so there is nothing to stop, but its home waits for the end.
+            end(inner, worker, lease, ended_without_use(EndCause::Stopped), Instant::now());
+            continue;
+        }
         let Some(&Grant { worker, phase, .. }) = inner.cell.grant(lease) else { continue };
         if matches!(phase, Phase::Held(_)) {
             inner.cell.release(lease);
@@ -230,9 +235,13 @@
     let fence = inner.owner.epochs.entry(team.to_owned()).or_default();
     *fence = epoch.max(*fence);
     let granted = inner.cell.grants().filter(|grant| team_of(&grant.ask.class) == team);
-    let running = granted.map(|grant| Known {
-        lease: grant.ask.lease,
-        worker: host_name(inner, grant.worker),
+    let running = granted.map(|grant| (grant.ask.lease, grant.worker));
+    // Urgent work that waits for preempted tasks starts later, so no other home may place it.
+    let claimed = inner.cell.claims().filter(|claim| team_of(&claim.ask.class) == team);
+    let running = running.chain(claimed.map(|claim| (claim.ask.lease, claim.worker)));
+    let running = running.map(|(lease, worker)| Known {
+        lease,
+        worker: host_name(inner, worker),
         ended: None,
     });
     let job_team = |lease: &LeaseId| inner.state.jobs.get(lease.task.job).map(|job| &job.spec.team);
@@ -327,11 +336,30 @@
     inner.owner.ended.entry(lease).or_insert(report);
 }
 
+/// Returns the news of a lease whose use is not known or nothing.
+fn ended_without_use(cause: EndCause) -> News {
+    News::Ended { cause, run_ms: 0, peak: Resources::ZERO }
+}
+
+/// Lets go of held capacity whose deadline has passed, and tells the homes, since a home that took over
+/// may count on it.
+pub fn expire_holds(inner: &mut Inner, now: Instant) {
+    let over = |grant: &&Grant| matches!(grant.phase, Phase::Held(until) if until <= now);
+    let held = inner.cell.grants().filter(over).map(|grant| (grant.ask.lease, grant.worker));
+    for (lease, worker) in held.collect::<Vec<_>>() {
+        end(inner, worker, lease, ended_without_use(EndCause::LeaseExpired), now);
+    }
+    inner.cell.expire(now);
+}
+
 /// Ends every lease on a worker that cannot be reached and whose leases are over.
 pub fn expire_worker(inner: &mut Inner, worker: WorkerKey, now: Instant) {
     let on_worker = inner.cell.grants().filter(|grant| grant.worker == worker);
-    let leases: Vec<LeaseId> = on_worker.map(|grant| grant.ask.lease).collect();
-    let news = News::Ended { cause: EndCause::LeaseExpired, run_ms: 0, peak: Resources::ZERO };
+    // Claims go first: the ends of the others would start them on the worker.
+    let claimed = inner.cell.claims().filter(|claim| claim.worker == worker);
+    let claimed = claimed.map(|claim| claim.ask.lease);
+    let leases: Vec<LeaseId> = claimed.chain(on_worker.map(|grant| grant.ask.lease)).collect();
+    let news = ended_without_use(EndCause::LeaseExpired);
     for lease in leases {
         end(inner, worker, lease, news, now);
     }
--- a/crates/coriandertack-core/tests/placement/main.rs
+++ b/crates/coriandertack-core/tests/placement/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the placement decisions.
 
+mod claims;
 mod kinds;
 mod learning;
 mod overcommit;
--- a/crates/coriandertackd/src/capacity.rs
+++ b/crates/coriandertackd/src/capacity.rs
@@ -93,7 +93,7 @@
         node.with(|inner| owner::expire_worker(inner, worker, now));
         free(node, now);
     }
-    node.with(|inner| inner.cell.expire(now));
+    node.with(|inner| owner::expire_holds(inner, now));
 }
 
 /// Sends due notices to their homes.
