--- a/crates/coriandertack/examples/routing.rs
+++ b/crates/coriandertack/examples/routing.rs
@@ -20,7 +20,7 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     log::set_logger(&Stderr).map_err(|error| anyhow::anyhow!("{error}"))?;
-    log::set_max_level(log::LevelFilter::Info);
+    log::set_max_level(log::LevelFilter::Debug);
     let mut args = std::env::args().skip(1);
     let scenario = args.next().unwrap_or_default();
     let seed = args.next().map_or(Ok(1), |text| text.parse())?;
