--- a/crates/coriandertack-callers/src/router.rs
+++ b/crates/coriandertack-callers/src/router.rs
@@ -4,7 +4,7 @@
 //! [`Router::note_key`] for requests of other VMs. All of them may be cancelled at any time: what was
 //! started is finished and learned from.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering};
 
 use {
     coriandertack_core::{
@@ -151,10 +151,17 @@
     /// Fails with a code that says whether the request was not run ([`Code::is_not_run`]).
     pub async fn call(self: &Arc<Self>, call: Call) -> Result<Answer, Code> {
         let held = self.enter()?;
-        match call.key.clone() {
+        let until = call.until;
+        let result = match call.key.clone() {
             None => self.run(&call).await,
             Some(key) => self.call_keyed(call, key, held).await,
+        };
+        if result.is_ok() && Instant::now() > until {
+            // The answer came in time from the worker and was held up on the way through this VM.
+            self.counters.late.fetch_add(1, Ordering::Relaxed);
+            return Err(Code::OutcomeUnknown);
         }
+        result
     }
 
     /// Carries out a request that another VM forwards to the keeper of its key.
--- a/crates/coriandertack-callers/tests/routing.rs
+++ b/crates/coriandertack-callers/tests/routing.rs
@@ -4,6 +4,7 @@
 
 use std::{
     collections::HashMap,
+    pin::pin,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -11,7 +12,7 @@
 use {
     coriandertack_core::{code::Code, message::Call, node::Stage},
     coriandertack_standins::serving::{Act, Reply, Serving},
-    futures::future::join_all,
+    futures::{future::join_all, poll},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     support::{call, echo, instance, publish, scripted, start, text},
@@ -76,6 +77,24 @@
     assert_eq!(text(answer).as_deref(), Ok("next"));
 }
 
+/// Guards against an answer past its deadline when the process is held up between the worker's answer
+/// and the caller.
+#[tokio::test]
+async fn answer_held_up_past_the_deadline_is_dropped() {
+    let worker = echo(Duration::ZERO).await;
+    let vms = start(1, &[&worker]).await;
+    let until = Instant::now() + Duration::from_millis(500);
+    let mut call = pin!(vms[0].router.call(Call { until, ..once("a") }));
+    assert!(poll!(&mut call).is_pending());
+    let counters = vms[0].router.counters();
+    while counters.answered.load(Ordering::Relaxed) + counters.late.load(Ordering::Relaxed) == 0 {
+        tokio::task::yield_now().await;
+    }
+    // This blocks the only thread of the test.
+    std::thread::sleep(until - Instant::now() + Duration::from_millis(1));
+    assert_eq!(call.await, Err(Code::OutcomeUnknown));
+}
+
 /// Guards against failing a request because its worker closed the connection after the one before.
 #[tokio::test]
 async fn closed_connection_is_replaced() {
--- a/crates/coriandertack-workers/src/upstream.rs
+++ b/crates/coriandertack-workers/src/upstream.rs
@@ -227,25 +227,31 @@
     let mut work = pin!(converse(sender, exchange, &id, &line.counters));
     tokio::select! {
         biased;
-        result = drive(driver, &mut work) => {
-            if result.is_ok() {
-                count(&line.counters.answered);
-            }
-            return result;
-        }
+        result = drive(driver, &mut work) => return in_time(line, exchange, result),
         () = sleep_until(until) => report(line, News::Overdue(exchange.request)),
     }
     match timeout_at(until + LINGER, drive(driver, &mut work)).await {
-        Ok(Ok(_)) => {
-            count(&line.counters.late);
-            log::info!("event=late_answer_dropped address={} request={id}", exchange.address);
-            Err(Fault::Late)
-        }
-        Ok(Err(fault)) => Err(fault),
+        Ok(result) => in_time(line, exchange, result),
         Err(_) => Err(Fault::MayHaveRun),
     }
 }
 
+/// Passes an answer on unless its deadline has passed, which the timer may tell only later.
+fn in_time(
+    line: &Line,
+    exchange: &Exchange,
+    result: Result<Answer, Fault>,
+) -> Result<Answer, Fault> {
+    let answer = result?;
+    if Instant::now() > exchange.until {
+        count(&line.counters.late);
+        log::info!("event=late_answer_dropped address={}", exchange.address);
+        return Err(Fault::Late);
+    }
+    count(&line.counters.answered);
+    Ok(answer)
+}
+
 async fn connect(line: &Line, address: SocketAddr, until: Instant) -> Result<Open, Fault> {
     let limit = until.min(Instant::now() + CONNECT_LIMIT);
     let opening = async {
