Note waits, decisions and appends for the metrics, and let a planned stop answer first

Cause: six instruments were never fed; a planned stop closed the listener before the load balancer could read that the VM is not ready; a killed process in the demo let its requests finish.

Change: decisions note figures in core's stats, which the metrics take when they are read; the listener stays open until callers' requests are answered; the server ends with its session; coriandertackd uses its one command line.

Conclusion: none beyond that.

--- a/crates/coriandertack-callers/src/http.rs
+++ b/crates/coriandertack-callers/src/http.rs
@@ -56,6 +56,8 @@
         Err(code) => Err(code),
         Ok(()) => carry_out(router, request).await,
     };
+    let code = result.as_ref().map_or_else(|code| *code, |_| Code::Done);
+    node.with(|inner| inner.stats.called(code));
     match result {
         Ok(answer) => content(answer),
         Err(code) => failure(code),
--- a/crates/coriandertack-core/src/lib.rs
+++ b/crates/coriandertack-core/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod resources;
 pub mod route;
 pub mod state;
+pub mod stats;
 pub mod usage;
 pub mod validity;
--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -26,6 +26,7 @@
     owner::Owner,
     record::{Batch, Entry, Join, Record},
     state::{State, Verdict},
+    stats::Stats,
     validity::Validity,
 };
 
@@ -73,6 +74,8 @@
     pub posts: SecondaryMap<WorkerKey, mpsc::UnboundedSender<WorkerCommand>>,
     /// Batches sent whose outcome is not applied yet.
     pub commits: Commits,
+    /// Figures for the metrics.
+    pub stats: Stats,
 }
 
 /// Ways back for the verdicts of batches in flight.
@@ -142,6 +145,7 @@
             links: SecondaryMap::new(),
             posts: SecondaryMap::new(),
             commits: Commits::default(),
+            stats: Stats::default(),
         };
         let node = Self {
             info,
--- a/crates/coriandertack-log/src/commit.rs
+++ b/crates/coriandertack-log/src/commit.rs
@@ -152,7 +152,11 @@
     loop {
         *last = Instant::now();
         match client.append(Bytes::clone(&batch.body), *last + APPEND_TIMEOUT).await {
-            Ok(_) => return pending().await,
+            Ok(_) => {
+                let took = last.elapsed();
+                node.with(|inner| inner.stats.appends.note(took));
+                return pending().await;
+            }
             Err(AppendError::Unclear(error)) => {
                 sent = true;
                 log::warn!("event=append_unclear seq={} error={error:#}", batch.seq);
--- a/crates/coriandertack-operators/src/metrics.rs
+++ b/crates/coriandertack-operators/src/metrics.rs
@@ -1,15 +1,16 @@
 //! Instruments of an entry VM, exported in the Prometheus text format.
 //!
-//! Other packages record through the methods of [`Metrics`]. Core stays free of this library: it gets
-//! closures, or its counters are read when the metrics are asked for ([`Metrics::observe`]).
+//! Core stays free of this library: what it notes in [`Stats`] is taken when the metrics are asked for
+//! ([`Metrics::observe`]).
 
-use std::{fmt, time::Duration};
+use std::fmt;
 
 use {
     coriandertack_core::{
         code::Code,
         home::Step,
         node::{Node, Stage},
+        stats::Stats,
     },
     opentelemetry::{
         KeyValue,
@@ -94,36 +95,11 @@
         })
     }
 
-    /// Records the time from the acceptance of a task to the start sent.
-    pub fn waited(&self, time: Duration) {
-        self.waiting.record(time.as_secs_f64(), &[]);
-    }
-
-    /// Records the time of one placement decision.
-    pub fn decided(&self, time: Duration) {
-        self.decision.record(time.as_secs_f64(), &[]);
-    }
-
-    /// Records the time of one append to the log.
-    pub fn appended(&self, time: Duration) {
-        self.append.record(time.as_secs_f64(), &[]);
-    }
-
-    /// Counts capacity granted.
-    pub fn granted(&self, count: u64) {
-        self.grants.add(count, &[]);
-    }
-
     /// Counts an answer of the resource API.
     pub fn answered(&self, code: Code) {
         self.requests.add(1, &[code_label(code)]);
     }
 
-    /// Counts an answer to a caller's request.
-    pub fn called(&self, code: Code) {
-        self.calls.add(1, &[code_label(code)]);
-    }
-
     /// Counts bytes of control traffic with a kind of peer, for example `log` or `workers`.
     pub fn control(&self, peer: &'static str, bytes: u64) {
         self.control.add(bytes, &[KeyValue::new("peer", peer)]);
@@ -157,6 +133,24 @@
             }
             self.granted.record(inner.cell.grants().count() as u64, &[]);
         });
+        self.take(node.with(|inner| std::mem::take(&mut inner.stats)));
+    }
+
+    /// Records what decisions have noted since the last reading.
+    fn take(&self, mut stats: Stats) {
+        let seconds = |micros: u32| f64::from(micros) / 1e6;
+        for (samples, instrument) in [
+            (&mut stats.waits, &self.waiting),
+            (&mut stats.decisions, &self.decision),
+            (&mut stats.appends, &self.append),
+        ] {
+            samples.take().into_iter().for_each(|micros| instrument.record(seconds(micros), &[]));
+        }
+        self.grants.add(stats.granted, &[]);
+        for (number, count) in stats.calls {
+            let code = Code::try_from(number).unwrap_or(Code::Internal);
+            self.calls.add(count, &[code_label(code)]);
+        }
     }
 
     /// Returns all instruments in the Prometheus text format.
--- a/crates/coriandertack-operators/tests/reading.rs
+++ b/crates/coriandertack-operators/tests/reading.rs
@@ -231,13 +231,14 @@
     let now = tokio::time::Instant::now();
     bed.node.with(|inner| inner.homes.sync(&inner.state, me, now));
     bed.get("/v1/jobs", "wrong").await;
-    let metrics = &bed.api.metrics;
-    metrics.waited(Duration::from_millis(3));
-    metrics.decided(Duration::from_micros(30));
-    metrics.appended(Duration::from_millis(5));
-    metrics.granted(2);
-    metrics.called(Code::Overloaded);
-    metrics.control("log", 120);
+    bed.node.with(|inner| {
+        inner.stats.waits.note(Duration::from_millis(3));
+        inner.stats.decisions.note(Duration::from_micros(30));
+        inner.stats.appends.note(Duration::from_millis(5));
+        inner.stats.granted += 2;
+        inner.stats.called(Code::Overloaded);
+    });
+    bed.api.metrics.control("log", 120);
     let text = bed.get("/metrics", "").await.text;
     let wanted =
         |line: &&str| !line.starts_with('#') && !line.contains("_bucket") && !line.ends_with(" 0");
--- a/crates/coriandertackd/src/dispatch.rs
+++ b/crates/coriandertackd/src/dispatch.rs
@@ -110,7 +110,10 @@
             let place = Place { ask, epoch: pick.epoch, until, reach, hold: false };
             inner.homes.asked(lease, vm, now);
             if vm == me {
+                let began = Instant::now();
                 let placed = owner::place(inner, me, &place, now);
+                inner.stats.decisions.note(began.elapsed());
+                note_wait(inner, lease, placed);
                 inner.homes.placed(lease, me, placed, until, now);
             } else {
                 remote.entry(vm).or_default().push(place);
@@ -120,6 +123,15 @@
     remote
 }
 
+/// Notes how long a task has waited, once it has its place.
+fn note_wait(inner: &mut Inner, lease: LeaseId, placed: Placed) {
+    let queued = inner.homes.task(lease.task).map(|task| task.queued);
+    if let Some(queued) = queued.filter(|_| placed == Placed::Granted) {
+        inner.stats.waits.note(queued.elapsed());
+        inner.stats.granted += 1;
+    }
+}
+
 /// Chooses the owner to ask next.
 fn choose(
     inner: &mut Inner,
@@ -146,6 +158,7 @@
             if placed == Placed::Full && now < place.until {
                 again.push(place);
             } else {
+                note_wait(inner, place.ask.lease, placed);
                 inner.homes.placed(place.ask.lease, vm, placed, place.until, now);
             }
         }
--- a/crates/coriandertackd/src/main.rs
+++ b/crates/coriandertackd/src/main.rs
@@ -4,11 +4,7 @@
 
 use {
     anyhow::{Context, Result},
-    clap::{Arg, Command},
-    coriandertackd::{
-        logging, process,
-        settings::{self, Settings},
-    },
+    coriandertackd::{args, logging, process, settings::Settings},
     tokio::{
         signal::unix::{SignalKind, signal},
         sync::watch,
@@ -19,10 +15,7 @@
 const EXIT_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
-    let matches = command().get_matches();
-    let file: &String = matches.get_one("settings").expect("the argument is required");
-    let name: Option<&String> = matches.get_one("vm");
-    let settings = match read(file, name.map(String::as_str)) {
+    let settings = match args::settings(&args::command().get_matches()) {
         Ok(settings) => settings,
         Err(faults) => {
             for fault in faults {
@@ -41,29 +34,6 @@
     }
 }
 
-fn command() -> Command {
-    Command::new("coriandertackd")
-        .version(env!("CARGO_PKG_VERSION"))
-        .about("Runs an entry VM of the coriandertack scheduler")
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .required(true)
-                .help("Settings file of the deployment"),
-        )
-        .arg(
-            Arg::new("vm")
-                .long("vm")
-                .value_name("NAME")
-                .help("Name of this VM, if the file describes several"),
-        )
-}
-
-fn read(file: &str, name: Option<&str>) -> Result<Settings, Vec<settings::Fault>> {
-    settings::read(file)?.select(name).map_err(|fault| vec![fault])
-}
-
 #[tokio::main]
 async fn serve(settings: Settings) -> Result<()> {
     logging::init(settings.common.level)?;
--- a/crates/coriandertackd/src/process.rs
+++ b/crates/coriandertackd/src/process.rs
@@ -29,6 +29,7 @@
         task::JoinSet,
         time::{sleep, timeout},
     },
+    tokio_util::task::AbortOnDropHandle,
 };
 
 use crate::{capacity, dispatch, http, logging, members, peers, routes, settings::Settings};
@@ -218,7 +219,8 @@
 struct Http {
     calls: Arc<Calls>,
     stop: watch::Sender<bool>,
-    server: tokio::task::JoinHandle<()>,
+    /// Ends with the session unless [`Http::finish`] lets its requests end first.
+    server: AbortOnDropHandle<()>,
 }
 
 impl Http {
@@ -238,9 +240,9 @@
             .await
             .with_context(|| format!("cannot listen for HTTP at {}", settings.vm.http))?;
         let (stop, mut stopped) = watch::channel(false);
-        let server = tokio::spawn(async move {
+        let server = AbortOnDropHandle::new(tokio::spawn(async move {
             http::serve(listener, routes, async move { asked(&mut stopped).await }).await;
-        });
+        }));
         Ok(Self { calls, stop, server })
     }
 
@@ -250,7 +252,6 @@
         let mut server = self.server;
         if timeout(limit, &mut server).await.is_err() {
             log::warn!("event=drain_limit calls={}", self.calls.in_progress());
-            server.abort();
         }
     }
 }
@@ -312,6 +313,9 @@
 async fn drain(settings: &Settings, node: &Arc<Node>, http: Http) {
     log::info!("event=draining vm={}", settings.vm.name);
     node.stage.send_replace(Stage::Draining);
+    // The listener stays open until callers' requests are answered, so that the load balancer can read that this
+    // VM is not ready.
+    let _ = timeout(settings.common.drain, http.calls.drained()).await;
     http.finish(settings.common.drain).await;
     capacity::charge_usage(Arc::clone(node)).await;
     match member::leave(node).await {
