Meter running tasks from their usage: services teach, busy workers are throttled

Cause: nothing called the learner's view of running tasks or the throttling of busy workers.

Change: the owner derives the mean use from two usage intervals in a row.

Conclusion: services, which never end by themselves, now teach their sizes.

--- a/crates/coriandertack-core/src/lib.rs
+++ b/crates/coriandertack-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod learn;
 pub mod link;
 pub mod message;
+pub mod meter;
 pub mod node;
 pub mod owner;
 pub mod record;
--- a/crates/coriandertack-core/src/owner.rs
+++ b/crates/coriandertack-core/src/owner.rs
@@ -19,6 +19,7 @@
         Ask, EndCause, Instance, Known, News, Notice, Place, Placed, Running, WorkerCommand,
         WorkerEvent,
     },
+    meter::Meters,
     node::Inner,
     record::Kind,
     resources::Resources,
@@ -50,6 +51,8 @@
     started: Vec<Notice>,
     /// Usage that is not charged yet.
     pub usage: UsageBook,
+    /// Use of the tasks on the workers owned here.
+    meters: Meters,
 }
 
 /// Returns the team of a class.
@@ -66,6 +69,7 @@
     for key in lost {
         inner.cell.forget(key);
         inner.posts.remove(key);
+        inner.owner.meters.forget_worker(key);
         // The next owner learns of these ends from the worker, which keeps them until acknowledged.
         inner.owner.ended.retain(|_, end| end.worker != key);
     }
@@ -313,6 +317,10 @@
     usage: crate::record::Usage,
     end_ms: u64,
 ) {
+    let sample = inner.owner.meters.sample(worker, lease, interval, usage, end_ms);
+    if let Some(used) = sample {
+        meter(inner, worker, lease, used);
+    }
     let mark = inner.state.ledger.mark(lease);
     if interval >= mark {
         inner.owner.usage.report(lease, interval, usage, end_ms);
@@ -322,7 +330,25 @@
     }
 }
 
+/// Learns from the use of a service, which may never end by itself, and limits tasks that use more than their share
+/// of a busy worker.
+fn meter(inner: &mut Inner, worker: WorkerKey, lease: LeaseId, used: Resources) {
+    let service = inner.cell.grant(lease).filter(|grant| grant.ask.kind == Kind::Service);
+    if let Some(class) = service.map(|grant| Arc::clone(&grant.ask.class)) {
+        inner.learner.observe_use(&class, used);
+    }
+    let uses = inner.owner.meters.uses(worker);
+    let commands = inner.cell.throttles(worker, &uses);
+    if let Some(post) = inner.posts.get(worker) {
+        for command in commands {
+            // A closed queue means that the worker has another owner by now.
+            let _ = post.send(command);
+        }
+    }
+}
+
 fn end(inner: &mut Inner, worker: WorkerKey, lease: LeaseId, news: News, now: Instant) {
+    inner.owner.meters.forget(lease);
     let released = inner.cell.release(lease);
     if let (Some(grant), News::Ended { cause, run_ms, .. }) = (released, news) {
         let report = inner.cell.report(worker, &grant.ask.class, cause, run_ms, now);
