Judge an instance by a passed deadline only if it had the time

A request that spent its time in our queue and missed its deadline soon after its start counted as a failure of the worker. It counts now only after twice the cautious response time.

--- a/crates/coriandertack-core/src/route/dispatch.rs
+++ b/crates/coriandertack-core/src/route/dispatch.rs
@@ -22,6 +22,9 @@
 /// Attempts at one request, the first included.
 const MOST_ATTEMPTS: u32 = 3;
 
+/// Factor of the cautious response time after which a passed deadline counts as a failure of the worker.
+const HANGING: u32 = 2;
+
 /// How long a worker that refused a request for lack of slots gets none, in milliseconds.
 const FULL_PAUSE_MS: f64 = 5.0;
 
@@ -276,11 +279,17 @@
     /// Notes that the deadline of a request in flight has passed. Its slot stays in use until
     /// [`Dispatch::end`], because the worker may still be running it.
     pub fn overdue(&mut self, key: RequestKey, now: Instant) {
-        if let Some(Request { phase: Phase::Running { site, late, .. }, .. }) =
-            self.requests.get_mut(key)
-        {
-            *late = true;
-            // A worker that hangs is ejected by this; the end of the attempt comes only much later.
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        let Phase::Running { site, since, late } = &mut request.phase else {
+            return;
+        };
+        *late = true;
+        // A worker that hangs is ejected by this; the end of the attempt comes only much later. A request
+        // that spent its time in the queue says nothing of the worker.
+        let usual = millis(self.queues.classes[request.class].response.cautious());
+        if now.duration_since(*since) > usual * HANGING {
             self.table.failed(*site, now);
         }
     }
--- a/crates/coriandertack-core/tests/route/ejection.rs
+++ b/crates/coriandertack-core/tests/route/ejection.rs
@@ -8,7 +8,7 @@
     tokio::time::Instant,
 };
 
-use crate::support::{dispatch, ms, offer, start_all};
+use crate::support::{dispatch, ms, offer, start_all, teach};
 
 /// Sends `count` requests one after the other; those to a worker in `bad` fail. Returns how many each
 /// worker got.
@@ -126,3 +126,21 @@
     let got = run(&mut dispatch, &[], 20, now + ms(200));
     assert_eq!(got.get("w0"), None);
 }
+
+/// Guards against ejecting instances for requests that spent their time in the queue of this VM.
+#[test]
+fn passed_deadlines_of_queued_requests_eject_nothing() {
+    let now = Instant::now();
+    let mut dispatch = dispatch(4);
+    for _ in 0..20 {
+        teach(&mut dispatch, "", ms(10), now);
+    }
+    for _ in 0..12 {
+        offer(&mut dispatch, "", now + ms(100), now).expect("admitted");
+    }
+    // They start 5 ms before their deadline, half of the usual response time.
+    for start in start_all(&mut dispatch, now + ms(95)) {
+        dispatch.overdue(start.request, now + ms(100));
+    }
+    assert_eq!(out(&dispatch), 0);
+}
