--- a/crates/coriandertack-core/tests/route/ejection.rs
+++ b/crates/coriandertack-core/tests/route/ejection.rs
@@ -131,11 +131,12 @@
 #[test]
 fn passed_deadlines_of_queued_requests_eject_nothing() {
     let now = Instant::now();
-    let mut dispatch = dispatch(4);
+    let mut dispatch = dispatch(2);
     for _ in 0..20 {
         teach(&mut dispatch, "", ms(10), now);
     }
-    for _ in 0..12 {
+    // Three for each instance, as many as it takes to eject one.
+    for _ in 0..6 {
         offer(&mut dispatch, "", now + ms(100), now).expect("admitted");
     }
     // They start 5 ms before their deadline, half of the usual response time.
