--- a/crates/coriandertack-callers/src/task.rs
+++ b/crates/coriandertack-callers/src/task.rs
@@ -94,6 +94,7 @@
     let (reports, mut news) = mpsc::unbounded_channel();
     let mut routes = node.routes.subscribe();
     let mut applied = node.applied.subscribe();
+    let mut share = node.short_share.subscribe();
     let mut task = Task {
         dispatch: Dispatch::new(node.info.zone.as_str().into()),
         jobs: SecondaryMap::new(),
@@ -105,6 +106,7 @@
         members: Members::default(),
         node,
     };
+    task.dispatch.kept = *share.borrow_and_update();
     task.update(&mut routes);
     task.follow();
     let mut expiry = interval(EXPIRY_INTERVAL);
@@ -122,6 +124,7 @@
             },
             Ok(()) = routes.changed() => task.update(&mut routes),
             Ok(()) = applied.changed() => task.follow(),
+            Ok(()) = share.changed() => task.dispatch.kept = *share.borrow_and_update(),
             _ = expiry.tick(), if queued => task.expire(),
             _ = confirm.tick(), if task.is_unsettled() => task.settle(),
         }
--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -25,6 +25,7 @@
     message::{Instance, Outgoing, PeerReply, PeerRequest, Submission, WorkerCommand},
     owner::Owner,
     record::{Batch, Entry, Join, Record},
+    route::lanes::LEAST_KEPT_PERCENT,
     state::{State, Verdict},
     stats::Stats,
     validity::Validity,
@@ -126,6 +127,8 @@
     pub routes: watch::Sender<Arc<Vec<Instance>>>,
     /// Highest offset whose membership this VM's router keeps to, for heartbeats.
     pub settled: watch::Sender<Offset>,
+    /// Least part of a service's slots that is kept for short requests, in percent.
+    pub short_share: watch::Sender<u32>,
     /// Signals that tasks may have become placeable.
     pub work: Notify,
 }
@@ -158,6 +161,7 @@
             steps: broadcast::Sender::new(STEP_QUEUE),
             routes: watch::Sender::default(),
             settled: watch::Sender::new(Offset(0)),
+            short_share: watch::Sender::new(LEAST_KEPT_PERCENT),
             work: Notify::new(),
         };
         (Arc::new(node), submissions)
--- a/crates/coriandertack-core/src/route/dispatch.rs
+++ b/crates/coriandertack-core/src/route/dispatch.rs
@@ -13,7 +13,7 @@
     route::{
         ClassKey, RequestKey, ServiceKey, SiteKey, UpstreamKey,
         admission::{Place, Queues, millis},
-        lanes::long_limit,
+        lanes::{LEAST_KEPT_PERCENT, long_limit},
         shares::Shares,
         table::{Table, Wanted},
     },
@@ -122,6 +122,8 @@
     pub table: Table,
     /// Queues.
     pub queues: Queues,
+    /// Least part of a service's slots that is kept for short requests, in percent.
+    pub kept: u32,
     requests: SlotMap<RequestKey, Request>,
 }
 
@@ -133,6 +135,7 @@
             shares: Shares::default(),
             table: Table::new(zone),
             queues: Queues::default(),
+            kept: LEAST_KEPT_PERCENT,
             requests: SlotMap::with_key(),
         }
     }
@@ -210,7 +213,8 @@
     }
 
     fn start(&mut self, service: ServiceKey, now: Instant) -> Option<Start> {
-        let long_limit = long_limit(self.table.slots(service), self.queues.short_peak(service));
+        let short_peak = self.queues.short_peak(service);
+        let long_limit = long_limit(self.table.slots(service), short_peak, self.kept);
         let long_room = self.queues.long_in_flight(service) < long_limit;
         let (class, key) = self.queues.first(service, long_room)?;
         let request = &mut self.requests[key];
--- a/crates/coriandertack-core/src/route/lanes.rs
+++ b/crates/coriandertack-core/src/route/lanes.rs
@@ -14,21 +14,25 @@
 /// Factor below which a long class is short again. The gap prevents flapping.
 const SHORT_BELOW: f64 = 2.0;
 
-/// Least and largest part of the slots kept for short work, in percent. The least serves a sudden rise
-/// of short work, and the largest leaves long work a way forward.
-const KEPT_PERCENT: (u32, u32) = (25, 75);
+/// Least part of the slots kept for short work in percent, unless the settings say otherwise. It serves a
+/// sudden rise of short work.
+pub const LEAST_KEPT_PERCENT: u32 = 25;
 
-/// Slots that long requests may hold of `slots`, when short ones rarely need more than `short_peak`.
+/// Largest part of the slots that short work makes to be kept, in percent. It leaves long work a way forward.
+const MOST_KEPT_PERCENT: u32 = 75;
+
+/// Slots that long requests may hold of `slots`, when short ones rarely need more than `short_peak`, and at least
+/// `least` percent are kept for them.
 ///
 /// With a single slot there is nothing to keep, and long work would otherwise never run.
 #[must_use]
-pub fn long_limit(slots: u32, short_peak: f64) -> u32 {
+pub fn long_limit(slots: u32, short_peak: f64, least: u32) -> u32 {
     if slots <= 1 {
         return slots;
     }
     let part = |percent: u32| (slots * percent).div_ceil(100);
     // The bounds keep the rounded value within a u32.
-    let kept = (short_peak.ceil() as u32).clamp(part(KEPT_PERCENT.0), part(KEPT_PERCENT.1));
+    let kept = (short_peak.ceil() as u32).clamp(part(least), part(MOST_KEPT_PERCENT.max(least)));
     slots - kept.min(slots - 1)
 }
 
--- a/crates/coriandertack-core/src/state/apply.rs
+++ b/crates/coriandertack-core/src/state/apply.rs
@@ -51,16 +51,14 @@
 
     /// Tells whether the batch counts, and notes its sequence number.
     fn admit(&mut self, batch: &Batch) -> bool {
-        let fresh = Author { seq: 0, session: None, ended: false };
-        let author = self.authors.entry(batch.author).or_insert(fresh);
-        if author.ended || batch.seq <= author.seq {
-            return false;
-        }
         let joins = matches!(batch.entries.first(), Some(Entry { record: Record::Join(_), .. }));
-        if author.session.is_none() != joins {
+        let fresh = Author { seq: 0, session: None, ended: false };
+        let author = self.authors.get(&batch.author).copied().unwrap_or(fresh);
+        if author.ended || batch.seq <= author.seq || author.session.is_none() != joins {
             return false;
         }
-        author.seq = batch.seq;
+        // A batch that does not count leaves no trace, so that strangers cannot fill the memory.
+        self.authors.insert(batch.author, Author { seq: batch.seq, ..author });
         true
     }
 
--- a/crates/coriandertack-core/src/state/image.rs
+++ b/crates/coriandertack-core/src/state/image.rs
@@ -3,7 +3,7 @@
 //! An [`Image`] holds identifiers in place of arena keys, so that it means the same on every VM. The
 //! log package converts it to and from bytes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use tokio::time::Instant;
 
@@ -150,6 +150,7 @@
         }
         state.authors =
             image.authors.into_iter().map(|image| (image.author, image.known)).collect();
+        state.past = state.past_authors();
         for image in image.workers {
             let owner = state.holding(image.owner, image.epoch, now);
             let name = image.info.name.clone();
@@ -210,6 +211,14 @@
             .collect()
     }
 
+    /// Returns the runs whose session has ended, oldest first.
+    fn past_authors(&self) -> VecDeque<Incarnation> {
+        let ended = self.authors.iter().filter(|(_, known)| known.ended);
+        let mut past: Vec<_> = ended.map(|(&author, known)| (known.session, author)).collect();
+        past.sort_unstable();
+        past.into_iter().map(|(_, author)| author).collect()
+    }
+
     fn session_of(&self, holding: Holding) -> Option<Session> {
         holding.vm.and_then(|vm| self.vms.get(vm)).map(|vm| vm.session)
     }
--- a/crates/coriandertack-core/src/state/members.rs
+++ b/crates/coriandertack-core/src/state/members.rs
@@ -17,6 +17,10 @@
     validity::{HOLD_OFF, LEASE_TERM},
 };
 
+/// Ended runs that are remembered, so that a late copy of their batches does not count: seven weeks at the
+/// 199 ends a day of the target. No copy is under way for that long.
+const MAX_PAST: usize = 10_000;
+
 /// Which VM holds a worker or a team, since when, and from when on it may act.
 #[derive(Clone, Copy, Debug)]
 pub struct Holding {
@@ -111,6 +115,11 @@
         };
         if let Some(author) = self.authors.get_mut(&vm.author) {
             author.ended = true;
+            self.past.push_back(vm.author);
+        }
+        if self.past.len() > MAX_PAST {
+            let oldest = self.past.pop_front();
+            oldest.and_then(|author| self.authors.remove(&author));
         }
         let owners = self.workers.values_mut().map(|worker| &mut worker.owner);
         let homes = self.teams.values_mut().map(|team| &mut team.home);
--- a/crates/coriandertack-core/src/state/mod.rs
+++ b/crates/coriandertack-core/src/state/mod.rs
@@ -35,7 +35,7 @@
 mod members;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
 };
 
@@ -133,8 +133,10 @@
     pub vms: SlotMap<VmKey, Vm>,
     /// Live entry VMs by session.
     pub sessions: BTreeMap<Session, VmKey>,
-    /// Every run of a process seen.
+    /// Runs of processes: all that are members, and the newest of those whose session has ended.
     pub authors: HashMap<Incarnation, Author>,
+    /// Runs whose session has ended, oldest first.
+    past: VecDeque<Incarnation>,
     /// Workers.
     pub workers: SlotMap<WorkerKey, Worker>,
     /// Workers by name.
--- a/crates/coriandertack/src/demo.rs
+++ b/crates/coriandertack/src/demo.rs
@@ -18,7 +18,7 @@
     hyper::Method,
     serde::Serialize,
     serde_json::{Value, json},
-    tokio::time::{Instant, timeout},
+    tokio::time::{Instant, sleep_until, timeout},
 };
 
 use crate::local::{Local, Options, init_log, within};
@@ -29,6 +29,9 @@
 /// Bound on the whole run.
 const LIMIT: Duration = Duration::from_secs(55);
 
+/// Time after the start from which on every VM knows what became of a key.
+const KEYS_KNOWN_AFTER: Duration = Duration::from_secs(8);
+
 const SEED: u64 = 1;
 
 /// Result of a run.
@@ -161,6 +164,9 @@
         })
         .await?;
         self.say(&format!("service job {service} answers callers at every VM"));
+        // A VM answers "outcome unknown" to keys that were minted before it can know them; the demo shows the
+        // ordinary case.
+        sleep_until(self.began + KEYS_KNOWN_AFTER).await;
         Ok(())
     }
 
--- a/crates/coriandertackd/src/process.rs
+++ b/crates/coriandertackd/src/process.rs
@@ -292,13 +292,18 @@
     let missing = watch::Sender::default();
     tasks.spawn(poll::run(Arc::clone(node), ListClient::new(list.address), list.poll, missing));
     tasks.spawn(logging::follow(Arc::clone(node), settings.common.level));
-    let placement = settings.common.weights.placement;
+    let weights = settings.common.weights;
+    let placement = weights.placement;
+    let followed = Arc::clone(node);
     tasks.spawn(settings_schema::follow(Arc::clone(node), move |inner, live| {
         inner.cell.set_weights(Weights {
             packing: live.packing.unwrap_or(placement.packing),
             spread: live.spread.unwrap_or(placement.spread),
             headroom: live.headroom.unwrap_or(placement.headroom),
         });
+        // Rounding to a whole percent is finer than one slot of any service.
+        let share = live.share.unwrap_or(weights.share) * 100.0;
+        followed.short_share.send_replace(share.round() as u32);
     }));
     let node = Arc::clone(node);
     tasks.spawn(async move {
