Let a test of a worker's task fail instead of hanging

Cause: trials with a line of the task removed made the tests hang. Change: an hour of virtual time without news fails a test.

--- a/crates/coriandertack-workers/tests/control/setup.rs
+++ b/crates/coriandertack-workers/tests/control/setup.rs
@@ -26,7 +26,7 @@
     tokio::{
         sync::mpsc,
         task::JoinHandle,
-        time::{Instant, sleep},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -186,8 +186,10 @@
         self.commands.send(command).unwrap();
     }
 
+    /// Waits for news. An hour of virtual time without any is a failure.
     pub async fn news(&mut self) -> WorkerNews {
-        self.events.recv().await.expect("the task runs").1
+        let news = timeout(Duration::from_secs(3_600), self.events.recv()).await;
+        news.expect("no news for an hour").expect("the task runs").1
     }
 
     pub async fn listed(&mut self) -> Vec<Running> {
