--- /dev/null
+++ b/crates/coriandertack-peers/tests/links.rs
@@ -0,0 +1,324 @@
+//! Links over loopback TCP: who is let in, and which reply belongs to which request.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use {
+    coriandertack_core::{
+        cell::Reach,
+        code::Code,
+        keys::{Epoch, Incarnation, JobId, LeaseId, Offset, Session, TaskId, VmKey},
+        link::Link,
+        message::{
+            Answer, Ask, Call, EndCause, Heartbeat, Instance, KeyNote, Known, News, Notice,
+            PeerReply, PeerRequest, Place, Placed, Summary,
+        },
+        node::Node,
+        record::{Batch, Entry, JobSpec, Join, Kind, Record},
+        resources::Resources,
+    },
+    coriandertack_peers::{
+        SharedKey,
+        dial::{self, Target},
+        handshake::Identity,
+        serve,
+    },
+    tokio::{
+        net::TcpListener,
+        sync::{Notify, mpsc},
+        task::JoinHandle,
+        time::Instant,
+    },
+};
+
+const KEY: &[u8] = b"a key of the deployment";
+
+/// A node that knows itself and the VM `two`.
+fn node(address: SocketAddr) -> (Arc<Node>, VmKey) {
+    let join =
+        |name: &str| Join { name: name.into(), zone: "split".into(), link: address, http: address };
+    let (node, _) = Node::new(join("one"), Incarnation(1));
+    for (offset, name) in [(1, "one"), (2, "two")] {
+        let entry = Entry { actor: "test".into(), at_ms: 0, record: Record::Join(join(name)) };
+        let batch = Batch { author: Incarnation(offset), seq: 1, entries: vec![entry] };
+        node.apply(Offset(offset), &batch);
+    }
+    let two = node.with(|inner| inner.state.sessions[&Session(2)]);
+    (node, two)
+}
+
+fn identity(name: &str, session: u64) -> Identity {
+    Identity { name: name.into(), session: Session(session) }
+}
+
+/// Dials `address` with `key`, expecting the VM `two` with `session`.
+fn dial(address: SocketAddr, key: &[u8], session: u64) -> (Arc<Node>, VmKey, JoinHandle<()>) {
+    let (node, two) = node(address);
+    let (sender, queue) = mpsc::channel(64);
+    node.with(|inner| inner.links.insert(two, Link::new(sender, Instant::now())));
+    let target = Target { vm: two, address, identity: identity("two", session) };
+    let heartbeat = |_| Heartbeat {
+        session: Session(1),
+        offset: Offset(2),
+        settled: Offset(2),
+        summary: None,
+        suspects: Vec::new(),
+        instances: None,
+    };
+    let every = Duration::from_millis(20);
+    let key = SharedKey::new(key);
+    let me = identity("one", 1);
+    let task = tokio::spawn(dial::run(Arc::clone(&node), key, me, target, queue, every, heartbeat));
+    (node, two, task)
+}
+
+/// Serves links with `handle`.
+async fn listen<H, F>(handle: H) -> SocketAddr
+where
+    H: Fn(Session, PeerRequest) -> F + Send + Sync + 'static,
+    F: Future<Output = PeerReply> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let me = || identity("two", 2);
+    tokio::spawn(async move { serve::run(listener, SharedKey::new(KEY), me, handle).await });
+    address
+}
+
+fn hang_guard() -> Instant {
+    Instant::now() + Duration::from_secs(60)
+}
+
+/// Asks until the link is up; a request that was not sent may be sent again.
+async fn ask(node: &Node, vm: VmKey, request: &PeerRequest) -> PeerReply {
+    loop {
+        match node.ask(vm, request.clone(), hang_guard()).await {
+            Ok(reply) => return reply,
+            Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
+}
+
+fn lease(index: u32) -> LeaseId {
+    LeaseId { task: TaskId { job: JobId(1 << 40), index }, attempt: 1 << 33 }
+}
+
+fn requests(until: Instant) -> Vec<PeerRequest> {
+    let need = Resources::new(500, 256, 1);
+    let ask = Ask {
+        lease: lease(3),
+        class: "vans.plan".into(),
+        kind: Kind::Gang,
+        need,
+        run_ms: 7,
+        urgent: true,
+        command: "run".into(),
+    };
+    let place = Place { ask, epoch: Epoch(9), until, reach: Reach::Kept, hold: true };
+    let spec = JobSpec {
+        team: "vans".into(),
+        name: "plan".into(),
+        kind: Kind::Service,
+        tasks: 4,
+        need,
+        run_ms: 5,
+        urgent: false,
+        retries: 2,
+        command: "run".into(),
+        key: Some("k".into()),
+    };
+    let ended = News::Ended { cause: EndCause::OutOfMemory, run_ms: 4, peak: need };
+    let notice = |news| Notice { lease: lease(1), worker: "w1".into(), news };
+    let answer = Answer { status: 200, body: Arc::from(&b"answer"[..]) };
+    vec![
+        PeerRequest::Submit { actor: "team vans".into(), spec },
+        PeerRequest::Place(vec![place.clone(), Place { reach: Reach::Any, hold: false, ..place }]),
+        PeerRequest::Commit(vec![lease(1), lease(2)]),
+        PeerRequest::Release(vec![lease(1)]),
+        PeerRequest::Settle(vec![lease(2)]),
+        PeerRequest::List { team: "vans".into(), epoch: Epoch(4), offset: Offset(5) },
+        PeerRequest::Notices(vec![notice(News::Running), notice(ended)]),
+        PeerRequest::AckEnds(vec![lease(7)]),
+        PeerRequest::NoteKey(KeyNote {
+            key: "vans.confirm/k".into(),
+            digest: u64::MAX,
+            until,
+            answer: Some(answer),
+        }),
+        PeerRequest::Call(Call {
+            service: "vans.confirm".into(),
+            class: "short".into(),
+            key: Some("k".into()),
+            repeatable: false,
+            until,
+            body: Arc::from(&b"body"[..]),
+        }),
+    ]
+}
+
+/// Replaces deadlines, which travel as the time that remains.
+fn without_deadlines(request: PeerRequest, until: Instant) -> PeerRequest {
+    match request {
+        PeerRequest::Place(places) => {
+            PeerRequest::Place(places.into_iter().map(|place| Place { until, ..place }).collect())
+        }
+        PeerRequest::NoteKey(note) => PeerRequest::NoteKey(KeyNote { until, ..note }),
+        PeerRequest::Call(call) => PeerRequest::Call(Call { until, ..call }),
+        request => request,
+    }
+}
+
+/// Guards against a field that is lost or changed between two VMs, in requests and in replies.
+#[tokio::test]
+async fn requests_and_replies_arrive_as_they_were_sent() {
+    let until = hang_guard();
+    let replies = vec![
+        PeerReply::Ok,
+        PeerReply::Refused(Code::Fenced),
+        PeerReply::Job(JobId(u64::MAX)),
+        PeerReply::Placed(vec![Placed::Granted, Placed::Full, Placed::Invalid, Placed::Unknown]),
+        PeerReply::Listed {
+            tasks: vec![
+                Known { lease: lease(1), worker: "w1".into(), ended: None },
+                Known { lease: lease(2), worker: "w2".into(), ended: Some(EndCause::Stopped) },
+            ],
+            complete: true,
+        },
+        PeerReply::Key(None),
+        PeerReply::Answer(Answer { status: 503, body: Arc::from(&b"busy"[..]) }),
+        PeerReply::Ok,
+        PeerReply::Ok,
+        PeerReply::Ok,
+    ];
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let (noted, given) = (Arc::clone(&seen), Mutex::new(replies.clone().into_iter()));
+    let address = listen(move |session, request| {
+        assert_eq!(session, Session(1));
+        let reply = if matches!(request, PeerRequest::Heartbeat(_)) {
+            PeerReply::Ok
+        } else {
+            noted.lock().unwrap().push(without_deadlines(request, until));
+            given.lock().unwrap().next().unwrap()
+        };
+        async move { reply }
+    })
+    .await;
+    let (node, two, _task) = dial(address, KEY, 2);
+    for (request, reply) in requests(until).iter().zip(replies) {
+        assert_eq!(ask(&node, two, request).await, reply);
+    }
+    let wanted: Vec<_> =
+        requests(until).into_iter().map(|request| without_deadlines(request, until)).collect();
+    assert_eq!(*seen.lock().unwrap(), wanted);
+}
+
+/// Guards against a heartbeat that loses what others decide on.
+#[tokio::test]
+async fn a_heartbeat_carries_room_and_services() {
+    let instance = Instance {
+        service: "vans.confirm".into(),
+        worker: "w1".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "split".into(),
+        open: true,
+    };
+    let mut summary = Summary { workers: 2, ..Summary::default() };
+    summary.plain.add(Resources::new(5, 6, 0), true);
+    let heartbeat = Heartbeat {
+        session: Session(1),
+        offset: Offset(7),
+        settled: Offset(6),
+        summary: Some(summary),
+        suspects: vec![Session(9)],
+        instances: Some(vec![instance]),
+    };
+    let (sender, mut heard) = mpsc::unbounded_channel();
+    let address = listen(move |_, request| {
+        let _ = sender.send(request);
+        async { PeerReply::Ok }
+    })
+    .await;
+    let (node, two, _task) = dial(address, KEY, 2);
+    ask(&node, two, &PeerRequest::Heartbeat(heartbeat.clone())).await;
+    let wanted = PeerRequest::Heartbeat(heartbeat);
+    while heard.recv().await.unwrap() != wanted {}
+}
+
+/// Guards against a stranger, or a VM of another deployment, that gives orders.
+#[tokio::test]
+async fn a_vm_with_another_key_is_not_heard() {
+    let (sender, mut heard) = mpsc::unbounded_channel();
+    let address = listen(move |_, request| {
+        let _ = sender.send(request);
+        async { PeerReply::Ok }
+    })
+    .await;
+    let (_, _, stranger) = dial(address, b"another key", 2);
+    let (node, two, _task) = dial(address, KEY, 2);
+    // The stranger dials all the while that the other one is served.
+    for _ in 0..20 {
+        ask(&node, two, &PeerRequest::AckEnds(vec![lease(1)])).await;
+    }
+    assert!(!stranger.is_finished());
+    stranger.abort();
+    let mut count = 0;
+    while let Ok(request) = heard.try_recv() {
+        count += usize::from(matches!(request, PeerRequest::AckEnds(_)));
+    }
+    assert_eq!(count, 20);
+}
+
+/// Guards against a request to a process that has been replaced under the same name and address.
+#[tokio::test]
+async fn another_session_is_not_taken_for_the_one_meant() {
+    let served = Arc::new(Mutex::new(0));
+    let count = Arc::clone(&served);
+    let address = listen(move |_, _| {
+        *count.lock().unwrap() += 1;
+        async { PeerReply::Ok }
+    })
+    .await;
+    let (node, two, _task) = dial(address, KEY, 3);
+    for _ in 0..20 {
+        let until = Instant::now() + Duration::from_millis(20);
+        assert!(node.ask(two, PeerRequest::Commit(Vec::new()), until).await.is_err());
+    }
+    assert_eq!(*served.lock().unwrap(), 0);
+}
+
+/// Guards against a late reply that is given to a later request.
+#[tokio::test]
+async fn a_late_reply_reaches_nobody() {
+    let release = Arc::new(Notify::new());
+    let held = Arc::clone(&release);
+    let address = listen(move |_, request| {
+        let held = Arc::clone(&held);
+        async move {
+            match request {
+                PeerRequest::Commit(_) => {
+                    held.notified().await;
+                    PeerReply::Job(JobId(1))
+                }
+                PeerRequest::Release(_) => PeerReply::Job(JobId(2)),
+                _ => PeerReply::Ok,
+            }
+        }
+    })
+    .await;
+    let (node, two, _task) = dial(address, KEY, 2);
+    ask(&node, two, &PeerRequest::AckEnds(Vec::new())).await;
+    let soon = Instant::now() + Duration::from_millis(50);
+    let late = node.ask(two, PeerRequest::Commit(Vec::new()), soon).await;
+    assert_eq!(late, Err(Code::OutcomeUnknown));
+    // Heartbeats, which clear what nobody waits for, have gone out meanwhile or not: both are right.
+    release.notify_one();
+    for _ in 0..50 {
+        assert_eq!(
+            ask(&node, two, &PeerRequest::Release(Vec::new())).await,
+            PeerReply::Job(JobId(2))
+        );
+    }
+}
