--- a/crates/coriandertack-standins/src/log.rs
+++ b/crates/coriandertack-standins/src/log.rs
@@ -20,7 +20,7 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -114,7 +114,20 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(config: LogConfig, seed: u64) -> anyhow::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.context("log service")?;
+        Self::start_at((Ipv4Addr::LOCALHOST, 0).into(), config, seed).await
+    }
+
+    /// Starts the service at an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start_at(
+        address: SocketAddr,
+        config: LogConfig,
+        seed: u64,
+    ) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(address).await.context("log service")?;
         let address = listener.local_addr()?;
         let inner = Inner {
             streams: HashMap::new(),
--- a/crates/coriandertack-standins/src/vmlist.rs
+++ b/crates/coriandertack-standins/src/vmlist.rs
@@ -179,7 +179,16 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(lag: Lag, seed: u64) -> anyhow::Result<Self> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.context("bind VM list")?;
+        Self::start_at((Ipv4Addr::LOCALHOST, 0).into(), lag, seed).await
+    }
+
+    /// Starts an empty list at an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start_at(address: SocketAddr, lag: Lag, seed: u64) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(address).await.context("bind VM list")?;
         let inner = Inner {
             lag,
             rng: ChaCha8Rng::seed_from_u64(seed),
--- a/crates/coriandertack/src/cli/args.rs
+++ b/crates/coriandertack/src/cli/args.rs
@@ -109,7 +109,7 @@
     ]
 }
 
-fn local() -> [Command; 4] {
+fn local() -> [Command; 5] {
     [
         Command::new("check").about("Checks a settings file").arg(
             Arg::new("file")
@@ -124,6 +124,9 @@
                 .value_parser(value_parser!(Shell))
                 .help("Shell"),
         ),
+        Command::new("standins")
+            .about("Serves stand-ins of the platform at the addresses of a settings file")
+            .arg(path("settings", "Settings file of the deployment").required(true)),
         Command::new("demo")
             .about("Runs a whole deployment in this process and checks it")
             .arg(path("json", "Writes the result to this file as JSON"))
--- a/crates/coriandertack/src/local.rs
+++ b/crates/coriandertack/src/local.rs
@@ -289,7 +289,8 @@
     })
 }
 
-async fn start_workers(demo: &Demo, options: &Options) -> Result<Vec<Worker>> {
+/// Starts the workers of a settings file.
+pub async fn start_workers(demo: &Demo, options: &Options) -> Result<Vec<Worker>> {
     let checkpoints = Checkpoints::default();
     let amount = demo.capacity;
     let mut workers = Vec::new();
--- a/crates/coriandertack/src/main.rs
+++ b/crates/coriandertack/src/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 #[allow(dead_code)]
 mod local;
+mod platform;
 
 use std::process::ExitCode;
 
@@ -12,6 +13,7 @@
     let matches = cli::command().get_matches();
     let result = match matches.subcommand() {
         Some(("demo", matches)) => demo::command(matches).map_err(cli::Failure::from),
+        Some(("standins", matches)) => platform::command(matches).map_err(cli::Failure::from),
         Some(("bench", matches)) => bench::command(matches).map_err(cli::Failure::from),
         Some((name, matches)) => cli::run(name, matches),
         None => Ok(()),
