Make the rows of the bench in one place, and store no pause of an ejected instance

Change: Row has three constructors; the pause follows from the number of ejections in a row.

Conclusion: no change of behaviour.

--- a/crates/coriandertack-core/src/route/eject.rs
+++ b/crates/coriandertack-core/src/route/eject.rs
@@ -42,18 +42,13 @@
 }
 
 /// Record of an instance's recent behaviour.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
     failures: u32,
     successes: u32,
     resume_at: Option<Instant>,
-    pause: Duration,
-}
-
-impl Default for Health {
-    fn default() -> Self {
-        Self { failures: 0, successes: 0, resume_at: None, pause: FIRST_PAUSE }
-    }
+    /// Ejections in a row, each of which doubles the pause.
+    rounds: u32,
 }
 
 impl Health {
@@ -97,9 +92,11 @@
             return;
         }
         if self.resume_at.is_some() {
-            self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+            self.rounds += 1;
         }
-        self.resume_at = Some(now + self.pause);
+        let factor = 1_u32.checked_shl(self.rounds).unwrap_or(u32::MAX);
+        let pause = FIRST_PAUSE.saturating_mul(factor).min(LONGEST_PAUSE);
+        self.resume_at = Some(now + pause);
         self.successes = 0;
         self.failures = 0;
     }
--- a/crates/coriandertack/src/bench/blocking.rs
+++ b/crates/coriandertack/src/bench/blocking.rs
@@ -180,14 +180,6 @@
     baseline: Option<f64>,
     met: bool,
 ) -> Row {
-    Row {
-        scenario: "blocking".into(),
-        metric: metric.into(),
-        unit: unit.into(),
-        target: Some(target),
-        measured,
-        baseline,
-        baseline_name: baseline.map(|_| BASELINE.into()),
-        met: Some(met),
-    }
+    let baseline = baseline.map(|measured| (BASELINE, measured));
+    Row::judged("blocking", metric, unit, target, measured, baseline, met)
 }
--- a/crates/coriandertack/src/bench/packing.rs
+++ b/crates/coriandertack/src/bench/packing.rs
@@ -31,6 +31,8 @@
 
 use crate::bench::row::Row;
 
+const SCENARIO: &str = "packing";
+
 /// Least share of the scarcest resource at the first refusal, in percent.
 const USED_TARGET: f64 = 95.0;
 
@@ -87,18 +89,9 @@
 }
 
 /// Returns a row with a bound from below or from above.
-fn row(metric: String, unit: &str, measured: f64, target: f64, least: bool) -> Row {
+fn row(metric: &str, unit: &str, measured: f64, target: f64, least: bool) -> Row {
     let met = if least { measured >= target } else { measured <= target };
-    Row {
-        scenario: "packing".into(),
-        metric,
-        unit: unit.into(),
-        target: Some(target),
-        measured,
-        baseline: None,
-        baseline_name: None,
-        met: Some(met),
-    }
+    Row::judged(SCENARIO, metric, unit, target, measured, None, met)
 }
 
 fn against(row: Row, baseline: f64, name: &str) -> Row {
@@ -120,14 +113,14 @@
     let mut rng = ChaCha8Rng::seed_from_u64(0);
     let random = fill(jobs(), usize::MAX, |asks| pool.random_fit(asks, &mut rng));
     let random = scarcest(fleet, &random);
-    let used = row(format!("{name}: scarcest resource used"), "%", share, USED_TARGET, true);
+    let used = row(&format!("{name}: scarcest resource used"), "%", share, USED_TARGET, true);
     let known = decreasing(fleet, &placed) as f64;
     let full =
-        row(format!("{name}: workers used"), "x", workers as f64 / known, WORKERS_TARGET, false);
+        row(&format!("{name}: workers used"), "x", workers as f64 / known, WORKERS_TARGET, false);
     let (half, workers) = place(placed.len() / 2);
     let known_half = decreasing(fleet, &half) as f64;
     let half = row(
-        format!("{name}: workers used at half of the tasks"),
+        &format!("{name}: workers used at half of the tasks"),
         "x",
         workers as f64 / known_half,
         WORKERS_TARGET,
@@ -153,16 +146,8 @@
     let place = |cell: &mut Cell, asks: &[Ask]| place_job(cell, asks, Reach::Any);
     let measured = churn::mean_used(&fleet, jobs(), cell, place, end);
     let first = churn::mean_used(&fleet, jobs(), Pool::new(&fleet), Pool::first_fit, Pool::end);
-    Row {
-        scenario: "packing".into(),
-        metric: format!("{name}, full queue on 200 workers: mean scarcest resource used"),
-        unit: "%".into(),
-        target: None,
-        measured,
-        baseline: Some(first),
-        baseline_name: Some("first-fit".into()),
-        met: None,
-    }
+    let metric = format!("{name}, full queue on 200 workers: mean scarcest resource used");
+    Row::noted(SCENARIO, &metric, "%", measured, Some(("first-fit", first)))
 }
 
 /// Measures how often a home asks owners for each job, with summaries that are old.
@@ -174,16 +159,9 @@
         count += 1;
         split.place(asks)
     });
-    Row {
-        scenario: "packing".into(),
-        metric: format!("{name}, 8 owners of {LARGE} workers: requests to owners for each job"),
-        unit: "requests".into(),
-        target: None,
-        measured: split.requests as f64 / f64::from(count),
-        baseline: None,
-        baseline_name: None,
-        met: None,
-    }
+    let metric = format!("{name}, 8 owners of {LARGE} workers: requests to owners for each job");
+    let measured = split.requests as f64 / f64::from(count);
+    Row::noted(SCENARIO, &metric, "requests", measured, None)
 }
 
 /// Runs the packing experiment.
@@ -219,7 +197,7 @@
     for workers in [1_000, 10_000] {
         let millis = decision_times(workers, seed).value_at_quantile(0.99) as f64 / 1e6;
         let metric = format!("decision time p99 at {workers} workers");
-        rows.push(row(metric, "ms", millis, DECISION_TARGET, false));
+        rows.push(row(&metric, "ms", millis, DECISION_TARGET, false));
     }
     rows
 }
--- a/crates/coriandertack/src/bench/row.rs
+++ b/crates/coriandertack/src/bench/row.rs
@@ -36,10 +36,11 @@
         measured: f64,
         baseline: Baseline<'_>,
     ) -> Self {
-        Self::new(scenario, metric, unit, target, measured, baseline, measured <= target)
+        Self::judged(scenario, metric, unit, target, measured, baseline, measured <= target)
     }
 
-    fn new(
+    /// Returns a figure whose bound is met or not.
+    pub fn judged(
         scenario: &str,
         metric: &str,
         unit: &str,
@@ -59,4 +60,15 @@
             met: Some(met),
         }
     }
+    /// Returns a figure without a bound.
+    pub fn noted(
+        scenario: &str,
+        metric: &str,
+        unit: &str,
+        measured: f64,
+        baseline: Baseline<'_>,
+    ) -> Self {
+        let row = Self::judged(scenario, metric, unit, 0.0, measured, baseline, true);
+        Self { target: None, met: None, ..row }
+    }
 }
--- a/crates/coriandertack/src/bench/surge.rs
+++ b/crates/coriandertack/src/bench/surge.rs
@@ -147,16 +147,8 @@
     baseline: Option<f64>,
     met: bool,
 ) -> Row {
-    Row {
-        scenario: "surge".into(),
-        metric: metric.into(),
-        unit: unit.into(),
-        target: Some(target),
-        measured,
-        baseline,
-        baseline_name: baseline.map(|_| BASELINE.into()),
-        met: Some(met),
-    }
+    let baseline = baseline.map(|measured| (BASELINE, measured));
+    Row::judged("surge", metric, unit, target, measured, baseline, met)
 }
 
 fn figures(samples: &[Sample], capacity: f64) -> Figures {
