--- a/crates/coriandertack-callers/src/router.rs
+++ b/crates/coriandertack-callers/src/router.rs
@@ -232,6 +232,7 @@
         let job = Job {
             service: Arc::clone(&call.service),
             class: Arc::clone(&call.class),
+            key: call.key.clone(),
             repeatable: call.repeatable,
             guarded: call.key.is_some() && !call.repeatable,
             until: call.until,
--- a/crates/coriandertack-callers/src/task.rs
+++ b/crates/coriandertack-callers/src/task.rs
@@ -40,6 +40,7 @@
 pub(crate) struct Job {
     pub(crate) service: Arc<str>,
     pub(crate) class: Arc<str>,
+    pub(crate) key: Option<Arc<str>>,
     pub(crate) repeatable: bool,
     /// Whether it may be sent only while the VM may act on its copy of the state.
     pub(crate) guarded: bool,
@@ -262,6 +263,7 @@
             request: start.request,
             address: self.dispatch.table.upstreams[start.upstream].address,
             service: Arc::clone(&job.service),
+            key: job.key.clone(),
             body: Arc::clone(&job.body),
             until: start.until,
         };
--- a/crates/coriandertack-standins/src/audit.rs
+++ b/crates/coriandertack-standins/src/audit.rs
@@ -45,6 +45,8 @@
     pub requests: BTreeMap<String, u32>,
     /// Runs by idempotency key.
     pub keys: BTreeMap<String, u32>,
+    /// Runs of requests by service.
+    pub services: BTreeMap<String, u32>,
     /// Use by lease.
     pub used: BTreeMap<String, Used>,
     /// Starts refused because their lease had ended on arrival.
--- a/crates/coriandertack-standins/src/worker/http.rs
+++ b/crates/coriandertack-standins/src/worker/http.rs
@@ -198,6 +198,7 @@
         if let Some(id) = &id {
             *audit.requests.entry(id.clone()).or_default() += 1;
         }
+        *audit.services.entry(service.to_owned()).or_default() += 1;
         if let Some(key) = key {
             *audit.keys.entry(key).or_default() += 1;
         }
--- a/crates/coriandertack-workers/src/upstream.rs
+++ b/crates/coriandertack-workers/src/upstream.rs
@@ -55,6 +55,7 @@
 const MOST_ANSWER_BYTES: usize = 4 << 20;
 
 const REQUEST_ID: &str = "x-request-id";
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
 const DEADLINE: &str = "x-deadline-ms";
 const NOT_RUN: &str = "x-not-run";
 
@@ -67,6 +68,8 @@
     pub address: SocketAddr,
     /// Class of the service, `team.name`.
     pub service: Arc<str>,
+    /// Idempotency key, which the service may keep too.
+    pub key: Option<Arc<str>>,
     /// Content.
     pub body: Arc<[u8]>,
     /// When the caller stops waiting.
@@ -295,12 +298,14 @@
 fn encode(exchange: &Exchange, id: &str) -> Option<Request<Full<Bytes>>> {
     let left = exchange.until.saturating_duration_since(Instant::now());
     let body = Bytes::from_owner(Arc::clone(&exchange.body));
-    let request = Request::post(format!("/serve/{}", exchange.service))
+    let mut request = Request::post(format!("/serve/{}", exchange.service))
         .header(HOST, "worker")
         .header(REQUEST_ID, id)
-        .header(DEADLINE, left.as_millis().to_string())
-        .body(Full::new(body));
-    request.ok()
+        .header(DEADLINE, left.as_millis().to_string());
+    if let Some(key) = &exchange.key {
+        request = request.header(IDEMPOTENCY_KEY, &**key);
+    }
+    request.body(Full::new(body)).ok()
 }
 
 async fn receive(
--- a/crates/coriandertack-workers/tests/upstream.rs
+++ b/crates/coriandertack-workers/tests/upstream.rs
@@ -52,6 +52,7 @@
             request,
             address,
             service: "vukic.quotes".into(),
+            key: None,
             body: Arc::from(&b"question"[..]),
             until: Instant::now() + Duration::from_secs(60),
         };
--- a/crates/coriandertack/src/bench/cell.rs
+++ b/crates/coriandertack/src/bench/cell.rs
@@ -166,6 +166,7 @@
             request: RequestKey::default(),
             address,
             service: call.service,
+            key: None,
             body: call.body,
             // The baseline has no deadlines: what was queued is served.
             until: Instant::now() + Duration::from_secs(60),
