Finish the calls that a stopping VM keeps for other VMs

Cause: the planned stop waited only for the connections of the VM's own callers. A request whose key the VM keeps for a caller of another VM was cut, and the caller was told 5002. Change: the stop also waits until the router is drained, within the same limit.

--- a/crates/coriandertackd/src/process.rs
+++ b/crates/coriandertackd/src/process.rs
@@ -27,7 +27,7 @@
         net::TcpListener,
         sync::{mpsc, watch},
         task::JoinSet,
-        time::{sleep, timeout},
+        time::{Instant, sleep, timeout, timeout_at},
     },
 };
 
@@ -312,7 +312,14 @@
 async fn drain(settings: &Settings, node: &Arc<Node>, http: Http) {
     log::info!("event=draining vm={}", settings.vm.name);
     node.stage.send_replace(Stage::Draining);
+    let until = Instant::now() + settings.common.drain;
+    let calls = Arc::clone(&http.calls);
     http.finish(settings.common.drain).await;
+    // Callers of other VMs wait for the requests whose keys this VM keeps. Their last answers go out on the links
+    // during the appends below.
+    if timeout_at(until, calls.drained()).await.is_err() {
+        log::warn!("event=drain_limit calls={}", calls.in_progress());
+    }
     capacity::charge_usage(Arc::clone(node)).await;
     match member::leave(node).await {
         Ok(()) => log::info!("event=left vm={}", settings.vm.name),
--- a/crates/coriandertackd/tests/processes/main.rs
+++ b/crates/coriandertackd/tests/processes/main.rs
@@ -19,7 +19,10 @@
     nix::sys::signal::Signal,
     rand::RngExt,
     serde_json::{Value, json},
-    tokio::time::{Instant, sleep, timeout},
+    tokio::{
+        task::JoinHandle,
+        time::{Instant, sleep, timeout},
+    },
     uuid::Uuid,
 };
 
@@ -43,11 +46,20 @@
 const OUTAGE: Duration = Duration::from_secs(5);
 
 /// Requests in flight at each VM when one of them is stopped.
-const IN_FLIGHT: usize = 6;
+const IN_FLIGHT: usize = 4;
+
+/// How much later the requests of the other VMs begin than those of the VM that is stopped.
+const FORWARDED_LATER: Duration = Duration::from_millis(800);
+
+/// Requests with keys that must be answered in a row, so that every pair of VMs is the keeper and the backup of some.
+const KEYS: usize = 12;
 
 /// Jobs submitted while answers of the log are lost.
 const LOSSY_JOBS: usize = 20;
 
+/// Copies of batches that are waited for.
+const COPIES: usize = 3;
+
 /// Share of the answers of the log that are lost.
 const LOSS: f64 = 0.3;
 
@@ -108,6 +120,27 @@
         matches!(ready, Told::Done(_)) && vms["vms"].as_array().map(Vec::len) == Some(VMS)
     }
 
+    /// Waits until every VM answers requests with and without keys. After a change of the members, nobody knows for
+    /// some seconds whether a key is new.
+    async fn answering(&self) {
+        for vm in 0..VMS {
+            until(&format!("VM {vm} answers"), async || self.is_answering(vm).await).await;
+        }
+        self.say("every VM answers");
+    }
+
+    async fn is_answering(&self, vm: usize) -> bool {
+        for _ in 0..KEYS {
+            let key = Uuid::now_v7().to_string();
+            let told = self.client.call(vm, "vans.confirm", Some(&key), "first").await;
+            if !matches!(told, Told::Done(_)) {
+                return false;
+            }
+        }
+        let told = self.client.call(vm, "herders.settle", None, "first").await;
+        matches!(told, Told::Done(_))
+    }
+
     /// Makes a change through one VM after the other until it is carried out. Its key or its version keeps a second
     /// copy from taking effect.
     async fn change(&self, first: usize, method: Method, path: &str, body: &Value) {
@@ -132,8 +165,14 @@
         for name in ["vans", "herders"] {
             self.change(0, Method::PUT, &format!("/v1/teams/{name}?expect=0"), &team).await;
         }
-        self.submit(1, &job("vans", "confirm", "service", 6, "work_ms=5")).await;
-        self.submit(2, &job("herders", "settle", "service", 6, "work_ms=1500")).await;
+        for (vm, team, name, command) in
+            [(1, "vans", "confirm", "work_ms=5"), (2, "herders", "settle", "work_ms=2000")]
+        {
+            let mut service = job(team, name, "service", 6, command);
+            // At most three fit on a worker, so that the requests of all VMs find free slots.
+            service["need"]["millicores"] = 5_000.into();
+            self.submit(vm, &service).await;
+        }
         for service in ["vans.confirm", "herders.settle"] {
             for vm in 0..VMS {
                 until(&format!("{service} is routed by VM {vm}"), async || {
@@ -198,39 +237,47 @@
         self.serving().await;
     }
 
-    /// Stops a VM as planned, with requests in flight at every VM. Those with a key may be kept by another VM than the
-    /// one that the caller reached.
+    /// Stops a VM as planned while it runs requests of its own callers, and then longer ones whose keys it keeps for the
+    /// callers of the others.
     async fn stop(&mut self, vm: usize) {
+        self.answering().await;
         self.busy("stop").await;
-        let ran = self.starts_of("herders.settle");
-        let calls: Vec<_> = (0..VMS * IN_FLIGHT)
-            .map(|number| {
-                let client = self.client.clone();
-                let key = (number / VMS % 2 == 0).then(|| Uuid::now_v7().to_string());
-                tokio::spawn(async move {
-                    let body = format!("settle {number}");
-                    let via = number % VMS;
-                    let told = client.call(via, "herders.settle", key.as_deref(), &body).await;
-                    (number, told == Told::Done(body.into()), told)
-                })
-            })
-            .collect();
-        let all = ran + calls.len() as u32;
-        until("requests are in flight", async || self.starts_of("herders.settle") >= all).await;
+        let mut calls = self.in_flight(&[vm], false).await;
+        sleep(FORWARDED_LATER).await;
+        let others: Vec<usize> = (0..VMS).filter(|&other| other != vm).collect();
+        calls.extend(self.in_flight(&others, true).await);
+        let ended = calls.iter().filter(|call| call.is_finished()).count();
+        assert_eq!(ended, 0, "a request ended before the stop");
         self.cluster.signal(vm, Signal::SIGTERM);
         self.say(&format!("VM {vm} is asked to stop"));
         let status = guarded("the stopped process ends", self.cluster.ended(vm)).await;
         assert_eq!(status.code(), Some(0), "VM {vm} was stopped as planned");
         self.say(&format!("VM {vm} has stopped"));
+        let mut cut = Vec::new();
         for call in calls {
-            let (number, is_whole, told) = guarded("an answer", call).await.expect("no panic");
-            let via = number % VMS;
-            assert!(is_whole, "request {number} via VM {via} was cut by the stop: {told:?}");
+            cut.extend(guarded("an answer", call).await.expect("no panic").err());
         }
+        assert!(cut.is_empty(), "{} requests were cut:\n{}", cut.len(), cut.join("\n"));
         self.cluster.spawn(vm);
         self.serving().await;
     }
 
+    /// Sends long requests through some VMs and waits until all of them run.
+    async fn in_flight(&self, vms: &[usize], keyed: bool) -> Vec<JoinHandle<Result<(), String>>> {
+        let ran = self.starts_of("herders.settle");
+        let calls: Vec<_> = vms
+            .iter()
+            .flat_map(|&vm| [vm; IN_FLIGHT])
+            .map(|vm| {
+                let client = self.client.clone();
+                tokio::spawn(async move { settle(&client, vm, keyed).await })
+            })
+            .collect();
+        let all = ran + u32::try_from(calls.len()).expect("a small number");
+        until("requests run", async || self.starts_of("herders.settle") >= all).await;
+        calls
+    }
+
     fn starts_of(&self, service: &str) -> u32 {
         let served = |worker: &Worker| {
             worker.audit().services.get(service).copied().unwrap_or(0)
@@ -250,25 +297,31 @@
         self.serving().await;
     }
 
-    /// Submits while answers of the log are lost. The jobs have keys, and an answer that is unclear is asked for again.
+    /// Loses answers of the log, first together with all reads, so that the writers cannot learn what became of their
+    /// batches and append them again.
     async fn lost_answers(&mut self) {
         let before = self.cluster.log.records(STREAM).len();
-        self.cluster.log.set_loss(LOSS);
+        self.cluster.log.set_loss(1.0);
+        self.cluster.log.set_outage(Outage::Reads);
         self.say("answers of the log are lost");
+        until("batches are appended again", async || self.copies(before) >= COPIES).await;
+        self.cluster.log.set_outage(Outage::None);
+        self.cluster.log.set_loss(LOSS);
         for number in 0..LOSSY_JOBS {
             let team = if number % 2 == 0 { "vans" } else { "herders" };
             let job = job(team, &format!("lossy-{number}"), "batch", 2, "run_ms=300");
             self.submit(number % VMS, &job).await;
         }
         self.cluster.log.set_loss(0.0);
-        self.say("answers of the log arrive again");
-        let records = self.cluster.log.records(STREAM);
+        self.say(&format!("{} batches were appended again", self.copies(before)));
+    }
+
+    /// Counts the batches since a record that are copies of another.
+    fn copies(&self, before: usize) -> usize {
         let mut seen = BTreeSet::new();
-        let twice = records[before..].iter().filter(|kept| {
-            let batch = codec::decode(&kept.body).expect("the log holds readable records");
-            !seen.insert((batch.author, batch.seq))
-        });
-        self.say(&format!("{} batches were appended again", twice.count()));
+        let records = self.cluster.log.records(STREAM).into_iter().skip(before);
+        let batches = records.map(|kept| codec::decode(&kept.body).expect("a readable record"));
+        batches.filter(|batch| !seen.insert((batch.author, batch.seq))).count()
     }
 
     /// Waits for the ends of all jobs, stops every VM and audits.
@@ -329,6 +382,15 @@
     }
 }
 
+/// Sends a request that takes long, and describes an answer that is not its own.
+async fn settle(client: &Client, vm: usize, keyed: bool) -> Result<(), String> {
+    let key = keyed.then(|| Uuid::now_v7().to_string());
+    match client.call(vm, "herders.settle", key.as_deref(), "settle").await {
+        Told::Done(answer) if answer == "settle" => Ok(()),
+        told => Err(format!("via VM {vm}, key {key:?}: {told:?}")),
+    }
+}
+
 /// Waits for an event, and fails if it does not come.
 async fn guarded<T>(what: &str, event: impl Future<Output = T>) -> T {
     timeout(GUARD, event).await.unwrap_or_else(|_| panic!("this does not happen: {what}"))
