Queue a refused gang again

Cause: the members of a gang that was being placed stayed in the step "queued", and putting tasks back skips queued ones. A gang that found no room, or whose home could not act because the log was down, was in no queue any more and never ended. Seen in a run of the test of processes: the gang submitted right before the outage of the log was "queued" with 8 tasks for 120 s on idle workers. Change: the members are marked as asked before the gang is placed, as single tasks are.

--- a/crates/coriandertackd/src/dispatch.rs
+++ b/crates/coriandertackd/src/dispatch.rs
@@ -84,6 +84,10 @@
     let (gangs, singles): (Vec<Pick>, Vec<Pick>) =
         picks.into_iter().partition(|pick| pick.asks[0].kind == Kind::Gang);
     for pick in gangs {
+        // Only tasks that are being asked for can be put back when the gang finds no room.
+        node.with(|inner| {
+            pick.asks.iter().for_each(|ask| inner.homes.asked(ask.lease, me, now));
+        });
         tokio::spawn(gang::place(Arc::clone(node), me, pick));
     }
     let remote = node.with(|inner| place_here(inner, me, singles, now));
