--- a/crates/coriandertackd/src/process.rs
+++ b/crates/coriandertackd/src/process.rs
@@ -27,7 +27,7 @@
         net::TcpListener,
         sync::{mpsc, watch},
         task::JoinSet,
-        time::{sleep, timeout},
+        time::{Instant, sleep, timeout, timeout_at},
     },
     tokio_util::task::AbortOnDropHandle,
 };
@@ -318,10 +318,14 @@
 async fn drain(settings: &Settings, node: &Arc<Node>, http: Http) {
     log::info!("event=draining vm={}", settings.vm.name);
     node.stage.send_replace(Stage::Draining);
-    // The listener stays open until callers' requests are answered, so that the load balancer can read that this
-    // VM is not ready.
-    let _ = timeout(settings.common.drain, http.calls.drained()).await;
-    http.finish(settings.common.drain).await;
+    // The listener stays open until all requests are answered, those included whose keys this VM keeps for callers
+    // of other VMs, so that the load balancer can read that this VM is not ready. The last answers go out on the
+    // links during the appends below.
+    let until = Instant::now() + settings.common.drain;
+    if timeout_at(until, http.calls.drained()).await.is_err() {
+        log::warn!("event=drain_limit calls={}", http.calls.in_progress());
+    }
+    http.finish(until.saturating_duration_since(Instant::now())).await;
     capacity::charge_usage(Arc::clone(node)).await;
     match member::leave(node).await {
         Ok(()) => log::info!("event=left vm={}", settings.vm.name),
