Add the scenario cost, with entry VMs as processes

The control overhead had no measurement. Each cell runs coriandertackd processes against stand-ins that count the bytes they exchange; the VMs count the frames of their links, exported as coriandertack_link_bytes.

--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -4,7 +4,7 @@
 //! which is held for one decision at a time and never across an await. One lock keeps decisions simple;
 //! the longest one, a placement over 1,000 workers, is bounded at 1 ms.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64};
 
 use {
     slotmap::SecondaryMap,
@@ -125,6 +125,8 @@
     pub settled: watch::Sender<Offset>,
     /// Signals that tasks may have become placeable.
     pub work: Notify,
+    /// Bytes of the frames exchanged on the links that this VM opened.
+    pub frames: AtomicU64,
 }
 
 impl Node {
@@ -155,6 +157,7 @@
             routes: watch::Sender::default(),
             settled: watch::Sender::new(Offset(0)),
             work: Notify::new(),
+            frames: AtomicU64::new(0),
         };
         (Arc::new(node), submissions)
     }
--- a/crates/coriandertack-operators/src/metrics.rs
+++ b/crates/coriandertack-operators/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Other packages record through the methods of [`Metrics`]. Core stays free of this library: it gets
 //! closures, or its counters are read when the metrics are asked for ([`Metrics::observe`]).
 
-use std::{fmt, time::Duration};
+use std::{fmt, sync::atomic::Ordering, time::Duration};
 
 use {
     coriandertack_core::{
@@ -45,6 +45,7 @@
     members: Gauge<u64>,
     offset: Gauge<u64>,
     ready: Gauge<u64>,
+    frames: Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -89,6 +90,7 @@
             members: gauge("members", "live objects in the replicated state, by type"),
             offset: gauge("log_offset", "last offset applied"),
             ready: gauge("ready", "1 if this VM takes work"),
+            frames: gauge("link_bytes", "bytes of frames on the links that this VM opened"),
             registry,
             _provider: provider,
         })
@@ -137,6 +139,7 @@
     pub fn observe(&self, node: &Node) {
         let is_ready = *node.stage.borrow() == Stage::Serving && node.is_valid();
         self.ready.record(u64::from(is_ready), &[]);
+        self.frames.record(node.frames.load(Ordering::Relaxed), &[]);
         node.with(|inner| {
             let state = &inner.state;
             self.offset.record(state.offset.0, &[]);
--- a/crates/coriandertack-peers/src/dial.rs
+++ b/crates/coriandertack-peers/src/dial.rs
@@ -4,7 +4,11 @@
 //! matches replies to requests by their number. When the connection breaks, requests without a reply
 //! are dropped, which tells their senders that the outcome is unknown; they are never sent again here.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use {
     anyhow::{Context, Result, bail, ensure},
@@ -30,6 +34,9 @@
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Bytes of the length before each frame.
+const LENGTH_BYTES: usize = 4;
+
 const RECONNECT_AFTER: Duration = Duration::from_millis(200);
 
 /// What a link needs to know.
@@ -124,7 +131,9 @@
                 let id = number(entry.key(), generation);
                 entry.insert(Pending { id, until: outgoing.until, reply });
                 let request = codec::request_out(outgoing.request, now);
-                connection.feed(frames::encode(id, Body::Request(request))).await?;
+                let frame = frames::encode(id, Body::Request(request));
+                count(node, &frame);
+                connection.feed(frame).await?;
                 if queue.is_empty() {
                     frames::flush(connection).await?;
                 }
@@ -136,11 +145,14 @@
                 let request = PeerRequest::Heartbeat(heartbeat(fresh));
                 fresh = false;
                 let request = codec::request_out(request, Instant::now());
-                frames::send(connection, 0, Body::Request(request)).await?;
+                let frame = frames::encode(0, Body::Request(request));
+                count(node, &frame);
+                connection.send(frame).await?;
                 forget_late(&mut pending, Instant::now());
             }
             frame = connection.next() => {
                 let bytes = frame.context("the peer closed the connection")??;
+                count(node, &bytes);
                 let (id, body) = frames::decode(&bytes)?;
                 let Body::Reply(reply) = body else { bail!("the peer sent no reply") };
                 let reply = codec::reply_in(reply, Instant::now())?;
@@ -155,6 +167,11 @@
     }
 }
 
+/// Counts the bytes of a frame and its length.
+fn count(node: &Node, frame: &[u8]) {
+    node.frames.fetch_add((frame.len() + LENGTH_BYTES) as u64, Ordering::Relaxed);
+}
+
 /// Drops requests whose senders no longer wait.
 fn forget_late(pending: &mut Slab<Pending>, now: Instant) {
     pending.retain(|_, request| request.until > now);
--- a/crates/coriandertack-standins/src/lib.rs
+++ b/crates/coriandertack-standins/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod audit;
 pub mod log;
 pub mod serving;
+pub mod traffic;
 pub mod vmlist;
 pub mod worker;
--- a/crates/coriandertack-standins/src/log.rs
+++ b/crates/coriandertack-standins/src/log.rs
@@ -32,6 +32,7 @@
 };
 
 use self::{faults::Faults, stream::Stream};
+use crate::traffic::Traffic;
 
 /// Settings at the start. All of them can be changed while the service runs.
 #[derive(Clone, Copy, Debug)]
@@ -96,6 +97,7 @@
     inner: Mutex<Inner>,
     /// Counts changes, for the requests that wait for one.
     changed: watch::Sender<u64>,
+    traffic: Traffic,
 }
 
 #[derive(Debug)]
@@ -123,8 +125,11 @@
             keep: Duration::from_millis(config.keep_ms),
             refused: 0,
         };
-        let shared =
-            Arc::new(Shared { inner: Mutex::new(inner), changed: watch::Sender::default() });
+        let shared = Arc::new(Shared {
+            inner: Mutex::new(inner),
+            changed: watch::Sender::default(),
+            traffic: Traffic::default(),
+        });
         let accept = tokio::spawn(server::accept(listener, Arc::clone(&shared))).abort_handle();
         Ok(Self { address, shared, accept })
     }
@@ -135,6 +140,12 @@
         self.address
     }
 
+    /// Returns the count of the bytes exchanged with clients.
+    #[must_use]
+    pub fn traffic(&self) -> &Traffic {
+        &self.shared.traffic
+    }
+
     /// Sets the time that an append takes.
     pub fn set_latency(&self, latency: Duration) {
         self.shared.change(|inner| inner.faults.latency = latency);
--- a/crates/coriandertack-standins/src/log/server.rs
+++ b/crates/coriandertack-standins/src/log/server.rs
@@ -65,7 +65,7 @@
     let mut server = http1::Builder::new();
     server.timer(TokioTimer::new());
     // A client that goes away in the middle of a request is no fault of the service.
-    let _ = server.serve_connection(TokioIo::new(stream), service).await;
+    let _ = server.serve_connection(TokioIo::new(shared.traffic.count(stream)), service).await;
 }
 
 async fn answer(request: Request<Incoming>, shared: &Shared) -> Result<Answer, Unanswered> {
--- a/crates/coriandertack-standins/src/vmlist.rs
+++ b/crates/coriandertack-standins/src/vmlist.rs
@@ -25,7 +25,7 @@
     tokio::{net::TcpListener, task::JoinSet, time::Instant},
 };
 
-use crate::worker::Worker;
+use crate::{traffic::Traffic, worker::Worker};
 
 /// Kind of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -170,6 +170,7 @@
 pub struct VmList {
     address: SocketAddr,
     inner: Arc<Mutex<Inner>>,
+    traffic: Traffic,
 }
 
 impl VmList {
@@ -190,7 +191,8 @@
             reads: 0,
         };
         let address = listener.local_addr()?;
-        let list = Self { address, inner: Arc::new(Mutex::new(inner)) };
+        let list =
+            Self { address, inner: Arc::new(Mutex::new(inner)), traffic: Traffic::default() };
         tokio::spawn(serve(list.clone(), listener));
         Ok(list)
     }
@@ -238,6 +240,12 @@
         self.lock().reads
     }
 
+    /// Returns the count of the bytes exchanged with clients.
+    #[must_use]
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -276,7 +284,8 @@
                         });
                         let mut builder = http1::Builder::new();
                         builder.timer(TokioTimer::new());
-                        let served = builder.serve_connection(TokioIo::new(stream), service).await;
+                        let stream = TokioIo::new(list.traffic.count(stream));
+                        let served = builder.serve_connection(stream, service).await;
                         if let Err(error) = served {
                             log::debug!("event=vm_list_connection_ended error=\"{error}\"");
                         }
--- a/crates/coriandertack-standins/src/worker.rs
+++ b/crates/coriandertack-standins/src/worker.rs
@@ -43,7 +43,7 @@
     engine::Engine,
     wire::{Amount, Used},
 };
-use crate::audit::Audit;
+use crate::{audit::Audit, traffic::Traffic};
 
 /// Requests that a worker runs at a time.
 pub const SLOTS: usize = 8;
@@ -130,6 +130,7 @@
     changed: Notify,
     news: watch::Sender<u64>,
     paused: watch::Sender<bool>,
+    traffic: Traffic,
     lost: AtomicUsize,
     delay: Mutex<Option<Duration>>,
     tasks: Mutex<Vec<JoinHandle<()>>>,
@@ -199,6 +200,7 @@
             changed: Notify::new(),
             news: watch::Sender::new(0),
             paused: watch::Sender::new(false),
+            traffic: Traffic::default(),
             lost: AtomicUsize::new(0),
             delay: Mutex::default(),
             tasks: Mutex::default(),
@@ -244,6 +246,12 @@
         self.shared.address
     }
 
+    /// Returns the count of the bytes exchanged with clients.
+    #[must_use]
+    pub fn traffic(&self) -> &Traffic {
+        &self.shared.traffic
+    }
+
     /// Stops answering, or answers again. Tasks run on and leases expire meanwhile.
     pub fn pause(&self, paused: bool) {
         self.shared.paused.send_replace(paused);
--- a/crates/coriandertack-standins/src/worker/http.rs
+++ b/crates/coriandertack-standins/src/worker/http.rs
@@ -75,7 +75,8 @@
     let service = service_fn(|request| answer(&shared, &slots, request));
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new());
-    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+    let stream = TokioIo::new(shared.traffic.count(stream));
+    if let Err(error) = builder.serve_connection(stream, service).await {
         log::debug!("event=worker_connection_ended error=\"{error}\"");
     }
     drop(place);
--- a/crates/coriandertack/src/bench/mod.rs
+++ b/crates/coriandertack/src/bench/mod.rs
@@ -4,8 +4,11 @@
 
 pub mod blocking;
 mod cell;
+pub mod cost;
+mod fleet;
 mod load;
 pub mod packing;
+mod plots;
 pub mod recovery;
 pub mod row;
 pub mod surge;
@@ -29,7 +32,7 @@
 const SEED: u64 = 1;
 
 /// The scenarios in the order in which `all` runs them.
-const SCENARIOS: [&str; 5] = ["wait", "packing", "surge", "blocking", "recovery"];
+const SCENARIOS: [&str; 6] = ["wait", "packing", "surge", "blocking", "cost", "recovery"];
 
 /// Runs the benchmarks.
 ///
@@ -43,10 +46,11 @@
     let seed = matches.get_one::<u64>("seed").copied().unwrap_or(SEED);
     let runtime = tokio::runtime::Runtime::new().context("cannot start the runtime")?;
     println!("{}; seed {seed}", machine());
+    let plots = matches.get_one::<PathBuf>("plots").map(PathBuf::as_path);
     let mut rows = Vec::new();
     for scenario in SCENARIOS.iter().filter(|&&name| wanted == "all" || wanted == name) {
         eprintln!("running {scenario}");
-        rows.extend(runtime.block_on(run(scenario, seed))?);
+        rows.extend(runtime.block_on(run(scenario, seed, plots))?);
     }
     println!("{}", table(&rows));
     if let Some(file) = matches.get_one::<PathBuf>("compare") {
@@ -59,12 +63,19 @@
     Ok(())
 }
 
-async fn run(scenario: &str, seed: u64) -> Result<Vec<Row>> {
+async fn run(scenario: &str, seed: u64, plots: Option<&Path>) -> Result<Vec<Row>> {
     match scenario {
         "wait" => wait::run(seed).await,
         "packing" => Ok(packing::run(seed)),
         "surge" => Ok(surge::run(seed).await),
         "blocking" => Ok(blocking::run(seed).await),
+        "cost" => {
+            let (rows, costs) = cost::run(seed).await?;
+            if let Some(directory) = plots {
+                plots::costs(directory, &costs)?;
+            }
+            Ok(rows)
+        }
         "recovery" => recovery::run(seed).await,
         _ => anyhow::bail!("no scenario `{scenario}`"),
     }
--- a/crates/coriandertack/src/bench/row.rs
+++ b/crates/coriandertack/src/bench/row.rs
@@ -39,6 +39,20 @@
         Self::new(scenario, metric, unit, target, measured, baseline, measured <= target)
     }
 
+    /// Returns a figure without a bound.
+    pub fn figure(scenario: &str, metric: &str, unit: &str, measured: f64) -> Self {
+        Self {
+            scenario: scenario.into(),
+            metric: metric.into(),
+            unit: unit.into(),
+            target: None,
+            measured,
+            baseline: None,
+            baseline_name: None,
+            met: None,
+        }
+    }
+
     fn new(
         scenario: &str,
         metric: &str,
