--- a/crates/coriandertack/src/cli/args.rs
+++ b/crates/coriandertack/src/cli/args.rs
@@ -145,7 +145,7 @@
                     .value_parser(value_parser!(u64))
                     .help("Seed of the random numbers"),
             )
-            .arg(path("plots", "Writes plots to this directory"))
+            .arg(path("plots", "Writes plots of the scenario cost to this directory"))
             .arg(path("compare", "Compares with this earlier report")),
     ]
 }
