--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -4,7 +4,7 @@
 //! which is held for one decision at a time and never across an await. One lock keeps decisions simple;
 //! the longest one, a placement over 1,000 workers, is bounded at 1 ms.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64};
 
 use {
     slotmap::SecondaryMap,
@@ -131,6 +131,8 @@
     pub short_share: watch::Sender<u32>,
     /// Signals that tasks may have become placeable.
     pub work: Notify,
+    /// Bytes of the frames exchanged on the links that this VM opened.
+    pub frames: AtomicU64,
 }
 
 impl Node {
@@ -163,6 +165,7 @@
             settled: watch::Sender::new(Offset(0)),
             short_share: watch::Sender::new(LEAST_KEPT_PERCENT),
             work: Notify::new(),
+            frames: AtomicU64::new(0),
         };
         (Arc::new(node), submissions)
     }
--- a/crates/coriandertack-operators/src/metrics.rs
+++ b/crates/coriandertack-operators/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Core stays free of this library: what it notes in [`Stats`] is taken when the metrics are asked for
 //! ([`Metrics::observe`]).
 
-use std::fmt;
+use std::{fmt, sync::atomic::Ordering};
 
 use {
     coriandertack_core::{
@@ -46,6 +46,7 @@
     members: Gauge<u64>,
     offset: Gauge<u64>,
     ready: Gauge<u64>,
+    frames: Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -90,6 +91,7 @@
             members: gauge("members", "live objects in the replicated state, by type"),
             offset: gauge("log_offset", "last offset applied"),
             ready: gauge("ready", "1 if this VM takes work"),
+            frames: gauge("link_bytes", "bytes of frames on the links that this VM opened"),
             registry,
             _provider: provider,
         })
@@ -113,6 +115,7 @@
     pub fn observe(&self, node: &Node) {
         let is_ready = *node.stage.borrow() == Stage::Serving && node.is_valid();
         self.ready.record(u64::from(is_ready), &[]);
+        self.frames.record(node.frames.load(Ordering::Relaxed), &[]);
         node.with(|inner| {
             let state = &inner.state;
             self.offset.record(state.offset.0, &[]);
