--- a/crates/coriandertack-operators/src/metrics.rs
+++ b/crates/coriandertack-operators/src/metrics.rs
@@ -39,7 +39,6 @@
     grants: Counter<u64>,
     requests: Counter<u64>,
     calls: Counter<u64>,
-    control: Counter<u64>,
     dropped: Counter<u64>,
     queue: Gauge<u64>,
     granted: Gauge<u64>,
@@ -84,7 +83,6 @@
             grants: count("grants", "capacity granted to tasks"),
             requests: count("requests", "answers of the resource API, by code"),
             calls: count("calls", "answers to callers, by code"),
-            control: count("control_bytes", "bytes sent and received for control, by peer"),
             dropped: count("refusals_not_audited", "refused changes beyond the audit's rate"),
             queue: gauge("tasks", "tasks homed here, by step"),
             granted: gauge("grants_held", "grants held on workers owned here"),
@@ -102,11 +100,6 @@
         self.requests.add(1, &[code_label(code)]);
     }
 
-    /// Counts bytes of control traffic with a kind of peer, for example `log` or `workers`.
-    pub fn control(&self, peer: &'static str, bytes: u64) {
-        self.control.add(bytes, &[KeyValue::new("peer", peer)]);
-    }
-
     pub(crate) fn dropped(&self, count: u64) {
         self.dropped.add(count, &[]);
     }
--- a/crates/coriandertack-operators/tests/reading.rs
+++ b/crates/coriandertack-operators/tests/reading.rs
@@ -13,7 +13,7 @@
     },
     expect_test::expect,
     serde_json::Value,
-    std::time::Duration,
+    std::{sync::atomic::Ordering, time::Duration},
     viz::Method,
 };
 
@@ -238,17 +238,17 @@
         inner.stats.granted += 2;
         inner.stats.called(Code::Overloaded);
     });
-    bed.api.metrics.control("log", 120);
+    bed.node.frames.store(120, Ordering::Relaxed);
     let text = bed.get("/metrics", "").await.text;
     let wanted =
         |line: &&str| !line.starts_with('#') && !line.contains("_bucket") && !line.ends_with(" 0");
     let lines: Vec<&str> = text.lines().filter(wanted).collect();
     expect![[r#"
         coriandertack_calls_total{code="5031"} 1
-        coriandertack_control_bytes_total{peer="log"} 120
         coriandertack_decision_seconds_sum 0.00003
         coriandertack_decision_seconds_count 1
         coriandertack_grants_total 2
+        coriandertack_link_bytes 120
         coriandertack_log_append_seconds_sum 0.005
         coriandertack_log_append_seconds_count 1
         coriandertack_log_offset 5
