--- a/crates/coriandertack-log/src/jobs.rs
+++ b/crates/coriandertack-log/src/jobs.rs
@@ -71,6 +71,12 @@
     (format!("{LINK}{vm}"), wire.encode_to_vec().into())
 }
 
+/// Tells whether a key is that of a VM's link.
+#[must_use]
+pub fn is_announcement(key: &str) -> bool {
+    key.starts_with(LINK)
+}
+
 /// Returns the keys of the intake that a forgotten job has.
 #[must_use]
 pub fn intake_keys(id: JobId) -> [String; 2] {
--- a/crates/coriandertackd/src/fleet/follow.rs
+++ b/crates/coriandertackd/src/fleet/follow.rs
@@ -25,10 +25,11 @@
 const LEADER_PACE_MS: u64 = 15;
 
 /// Longest wait of a read for a new record, in milliseconds. It bounds how late a silence is noticed.
-const WAIT_MS: u64 = 500;
+const WAIT_MS: u64 = 300;
 
-/// Longest wait of a read of the operators' stream, in milliseconds.
-const OPERATOR_WAIT_MS: u64 = 5_000;
+/// Longest wait of a read of the operators' stream, in milliseconds. A connection that has gone silent is noticed
+/// after it, within the 2 s in which a configuration must be in force.
+const OPERATOR_WAIT_MS: u64 = 900;
 
 /// First and longest pause after a failed call, in milliseconds.
 const RETRY_MS: (u64, u64) = (50, 400);
@@ -205,5 +206,6 @@
         reached.loaded = true;
         reached.next = next;
         reached.began = began;
+        reached.quiet = clock::now();
     });
 }
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -40,7 +40,7 @@
 
 /// Silence of the progress stream after which a VM tries to lead, in milliseconds. A slow store delays a record by
 /// some 240 ms twice, on its way in and out.
-const SILENCE_MS: u64 = 1_200;
+const SILENCE_MS: u64 = 1_000;
 
 /// Time by which VMs of the next rank wait longer, in milliseconds, so that one append suffices.
 const RANK_MS: u64 = 60;
@@ -176,7 +176,7 @@
             // A record of this VM's own former process binds nobody.
             let silence = if released || own { 0 } else { SILENCE_MS } + RANK_MS * rank as u64;
             let configured = config.borrow_and_update().revision > 0;
-            if configured && reached.began >= reached.moved.after(silence) {
+            if configured && reached.quiet >= reached.moved.after(silence) {
                 return (leader.map_or(0, |leader| leader.epoch) + 1, reached.next);
             }
         }
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -32,6 +32,8 @@
     pub began: Moment,
     /// When the last record was read.
     pub moved: Moment,
+    /// When the last such read returned: nothing further was there then.
+    pub quiet: Moment,
 }
 
 /// Answer to a record that was handed to the intake.
