Keep a former leader's lease time for workers whose entry is known

Cause: a takeover gave up a worker at its first unanswered list if its entry had been read, since only unknown workers got the time in which the former leader may have renewed leases. Its tasks ran twice.

Ruled out: two leaders (one fenced the other at once), acknowledged ends (none was recorded by the old leader).

--- a/crates/coriandertack-jobs/src/sched/adopt.rs
+++ b/crates/coriandertack-jobs/src/sched/adopt.rs
@@ -54,6 +54,7 @@
                         bound: now,
                     };
                     if let Some(worker) = self.workers.get_mut(worker) {
+                        worker.inherit_leases(now.after(INHERITED_MS));
                         worker.used += run.charge;
                         worker.runs.insert((name, task.attempt), run);
                     }
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -142,6 +142,11 @@
         Some(clock + term)
     }
 
+    /// Notes that a former leader may have granted leases until `end`.
+    pub(super) fn inherit_leases(&mut self, end: Moment) {
+        self.lease_end = self.lease_end.max(end);
+    }
+
     /// Returns when every lease on the worker has run out.
     #[must_use]
     pub const fn lease_end(&self) -> Moment {
--- a/crates/coriandertackd/src/fleet/crew.rs
+++ b/crates/coriandertackd/src/fleet/crew.rs
@@ -369,7 +369,11 @@
 }
 
 fn lost(leading: &Leading, key: WorkerKey, reason: &'static str) {
-    log::info!("event=worker_given_up reason=\"{reason}\"");
-    leading.scheduler().worker_lost(key, clock::now());
+    let mut scheduler = leading.scheduler();
+    if let Some(worker) = scheduler.worker(key) {
+        log::info!("event=worker_given_up worker={} reason=\"{reason}\"", worker.name);
+    }
+    scheduler.worker_lost(key, clock::now());
+    drop(scheduler);
     leading.shared.wake.notify_one();
 }
