Ask for advice on workers with room only, and let gangs explore or wait

A gang with seven allowed workers of sixteen tasks waited for them to be empty.

Ruled out: a leak of lanes (asked and answered calls match), processor time of the leader (0.14 of 0.5 cores).

Change: a pass keeps one floor of free room; a call names workers with room on it, the room of allowed workers is kept while the call is under way, and a gang explores more workers if that can suffice. Log lines go out in whole pieces of 4 KiB and a line says why a step waits.

--- a/crates/coriandertack-jobs/src/sched/advise.rs
+++ b/crates/coriandertack-jobs/src/sched/advise.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashSet, sync::Arc};
 
-use super::{Scheduler, Step, WorkerKey};
+use super::{Scheduler, Step, WorkerKey, place::Floor};
 
 use crate::{
     config::{Advice, Route},
@@ -28,7 +28,17 @@
 const ALLOWED_LEAST: f64 = 0.05;
 
 /// Factor on the number of tasks for which a call should find room, since others take room during the call.
-const SPARE: f64 = 1.4;
+const SPARE: f64 = 1.8;
+
+/// Multiple of a gang that the workers known to be allowed can hold when empty, from which on the gang waits for them.
+/// A single one would have to be empty altogether, behind the longest task on it.
+const ENOUGH_KNOWN: u32 = 3;
+
+/// The same factor for workers that are known to be allowed, whose room is kept during the call.
+const SPARE_KNOWN: f64 = 1.1;
+
+/// Time between two calls that learn which workers are allowed, in milliseconds.
+const EXPLORE_MS: u64 = 500;
 
 /// Time by which a ticket is taken to lapse earlier, in milliseconds: the start must arrive before.
 const TICKET_MARGIN_MS: u64 = 250;
@@ -42,6 +52,9 @@
 /// Time after which a call without an answer is given up, beyond its cost, in milliseconds.
 const CALL_SLACK_MS: u64 = 1_000;
 
+/// Time between two log lines on why a step waits, in milliseconds.
+const EXPLAIN_MS: u64 = 2_000;
+
 /// Pause after a call that failed, in milliseconds.
 const FAILED_MS: u64 = 100;
 
@@ -67,8 +80,22 @@
     allowed: HashSet<WorkerKey>,
     /// Workers that the policy does not allow.
     barred: HashSet<WorkerKey>,
+    /// Room on allowed workers that is kept while the call is under way, as a number of tasks.
+    claims: Vec<(WorkerKey, u32)>,
     /// No call before this moment.
     retry: Moment,
+    /// When a call was last made although its answer could not suffice.
+    explored: Moment,
+}
+
+/// A worker that a call may name.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    key: WorkerKey,
+    /// Whether the policy is known to allow it.
+    allowed: bool,
+    /// Number of waiting tasks that fit on it.
+    room: u32,
 }
 
 impl AdviceState {
@@ -76,6 +103,15 @@
         self.tickets.iter().find(|ticket| ticket.worker == worker && ticket.until > now)
     }
 
+    pub(super) fn valid_tickets(&self, now: Moment) -> impl Iterator<Item = &Ticket> {
+        self.tickets.iter().filter(move |ticket| ticket.until > now)
+    }
+
+    /// Tells whether a call may be made whose answer cannot suffice, only to learn which workers are allowed.
+    fn explores(&self, now: Moment) -> bool {
+        self.allowed.is_empty() || now.since(self.explored) >= EXPLORE_MS
+    }
+
     pub(super) fn drop_ticket(&mut self, worker: WorkerKey) {
         self.tickets.retain(|ticket| ticket.worker != worker);
     }
@@ -129,6 +165,7 @@
         id: StepId,
         route: &Arc<Route>,
         policy: Advice,
+        floor: &Floor,
         now: Moment,
     ) -> Option<Moment> {
         let (_, spec, step) = self.step(id)?;
@@ -139,92 +176,167 @@
             return Some(step.advice.retry);
         }
         let share = self.allowed.get(&route.name).copied().unwrap_or(ALLOWED_FIRST);
-        let named = self.choose_named(spec, step, &route.service, share, now);
+        let named = self.choose_named(spec, step, &route.service, share, floor, now);
         if named.is_empty() {
+            self.explain(id, "no worker to ask about", now);
             return None;
         }
         let cost = policy.cost_ms(named.len());
         let heavy = cost > HEAVY_MS;
         let lane = match self.take_lane(cost as u64, heavy, now) {
             Ok(lane) => lane,
-            Err(free) => return free,
+            Err(free) => {
+                self.explain(id, "no lane for advice", now);
+                return free;
+            }
         };
         let until = now.after(cost as u64 + CALL_SLACK_MS + LANE_WAIT_MS);
         log::debug!("event=advice_asked step={id} vm={lane} workers={}", named.len());
         self.counts.advice += 1;
+        let workers: Vec<(WorkerKey, Arc<str>)> = named
+            .iter()
+            .filter_map(|named| Some((named.key, self.workers.get(named.key)?.name.clone())))
+            .collect();
         if let Some(step) = self.step_mut(id) {
             step.advice.calling = Some(until);
+            step.advice.claims =
+                named.iter().filter(|n| n.allowed).map(|n| (n.key, n.room)).collect();
         }
-        self.calls.push(AdviceCall { step: id, vm: lane, workers: named, until, heavy });
+        self.calls.push(AdviceCall { step: id, vm: lane, workers, until, heavy });
         Some(until)
     }
 
+    /// Keeps room for a step on allowed workers while a call for their tickets is under way.
+    pub(super) fn keep_claims(&self, id: StepId, floor: &mut Floor, now: Moment) {
+        let Some((_, spec, step)) = self.step(id) else { return };
+        if step.advice.calling.is_none_or(|until| until <= now) {
+            return;
+        }
+        for &(key, room) in &step.advice.claims {
+            if let Some(amount) = spec.charge().checked_mul(room) {
+                floor.take(key, amount);
+            }
+        }
+    }
+
+    /// Logs why a step waits, from time to time.
+    fn explain(&mut self, id: StepId, reason: &'static str, now: Moment) {
+        let Some((_, spec, step)) = self.step(id) else { return };
+        if now.since(step.explained) < EXPLAIN_MS {
+            return;
+        }
+        log::info!(
+            "event=step_waits step={id} reason=\"{reason}\" waiting={} gang={} tickets={} \
+             allowed={} barred={} heavy={}",
+            step.waiting,
+            spec.gang,
+            step.advice.valid_tickets(now).count(),
+            step.advice.allowed.len(),
+            step.advice.barred.len(),
+            self.lanes.iter().map(|lane| lane.heavy).sum::<u32>(),
+        );
+        if let Some(step) = self.step_mut(id) {
+            step.explained = now;
+        }
+    }
+
     /// Chooses the workers that a call names: allowed ones with room first, then unknown ones.
+    ///
+    /// A call for a gang that no answer could complete is not made: its tickets would lapse before the room is there.
     fn choose_named(
         &self,
         spec: &StepSpec,
         step: &Step,
         service: &str,
         share: f64,
+        floor: &Floor,
         now: Moment,
-    ) -> Vec<(WorkerKey, Arc<str>)> {
-        let charge = spec.charge();
-        let mut candidates: Vec<(bool, u32, WorkerKey)> = Vec::new();
-        let mut allowed_room = 0;
-        for (key, worker) in &self.workers {
-            if step.advice.barred.contains(&key) || !self.suits(worker, spec, service, now) {
-                continue;
-            }
-            let mut room = charge.count_in(worker.free());
-            if spec.spread > 0 {
-                room = room.min(spec.spread);
-            }
-            if room == 0 || step.advice.ticket(key, now).is_some() {
-                continue;
-            }
-            let allowed = step.advice.allows(key);
-            if allowed {
-                allowed_room += room;
+    ) -> Vec<Named> {
+        let candidates = self.nameable(spec, step, service, floor, now);
+        let valid = self.ticketed_room(spec, step, floor, now);
+        let sum = |allowed: bool| -> u32 {
+            candidates.iter().filter(|n| n.allowed == allowed).map(|n| n.room).sum()
+        };
+        let (known, unknown) = (sum(true) + valid, f64::from(sum(false)) * share);
+        if spec.gang && known < step.waiting {
+            let whole = self.allowed_capacity(spec, step, now);
+            let hopeful = f64::from(known) + unknown >= f64::from(step.waiting);
+            // More workers are worth a call if it can suffice. If it cannot, they are only worth one while few are
+            // known to be allowed; the gang waits for those to have room.
+            let few = whole < step.waiting * ENOUGH_KNOWN;
+            if !step.advice.explores(now) || (!hopeful && !few) {
+                return Vec::new();
             }
-            candidates.push((allowed, room.min(step.waiting), key));
         }
-        candidates.sort_by_key(|&(allowed, room, _)| (!allowed, std::cmp::Reverse(room)));
-        let valid: u32 = self.ticketed_room(spec, step, now);
-        // Tickets for workers that cannot hold the whole gang would only lapse.
-        let unknown = candidates.iter().any(|&(allowed, ..)| !allowed);
-        if spec.gang && !unknown && allowed_room + valid < step.waiting {
-            return Vec::new();
-        }
-        let wanted = f64::from(step.waiting) * SPARE - f64::from(valid);
+        let wanted = match spec.gang && known >= step.waiting {
+            true => f64::from(step.waiting.saturating_sub(valid)) * SPARE_KNOWN,
+            false => f64::from(step.waiting) * SPARE - f64::from(valid),
+        };
         let mut expected = 0.0;
         let mut named = Vec::new();
-        for (allowed, room, key) in candidates {
+        for candidate in candidates {
             if expected >= wanted || named.len() >= MAX_NAMED {
                 break;
             }
-            expected += f64::from(room) * if allowed { 1.0 } else { share };
-            if let Some(worker) = self.workers.get(key) {
-                named.push((key, worker.name.clone()));
-            }
+            let weight = if candidate.allowed { 1.0 } else { share };
+            expected += f64::from(candidate.room) * weight;
+            named.push(candidate);
         }
         named
     }
 
-    /// Returns the number of tasks for which workers with valid tickets have room.
-    fn ticketed_room(&self, spec: &StepSpec, step: &Step, now: Moment) -> u32 {
+    /// Returns the workers that a call could name, the best first.
+    fn nameable(
+        &self,
+        spec: &StepSpec,
+        step: &Step,
+        service: &str,
+        floor: &Floor,
+        now: Moment,
+    ) -> Vec<Named> {
         let charge = spec.charge();
-        let room = |ticket: &Ticket| {
-            let worker = self.workers.get(ticket.worker)?;
-            worker.is_open(now).then(|| charge.count_in(worker.free()).min(step.waiting))
+        let mut candidates = Vec::new();
+        for (key, free) in floor.workers() {
+            let mut room = charge.count_in(free);
+            if spec.spread > 0 {
+                room = room.min(spec.spread);
+            }
+            if room == 0 || step.advice.barred.contains(&key) {
+                continue;
+            }
+            let Some(worker) = self.workers.get(key) else { continue };
+            if !self.suits(worker, spec, service) || step.advice.ticket(key, now).is_some() {
+                continue;
+            }
+            let allowed = step.advice.allows(key);
+            candidates.push(Named { key, allowed, room: room.min(step.waiting) });
+        }
+        candidates.sort_by_key(|named| (!named.allowed, std::cmp::Reverse(named.room)));
+        candidates
+    }
+
+    /// Returns how many tasks the allowed workers could hold if nothing else ran on them.
+    fn allowed_capacity(&self, spec: &StepSpec, step: &Step, now: Moment) -> u32 {
+        let charge = spec.charge();
+        let whole = |key: &WorkerKey| {
+            let worker = self.workers.get(*key)?;
+            let open = worker.is_open(now);
+            worker.entry.as_ref().filter(|_| open).map(|entry| charge.count_in(entry.capacity))
         };
-        let valid = step.advice.tickets.iter().filter(|ticket| ticket.until > now);
-        valid.filter_map(room).sum()
+        step.advice.allowed.iter().filter_map(whole).sum()
+    }
+
+    /// Returns the number of tasks for which workers with valid tickets have room.
+    fn ticketed_room(&self, spec: &StepSpec, step: &Step, floor: &Floor, now: Moment) -> u32 {
+        let charge = spec.charge();
+        let room = |ticket: &Ticket| charge.count_in(floor.free(ticket.worker)).min(step.waiting);
+        step.advice.valid_tickets(now).map(room).sum()
     }
 
     /// Takes the least loaded lane, or returns when one will be free.
     fn take_lane(&mut self, cost_ms: u64, heavy: bool, now: Moment) -> Result<Arc<str>, Option<Moment>> {
-        // Short calls wait behind no heavy one in at least half of the lanes.
-        let most = (self.lanes.len() / 2).max(1) as u32;
+        // Short calls wait behind no heavy one in at least a quarter of the lanes.
+        let most = (self.lanes.len() * 3 / 4).max(1) as u32;
         if heavy && self.lanes.iter().map(|lane| lane.heavy).sum::<u32>() >= most {
             return Err(Some(now.after(LANE_WAIT_MS)));
         }
@@ -256,6 +368,8 @@
         let validity_ms = route.as_ref().and_then(|r| r.advice).map_or(0, |a| a.validity_ms);
         let Some(step) = self.step_mut(call.step) else { return };
         step.advice.calling = None;
+        step.advice.claims.clear();
+        step.advice.explored = now;
         let Some(eligible) = eligible else {
             step.advice.retry = now.after(FAILED_MS);
             log::info!("event=advice_failed step={} vm={}", call.step, call.vm);
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -101,6 +101,8 @@
     advice: AdviceState,
     /// When the step became ready.
     ready: Moment,
+    /// When it was last logged why the step waits.
+    explained: Moment,
 }
 
 /// State of one occurrence of a job.
@@ -450,6 +452,7 @@
             queued: None,
             advice: AdviceState::default(),
             ready: now,
+            explained: now,
         }
     }
 }
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -1,8 +1,9 @@
 //! Binding of waiting tasks to workers.
 //!
 //! Steps are served in the order of the queue. A task goes to the worker that it leaves the least room on, so that
-//! room for large tasks stays together; tasks that last are spread. A gang is bound as a whole or not at all, and a gang that
-//! waits reserves the workers that it needs against work behind it in the queue.
+//! room for large tasks stays together; tasks that last are spread. A gang is bound as a whole or not at all. Room that a
+//! step waits for, because a call for its tickets is under way or because its gang is not whole yet, is taken off the
+//! floor for the steps behind it.
 
 use std::{
     cmp::Reverse,
@@ -10,7 +11,7 @@
     sync::Arc,
 };
 
-use coriandertack_core::resources::Resources;
+use {coriandertack_core::resources::Resources, slotmap::SecondaryMap};
 
 use super::{
     Order, Place, Rank, Scheduler, StartOrder, Worker, WorkerKey,
@@ -39,60 +40,112 @@
     pub again: Option<Moment>,
 }
 
+/// Room of the open workers during one pass, as the steps that are still to come may use it.
+#[derive(Debug, Default)]
+pub(super) struct Floor {
+    free: SecondaryMap<WorkerKey, Resources>,
+    reserved: HashSet<WorkerKey>,
+}
+
+impl Floor {
+    /// Returns what a worker has left.
+    pub(super) fn free(&self, key: WorkerKey) -> Resources {
+        self.free.get(key).copied().unwrap_or(Resources::ZERO)
+    }
+
+    /// Returns the open workers that have anything left.
+    pub(super) fn workers(&self) -> impl Iterator<Item = (WorkerKey, Resources)> + '_ {
+        self.free.iter().map(|(key, free)| (key, *free))
+    }
+
+    /// Takes room away from the steps that are still to come.
+    pub(super) fn take(&mut self, key: WorkerKey, amount: Resources) {
+        if let Some(free) = self.free.get_mut(key) {
+            *free = free.saturating_sub(amount);
+        }
+    }
+
+    fn reserve(&mut self, key: WorkerKey) {
+        self.free.remove(key);
+        self.reserved.insert(key);
+    }
+}
+
 impl Scheduler {
     /// Binds what waits and asks for the advice that is missing.
     pub fn place(&mut self, now: Moment) -> Pass {
         let queued: Vec<(Rank, StepId)> = self.queue.iter().copied().collect();
         let mut pass = Pass::default();
-        let mut reserved = HashSet::new();
+        let mut floor = self.floor(now);
         for (_, id) in queued {
-            let Some((job, spec, _)) = self.step(id) else {
-                self.queue.retain(|(_, known)| *known != id);
-                continue;
-            };
-            let route = self.route_of(job);
-            let (gang, payload) = (spec.gang, job.spec.payload.clone());
-            let chosen = match gang {
-                true => self.choose_gang(id, &route, &reserved, now),
-                false => self.choose_each(id, &route, &reserved, now),
+            pass.bound += self.place_step(id, &mut floor, now);
+            let again = self.ask_for_step(id, &mut floor, now);
+            pass.again = match (pass.again, again) {
+                (Some(a), Some(b)) => Some(a.min(b)),
+                (a, b) => a.or(b),
             };
-            pass.bound += chosen.len() as u32;
-            let gang_attempt = self.next_attempt(id);
-            for (index, worker) in chosen {
-                let task = TaskId {
-                    job: id.job,
-                    occurrence: id.occurrence,
-                    step: id.step,
-                    index,
-                };
-                self.bind(task, worker, gang.then_some(gang_attempt), &payload, now);
-            }
-            let Some((_, spec, step)) = self.step(id) else { continue };
-            if step.waiting == 0 {
-                self.dequeue(id);
-                continue;
-            }
-            let overdue = spec.gang && now.since(step.ready) > RESERVE_AFTER_MS;
-            if overdue {
-                self.reserve(id, &route, &mut reserved, now);
-            }
-            if let Some(policy) = route.advice {
-                let again = self.ask_advice(id, &route, policy, now);
-                pass.again = match (pass.again, again) {
-                    (Some(a), Some(b)) => Some(a.min(b)),
-                    (a, b) => a.or(b),
-                };
-            }
         }
         pass
     }
 
+    /// Returns the room of the open workers.
+    fn floor(&self, now: Moment) -> Floor {
+        let open = self.workers.iter().filter(|(_, worker)| worker.is_open(now));
+        let free = open.map(|(key, worker)| (key, worker.free()));
+        Floor { free: free.filter(|(_, free)| *free != Resources::ZERO).collect(), ..Floor::default() }
+    }
+
+    /// Binds the tasks of a step that find room, and returns their number.
+    fn place_step(&mut self, id: StepId, floor: &mut Floor, now: Moment) -> u32 {
+        let Some((job, spec, _)) = self.step(id) else {
+            self.queue.retain(|(_, known)| *known != id);
+            return 0;
+        };
+        let route = self.route_of(job);
+        let (gang, charge, payload) = (spec.gang, spec.charge(), job.spec.payload.clone());
+        let candidates = self.candidates(id, &route, floor, now);
+        if candidates.is_empty() {
+            return 0;
+        }
+        let chosen = match gang {
+            true => self.choose_gang(id, candidates),
+            false => self.choose_each(id, candidates, floor),
+        };
+        let attempt = gang.then(|| self.next_attempt(id));
+        let bound = chosen.len() as u32;
+        for (index, worker) in chosen {
+            let StepId { job, occurrence, step } = id;
+            self.bind(TaskId { job, occurrence, step, index }, worker, attempt, &payload, now);
+            floor.take(worker, charge);
+        }
+        if self.step(id).is_some_and(|(_, _, step)| step.waiting == 0) {
+            self.dequeue(id);
+        }
+        bound
+    }
+
+    /// Asks for the advice that a step still needs, and keeps the room that it waits for.
+    fn ask_for_step(&mut self, id: StepId, floor: &mut Floor, now: Moment) -> Option<Moment> {
+        let (job, spec, step) = self.step(id)?;
+        if step.queued.is_none() {
+            return None;
+        }
+        let route = self.route_of(job);
+        let (gang, waiting_ms) = (spec.gang, now.since(step.ready));
+        let again = route.advice.and_then(|policy| {
+            self.ask_advice(id, &route, policy, floor, now)
+        });
+        self.keep_claims(id, floor, now);
+        if gang && waiting_ms > RESERVE_AFTER_MS {
+            self.reserve(id, &route, floor, now);
+        }
+        again
+    }
+
     /// Tells whether a worker may run a step's tasks at all, its room aside.
-    pub(super) fn suits(&self, worker: &Worker, spec: &StepSpec, service: &str, now: Moment) -> bool {
+    pub(super) fn suits(&self, worker: &Worker, spec: &StepSpec, service: &str) -> bool {
         let of_service = worker.entry.as_ref().is_some_and(|entry| &*entry.service == service);
-        of_service
-            && worker.is_open(now)
-            && spec.label.as_ref().is_none_or(|label| worker.has_label(label))
+        of_service && spec.label.as_ref().is_none_or(|label| worker.has_label(label))
     }
 
     /// Returns the workers that may run a step now, with the number of its tasks that fit on each.
@@ -100,32 +153,27 @@
         &self,
         id: StepId,
         route: &Route,
-        reserved: &HashSet<WorkerKey>,
+        floor: &Floor,
         now: Moment,
     ) -> Vec<(WorkerKey, u32)> {
         let Some((_, spec, step)) = self.step(id) else { return Vec::new() };
         let charge = spec.charge();
         let spread = self.spread(id);
-        let fits = |key: WorkerKey| {
-            let worker = self.workers.get(key)?;
-            if reserved.contains(&key) || !self.suits(worker, spec, &route.service, now) {
-                return None;
-            }
-            let mut room = charge.count_in(worker.free());
+        let fits = |(key, free): (WorkerKey, Resources)| {
+            let mut room = charge.count_in(free);
             if spec.spread > 0 {
                 let there = spread.get(&key).copied().unwrap_or(0);
                 room = room.min(spec.spread.saturating_sub(there));
             }
-            (room > 0).then_some((key, room))
+            let suits = room > 0 && self.suits(self.workers.get(key)?, spec, &route.service);
+            suits.then_some((key, room))
         };
         match route.advice {
             Some(_) => {
-                let ticketed = self.workers.keys().filter(|&key| {
-                    step.advice.ticket(key, now).is_some()
-                });
-                ticketed.filter_map(fits).collect()
+                let valid = step.advice.valid_tickets(now);
+                valid.map(|ticket| (ticket.worker, floor.free(ticket.worker))).filter_map(fits).collect()
             }
-            None => self.workers.keys().filter_map(fits).collect(),
+            None => floor.workers().filter_map(fits).collect(),
         }
     }
 
@@ -148,11 +196,9 @@
     fn choose_each(
         &self,
         id: StepId,
-        route: &Route,
-        reserved: &HashSet<WorkerKey>,
-        now: Moment,
+        mut candidates: Vec<(WorkerKey, u32)>,
+        floor: &Floor,
     ) -> Vec<(u32, WorkerKey)> {
-        let mut candidates = self.candidates(id, route, reserved, now);
         let Some((_, spec, step)) = self.step(id) else { return Vec::new() };
         let charge = spec.charge();
         let mut taken: HashMap<WorkerKey, u32> = HashMap::new();
@@ -163,7 +209,9 @@
             }
             let best = candidates.iter().enumerate().filter(|(_, (_, room))| *room > 0);
             let best = best.min_by_key(|(_, (key, _))| {
-                self.preference(*key, spec, charge, taken.get(key).copied().unwrap_or(0))
+                let extra = charge.checked_mul(taken.get(key).copied().unwrap_or(0) + 1);
+                let left = floor.free(*key).saturating_sub(extra.unwrap_or(charge));
+                self.preference(*key, spec, left)
             });
             let Some((position, &(key, room))) = best else { break };
             candidates[position].1 = room - 1;
@@ -173,33 +221,22 @@
         chosen
     }
 
-    /// Orders workers for one task: data on the rack first, then the least room left, or the most for tasks that last.
-    fn preference(
-        &self,
-        key: WorkerKey,
-        spec: &StepSpec,
-        charge: Resources,
-        taken: u32,
-    ) -> (bool, Reverse<u64>) {
-        let Some(worker) = self.workers.get(key) else { return (true, Reverse(0)) };
+    /// Orders workers for one task by what it would leave: data on the rack first, then the least room, or the most
+    /// for tasks that last.
+    fn preference(&self, key: WorkerKey, spec: &StepSpec, left: Resources) -> (bool, u64) {
+        let Some(worker) = self.workers.get(key) else { return (true, u64::MAX) };
         let remote = spec.data_rack.as_ref().is_some_and(|rack| !worker.has_label(rack));
-        let extra = charge.checked_mul(taken + 1).unwrap_or(charge);
         let capacity = worker.entry.as_ref().map_or(Resources::ZERO, |entry| entry.capacity);
-        let share = (worker.used + extra).dominant_share(capacity);
-        let fullness = (share * 1_000_000.0) as u64;
-        let rank = if spec.lasting { u64::MAX - fullness } else { fullness };
-        (remote, Reverse(rank))
+        let share = (left.dominant_share(capacity) * 1_000_000.0) as u64;
+        (remote, if spec.lasting { u64::MAX - share } else { share })
     }
 
     /// Chooses workers for all tasks of a gang, or none.
     fn choose_gang(
         &self,
         id: StepId,
-        route: &Route,
-        reserved: &HashSet<WorkerKey>,
-        now: Moment,
+        mut candidates: Vec<(WorkerKey, u32)>,
     ) -> Vec<(u32, WorkerKey)> {
-        let mut candidates = self.candidates(id, route, reserved, now);
         let Some((_, spec, step)) = self.step(id) else { return Vec::new() };
         if candidates.iter().map(|(_, room)| room).sum::<u32>() < step.waiting {
             return Vec::new();
@@ -210,7 +247,7 @@
             candidates.retain(|(key, _)| self.rack(*key).as_deref() == Some(&*rack));
         }
         candidates.sort_by_key(|&(key, room)| {
-            let remote = self.preference(key, spec, spec.charge(), 0).0;
+            let remote = self.preference(key, spec, Resources::ZERO).0;
             (remote, Reverse(room))
         });
         let mut slots = candidates
@@ -241,38 +278,35 @@
     }
 
     /// Reserves the workers that need to become free for a waiting gang, those with the most room first.
-    fn reserve(
-        &self,
-        id: StepId,
-        route: &Route,
-        reserved: &mut HashSet<WorkerKey>,
-        now: Moment,
-    ) {
+    fn reserve(&self, id: StepId, route: &Route, floor: &mut Floor, now: Moment) {
         let Some((_, spec, step)) = self.step(id) else { return };
         let charge = spec.charge();
         let most = self.workers.len() / RESERVE_DIVISOR;
         let mut possible: Vec<(Reverse<u32>, u32, WorkerKey)> = Vec::new();
         for (key, worker) in &self.workers {
             let allowed = route.advice.is_none() || step.advice.allows(key);
-            if !allowed || reserved.contains(&key) || !self.suits(worker, spec, &route.service, now)
-            {
+            let usable = allowed && !floor.reserved.contains(&key) && worker.is_open(now);
+            if !usable || !self.suits(worker, spec, &route.service) {
                 continue;
             }
             let whole = worker.entry.as_ref().map_or(Resources::ZERO, |entry| entry.capacity);
-            possible.push((Reverse(charge.count_in(worker.free())), charge.count_in(whole), key));
+            let slots = charge.count_in(whole);
+            if slots > 0 {
+                possible.push((Reverse(charge.count_in(worker.free())), slots, key));
+            }
         }
         possible.sort_unstable();
         let mut room = 0;
         let mut chosen = Vec::new();
-        for (_, whole, key) in possible {
+        for (_, slots, key) in possible {
             if room >= step.waiting {
                 break;
             }
-            room += whole;
+            room += slots;
             chosen.push(key);
         }
-        if room >= step.waiting && reserved.len() + chosen.len() <= most {
-            reserved.extend(chosen);
+        if room >= step.waiting && floor.reserved.len() + chosen.len() <= most {
+            chosen.into_iter().for_each(|key| floor.reserve(key));
         }
     }
 
--- a/crates/coriandertackd/src/fleet/output.rs
+++ b/crates/coriandertackd/src/fleet/output.rs
@@ -20,6 +20,9 @@
 /// Pause between two writes, in milliseconds, so that lines go out in batches.
 const PAUSE_MS: u64 = 200;
 
+/// Most bytes of one write: what POSIX guarantees to be written to a pipe at once.
+const PIECE_BYTES: usize = 4_096;
+
 #[derive(Default)]
 struct Buffer {
     bytes: Vec<u8>,
@@ -74,7 +77,7 @@
         loop {
             let bytes = writer.take();
             // Nobody is left to tell if standard output is closed.
-            if io::stdout().write_all(&bytes).is_err() {
+            if write_lines(&bytes).is_err() {
                 return;
             }
             thread::sleep(Duration::from_millis(PAUSE_MS));
@@ -83,6 +86,22 @@
     Ok(Flush(queue))
 }
 
+/// Writes whole lines in pieces that a pipe takes in one go, so that no reader sees a part of a line.
+fn write_lines(bytes: &[u8]) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let piece = &rest[..rest.len().min(PIECE_BYTES)];
+        let end = match piece.iter().rposition(|&byte| byte == b'\n') {
+            Some(newline) => newline + 1,
+            None => piece.len(),
+        };
+        out.write_all(&rest[..end])?;
+        rest = &rest[end..];
+    }
+    out.flush()
+}
+
 impl Queue {
     /// Waits for lines and takes them.
     fn take(&self) -> Vec<u8> {
@@ -103,6 +122,6 @@
         let bytes = std::mem::take(&mut buffer.bytes);
         drop(buffer);
         // Nobody is left to tell if standard output is closed.
-        let _closed = io::stdout().write_all(&bytes);
+        let _closed = write_lines(&bytes);
     }
 }
