Hand submissions to the leader, which appends them with its own records

Change: a VM hands its records over the link that the leader opened; without a leader it appends them itself.

--- a/crates/coriandertack-peers/src/errands.rs
+++ b/crates/coriandertack-peers/src/errands.rs
@@ -1,34 +1,47 @@
-//! Errands between entry VMs: the leader asks others to make calls for advice.
+//! Links between the leading entry VM and the others.
 //!
-//! The leader keeps one connection to each other VM ([`dial`]); a VM serves each connection with one task
-//! ([`serve`]) and makes the calls one at a time, as the service answers them.
+//! The leader opens one connection to each VM ([`dial`]) and asks it to make calls for advice; the VM serves it with one
+//! task ([`serve`]) and hands the leader the records of its callers, which the leader appends together with its
+//! own. A record whose outcome is missing when the connection breaks may have been appended.
 
 use std::{collections::HashMap, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use {
-    anyhow::{Context, Result},
+    anyhow::{Context, Result, bail, ensure},
     bytes::Bytes,
     coriandertack_jobs::{
         ids::{JobId, StepId},
         sched::AdviceCall,
     },
-    futures::{SinkExt, StreamExt},
+    futures::{
+        SinkExt, StreamExt,
+        stream::{FuturesOrdered, FuturesUnordered},
+    },
     prost::Message,
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::mpsc,
-        time::timeout,
+        sync::{mpsc, oneshot},
+        time::{Instant, MissedTickBehavior, interval, timeout, timeout_at},
     },
 };
 
 use crate::{
-    errands_proto::{Errand, Report},
+    errands_proto::{Eligible, Errand, Frame, Outcome, Report, Submission, frame::Body},
     frames::{self, Frames},
 };
 
 /// Longest wait for a connection, in milliseconds; several times the round trip between regions.
 const CONNECT_MS: u64 = 500;
 
+/// Time between two beats of the leader, in milliseconds.
+const BEAT_MS: u64 = 1_000;
+
+/// Number of a beat, which no call or record has.
+const BEAT_ID: u64 = 0;
+
+/// Silence after which a connection counts as lost, in milliseconds. An open connection can go silent for good.
+const SILENT_MS: u64 = 2_500;
+
 /// A question on a step, as the VM that makes the call sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Question {
@@ -43,10 +56,21 @@
 /// Workers that may run a step, with their tickets; nothing if the call failed.
 pub type Advice = Option<Vec<(Arc<str>, Arc<str>)>>;
 
-/// Carries calls to another VM until the connection breaks or the queue closes.
+/// A record that a VM hands to the leader.
+#[derive(Debug)]
+pub struct Handed {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Bytes,
+    /// Receives a message once the record is durable, and closes if that is unknown.
+    pub durable: oneshot::Sender<()>,
+}
+
+/// Carries calls to another VM, and its records back, until the connection breaks or the queue closes.
 ///
-/// `answered` is called for each call that was answered. The calls that have no answer when the connection breaks are
-/// returned to it as failed.
+/// `answered` is called once for each call, with nothing if it has no answer when the connection breaks. `take` is
+/// called for each record.
 ///
 /// # Errors
 ///
@@ -55,6 +79,7 @@
     address: SocketAddr,
     mut queue: mpsc::UnboundedReceiver<(AdviceCall, u32)>,
     answered: impl Fn(&AdviceCall, Advice),
+    take: impl Fn(Handed),
     connected: impl FnOnce(),
 ) -> Result<()> {
     let limit = Duration::from_millis(CONNECT_MS);
@@ -62,7 +87,7 @@
     let mut connection = frames::wrap(stream)?;
     connected();
     let mut pending = HashMap::new();
-    let result = exchange(&mut connection, &mut queue, &mut pending, &answered).await;
+    let result = lead(&mut connection, &mut queue, &mut pending, &answered, &take).await;
     for call in pending.values() {
         answered(call, None);
     }
@@ -73,46 +98,85 @@
     result
 }
 
-async fn exchange(
+async fn lead(
     connection: &mut Frames,
     queue: &mut mpsc::UnboundedReceiver<(AdviceCall, u32)>,
     pending: &mut HashMap<u64, AdviceCall>,
     answered: &impl Fn(&AdviceCall, Advice),
+    take: &impl Fn(Handed),
 ) -> Result<()> {
-    let mut id = 0;
+    let mut last = 0;
+    let mut handed = FuturesUnordered::new();
+    let mut beat = interval(Duration::from_millis(BEAT_MS));
+    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
     loop {
         tokio::select! {
+            _ = beat.tick() => {
+                ensure!(Instant::now() < silent_at, "the peer is silent");
+                send(connection, Body::Outcome(Outcome { id: BEAT_ID })).await?;
+            }
             next = queue.recv() => {
                 let Some((call, limit_ms)) = next else { return Ok(()) };
-                id += 1;
-                let errand = Errand {
-                    id,
-                    job: call.step.job.0,
-                    occurrence: call.step.occurrence,
-                    step: call.step.step,
-                    workers: call.workers.iter().map(|(_, name)| name.to_string()).collect(),
-                    limit_ms,
-                };
-                pending.insert(id, call);
-                connection.send(Bytes::from(errand.encode_to_vec())).await?;
+                last += 1;
+                let errand = errand(last, &call, limit_ms);
+                pending.insert(last, call);
+                send(connection, Body::Errand(errand)).await?;
+            }
+            Some((id, durable)) = handed.next(), if !handed.is_empty() => {
+                let durable: Result<(), oneshot::error::RecvError> = durable;
+                if durable.is_ok() {
+                    send(connection, Body::Outcome(Outcome { id })).await?;
+                }
             }
-            frame = connection.next() => {
-                let frame = frame.context("the peer closed the connection")??;
-                let report = Report::decode(frame)?;
-                if let Some(call) = pending.remove(&report.id) {
-                    answered(&call, advice(report));
+            body = receive(connection) => match body? {
+                Body::Report(report) => {
+                    silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
+                    if let Some(call) = pending.remove(&report.id) {
+                        answered(&call, advice(report));
+                    }
+                }
+                Body::Submission(Submission { id, key, value }) => {
+                    let (durable, outcome) = oneshot::channel();
+                    take(Handed { key, value, durable });
+                    handed.push(async move { (id, outcome.await) });
                 }
+                Body::Errand(_) | Body::Outcome(_) => bail!("a frame that only a leader sends"),
             }
         }
     }
 }
 
+fn errand(id: u64, call: &AdviceCall, limit_ms: u32) -> Errand {
+    Errand {
+        id,
+        job: call.step.job.0,
+        occurrence: call.step.occurrence,
+        step: call.step.step,
+        workers: call.workers.iter().map(|(_, name)| name.to_string()).collect(),
+        limit_ms,
+    }
+}
+
 fn advice(report: Report) -> Advice {
     let rows = report.eligible.into_iter().map(|row| (row.worker.into(), row.ticket.into()));
     report.answered.then(|| rows.collect())
 }
 
-/// Serves the errands of other VMs for as long as the future is polled.
+async fn send(connection: &mut Frames, body: Body) -> Result<()> {
+    let frame = Frame { body: Some(body) };
+    connection.send(Bytes::from(frame.encode_to_vec())).await.context("cannot send a frame")
+}
+
+async fn receive(connection: &mut Frames) -> Result<Body> {
+    let frame = connection.next().await.context("the peer closed the connection")??;
+    Frame::decode(frame)?.body.context("empty frame")
+}
+
+/// Accepts the connections of leaders for as long as the future is polled.
+///
+/// `ask` makes a call for advice. `linked` is called for each new connection with the queue of records for its leader;
+/// the queue closes when the connection ends.
 ///
 /// # Errors
 ///
@@ -120,6 +184,7 @@
 pub async fn serve<F>(
     listener: &TcpListener,
     ask: impl Fn(Question) -> F + Clone + Send + Sync + 'static,
+    linked: impl Fn(mpsc::UnboundedSender<Handed>),
 ) -> Result<()>
 where
     F: Future<Output = Advice> + Send + 'static,
@@ -127,44 +192,74 @@
     loop {
         let (stream, peer) = listener.accept().await.context("cannot accept a link")?;
         let ask = ask.clone();
+        let (sender, records) = mpsc::unbounded_channel();
+        linked(sender);
         tokio::spawn(async move {
-            if let Err(error) = serve_one(stream, ask).await {
+            if let Err(error) = follow(stream, ask, records).await {
                 log::debug!("event=errands_ended peer={peer} error=\"{error:#}\"");
             }
         });
     }
 }
 
-async fn serve_one<F>(stream: TcpStream, ask: impl Fn(Question) -> F) -> Result<()>
+/// Serves one leader. Calls are made in the order in which they came.
+async fn follow<F>(
+    stream: TcpStream,
+    ask: impl Fn(Question) -> F,
+    mut records: mpsc::UnboundedReceiver<Handed>,
+) -> Result<()>
 where
     F: Future<Output = Advice>,
 {
     let mut connection = frames::wrap(stream)?;
-    while let Some(frame) = connection.next().await {
-        let errand = Errand::decode(frame?)?;
-        let question = Question {
-            step: StepId {
-                job: JobId(errand.job),
-                occurrence: errand.occurrence,
-                step: errand.step,
+    let mut calls = FuturesOrdered::new();
+    let mut pending: HashMap<u64, oneshot::Sender<()>> = HashMap::new();
+    let mut last = 0;
+    let mut silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
+    loop {
+        tokio::select! {
+            body = timeout_at(silent_at, receive(&mut connection)) => match body.context("the leader is silent")?? {
+                Body::Errand(errand) => {
+                    let (id, call) = (errand.id, ask(question(errand)));
+                    calls.push_back(async move { report(id, call.await) });
+                }
+                Body::Outcome(Outcome { id: BEAT_ID }) => {
+                    silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
+                    let beat = Report { id: BEAT_ID, ..Report::default() };
+                    send(&mut connection, Body::Report(beat)).await?;
+                }
+                Body::Outcome(Outcome { id }) => {
+                    if let Some(durable) = pending.remove(&id) {
+                        // Whoever handed the record in may have stopped waiting.
+                        let _gone = durable.send(());
+                    }
+                }
+                Body::Report(_) | Body::Submission(_) => bail!("a frame that no leader sends"),
             },
-            workers: errand.workers.into_iter().map(Arc::from).collect(),
-            limit_ms: errand.limit_ms,
-        };
-        let advice = ask(question).await;
-        let report = Report {
-            id: errand.id,
-            answered: advice.is_some(),
-            eligible: advice
-                .into_iter()
-                .flatten()
-                .map(|(worker, ticket)| crate::errands_proto::Eligible {
-                    worker: worker.to_string(),
-                    ticket: ticket.to_string(),
-                })
-                .collect(),
-        };
-        connection.send(Bytes::from(report.encode_to_vec())).await?;
+            Some(report) = calls.next(), if !calls.is_empty() => {
+                send(&mut connection, Body::Report(report)).await?;
+            }
+            Some(record) = records.recv() => {
+                last += 1;
+                let Handed { key, value, durable } = record;
+                pending.insert(last, durable);
+                send(&mut connection, Body::Submission(Submission { id: last, key, value })).await?;
+            }
+        }
     }
-    Ok(())
+}
+
+fn question(errand: Errand) -> Question {
+    let step = StepId { job: JobId(errand.job), occurrence: errand.occurrence, step: errand.step };
+    let workers = errand.workers.into_iter().map(Arc::from).collect();
+    Question { step, workers, limit_ms: errand.limit_ms }
+}
+
+fn report(id: u64, advice: Advice) -> Report {
+    let row = |(worker, ticket): (Arc<str>, Arc<str>)| Eligible {
+        worker: worker.to_string(),
+        ticket: ticket.to_string(),
+    };
+    let answered = advice.is_some();
+    Report { id, answered, eligible: advice.into_iter().flatten().map(row).collect() }
 }
--- a/crates/coriandertackd/src/fleet/advice.rs
+++ b/crates/coriandertackd/src/fleet/advice.rs
@@ -26,20 +26,20 @@
 
 /// Serves the errands of the leader: one call at a time, as the service answers them.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let Some(address) = shared.settings.platform.advice else {
-        return std::future::pending().await;
-    };
-    let adviser = Arc::new(Mutex::new(Adviser::new(address)));
+    let adviser = shared.settings.platform.advice.map(Adviser::new);
+    let adviser = Arc::new(Mutex::new(adviser));
     let ask = move |question: Question| {
         let adviser = adviser.clone();
         async move {
             let limit = Duration::from_millis(u64::from(question.limit_ms));
-            adviser.lock().await.ask(question.step, &question.workers, limit).await
+            let mut adviser = adviser.lock().await;
+            adviser.as_mut()?.ask(question.step, &question.workers, limit).await
         }
     };
     loop {
         // The listener serves until accepting fails, as when no descriptor is left.
-        if let Err(error) = errands::serve(&listener, ask.clone()).await {
+        let linked = |queue| shared.set_leader_link(queue);
+        if let Err(error) = errands::serve(&listener, ask.clone(), linked).await {
             log::warn!("event=link_not_accepted error=\"{error:#}\"");
             sleep(Duration::from_millis(REDIAL_MS)).await;
         }
@@ -95,7 +95,8 @@
             leading.links().queues.insert(vm.clone(), sender);
             leading.lanes_changed();
         };
-        let result = errands::dial(address, queue, answered, connected).await;
+        let take = |handed| leading.take(handed);
+        let result = errands::dial(address, queue, answered, take, connected).await;
         let was_up = leading.links().queues.remove(&vm).is_some();
         if was_up {
             leading.lanes_changed();
--- a/crates/coriandertackd/src/fleet/follow.rs
+++ b/crates/coriandertackd/src/fleet/follow.rs
@@ -14,6 +14,7 @@
 
 use super::{
     clock,
+    lead::Arrival,
     shared::{Counters, Reached, Shared},
 };
 
@@ -21,10 +22,14 @@
 /// seconds old.
 const PACE_MS: u64 = 150;
 
-/// Pause between two reads of the intake of the leader, in milliseconds: it batches what arrives together.
-const LEADER_PACE_MS: u64 = 15;
+/// Pause between two reads of the intake, in milliseconds, for the leader and for others. Only what no leader took
+/// comes there.
+const INTAKE_PACE_MS: (u64, u64) = (50, 600);
 
-/// Longest wait of a read for a new record, in milliseconds. It bounds how late a silence is noticed.
+/// Longest wait of a read of the intake for a new record, in milliseconds. It bounds the age of what callers are told.
+const INTAKE_WAIT_MS: u64 = 900;
+
+/// Longest wait of a read of the progress for a new record, in milliseconds. It bounds how late a silence is noticed.
 const WAIT_MS: u64 = 300;
 
 /// Longest wait of a read of the operators' stream, in milliseconds. A connection that has gone silent is noticed
@@ -158,7 +163,7 @@
 
 /// Follows submissions and cancellations.
 pub async fn intake(shared: Arc<Shared>) {
-    let pace = || if *shared.leading.borrow() { LEADER_PACE_MS } else { PACE_MS };
+    let pace = || if *shared.leading.borrow() { INTAKE_PACE_MS.0 } else { INTAKE_PACE_MS.1 };
     let apply = |records: Vec<Record>, _| {
         let now = clock::now();
         let mut board = shared.board();
@@ -166,7 +171,7 @@
         for record in records {
             let note = jobs::note(&record.key, &record.value);
             if let Some(listener) = listener.as_ref()
-                && listener.send(note.clone()).is_ok()
+                && listener.send(Arrival::Read(note.clone())).is_ok()
             {
                 shared.wake.notify_one();
             }
@@ -174,7 +179,7 @@
         }
     };
     let reached = |next, began, moved| note_reached(&shared.intake, next, began, moved);
-    stream(&shared, Topic::Intake, WAIT_MS, pace, apply, reached).await;
+    stream(&shared, Topic::Intake, INTAKE_WAIT_MS, pace, apply, reached).await;
 }
 
 /// Follows what the leader recorded.
--- a/crates/coriandertackd/src/fleet/front.rs
+++ b/crates/coriandertackd/src/fleet/front.rs
@@ -20,15 +20,15 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{Semaphore, oneshot, watch},
+        sync::{Semaphore, watch},
         task::JoinSet,
         time::{sleep, timeout},
     },
 };
 
 use super::{
-    clock,
-    shared::{Counters, Shared, Stored, Submission},
+    clock, intake,
+    shared::{Counters, Shared, Stored},
 };
 
 /// Most connections of callers. Of the 4,100 descriptors, 200 are for files; workers, the store and links keep a place.
@@ -37,8 +37,8 @@
 /// Seconds after which a refused caller may come back.
 const RETRY_AFTER_S: u32 = 1;
 
-/// Longest wait for a newer reading of the intake before a job counts as unknown, in milliseconds.
-const LOOK_AGAIN_MS: u64 = 1_000;
+/// Longest wait for a newer reading of the records before a job counts as unknown, in milliseconds.
+const LOOK_AGAIN_MS: u64 = 2_000;
 
 /// Pause after a connection could not be accepted, as when the process has no descriptor left, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 100;
@@ -160,7 +160,7 @@
     };
     let began = clock::now();
     let (key, value) = jobs::submitted(id, &spec);
-    let stored = store(shared, key, value).await;
+    let stored = intake::store(shared, key, value).await;
     let waited = clock::now().since(began);
     log::info!(
         "event=job_submitted job={id} route={} config={} steps={} stored={stored:?} waited_ms={waited}",
@@ -189,10 +189,14 @@
     let mut phase = shared.board().phase(id);
     if phase.is_none() {
         // Another VM may have accepted the job a moment ago.
-        let mut intake = shared.intake.subscribe();
-        let newer = intake.wait_for(|reached| reached.began >= asked);
-        let limit = Duration::from_millis(LOOK_AGAIN_MS);
-        let fresh = timeout(limit, newer).await.is_ok_and(|reached| reached.is_ok());
+        let newer = async {
+            for reached in [&shared.progress, &shared.intake] {
+                let mut reached = reached.subscribe();
+                // The sender lives as long as the process.
+                let _closed = reached.wait_for(|reached| reached.began >= asked).await.is_err();
+            }
+        };
+        let fresh = timeout(Duration::from_millis(LOOK_AGAIN_MS), newer).await.is_ok();
         phase = shared.board().phase(id);
         if phase.is_none() && !fresh {
             return unavailable("the records are out of date");
@@ -205,7 +209,7 @@
         }
         Some(Phase::Queued | Phase::Running) => {
             let (key, value) = jobs::cancelled(id);
-            let stored = store(shared, key, value).await;
+            let stored = intake::store(shared, key, value).await;
             log::info!("event=cancel_asked job={id} stored={stored:?}");
             match stored {
                 Stored::Done => text(StatusCode::OK, "cancelled"),
@@ -216,15 +220,6 @@
     }
 }
 
-async fn store(shared: &Shared, key: String, value: Bytes) -> Stored {
-    let (reply, stored) = oneshot::channel();
-    if shared.submissions.send(Submission { key, value, reply }).is_err() {
-        return Stored::NotRun;
-    }
-    // The intake answers every record. One that it dropped may have been appended.
-    stored.await.unwrap_or(Stored::Unknown)
-}
-
 fn state(shared: &Shared, id: JobId) -> Reply {
     match shared.board().phase(id) {
         Some(phase) => json(callers::state(phase).to_owned()),
--- a/crates/coriandertackd/src/fleet/intake.rs
+++ b/crates/coriandertackd/src/fleet/intake.rs
@@ -1,17 +1,20 @@
-//! The task that makes submissions and cancellations durable.
+//! How submissions and cancellations become durable.
 //!
-//! Records that arrive while an append is under way go into the next one. Each record is idempotent: its key names
-//! the job, and a repeated record is the same job. An append without an answer is therefore repeated until the
-//! store confirms it, also after its callers have been told that the outcome is unknown.
+//! A VM hands them to the leader, which appends them together with its own records. Without a link to a leader, or if the
+//! leader does not answer, the VM appends them itself. A record is idempotent: its key names the job, and a repeated
+//! record is the same job, so both ways may be taken for one record.
 
 use std::{mem, sync::Arc, time::Duration};
 
 use {
+    bytes::Bytes,
     coriandertack_jobs::moment::Moment,
+    coriandertack_log::jobs,
+    coriandertack_peers::errands::Handed,
     coriandertack_platform::store::{AppendError, Record, Store, Topic},
     tokio::{
         sync::{mpsc, oneshot},
-        time::sleep,
+        time::{sleep, timeout},
     },
 };
 
@@ -20,43 +23,72 @@
     shared::{Counters, Shared, Stored, Submission},
 };
 
-use coriandertack_log::jobs;
+/// Time for which the leader may take to make a record durable, in milliseconds. With a slow store, a record waits for
+/// one append of 250 ms and is part of the next.
+const LEADER_MS: u64 = 800;
 
-/// Age of an append under way from which new records are refused, in milliseconds. They were not sent, so the refusal
-/// is true, and callers can come back at once. A slow store takes some 250 ms.
+/// Age of a record without an answer, or of an append under way, from which new records take no part in it, in
+/// milliseconds.
 const STALLED_MS: u64 = 600;
 
-/// Age of an append under way at which its callers are told that the outcome is unknown, in milliseconds.
-const UNKNOWN_MS: u64 = 1_200;
+/// Age of a record at which its caller is told that the outcome is unknown, in milliseconds: before half of the 3 s
+/// for which callers wait have passed.
+const UNKNOWN_MS: u64 = 1_300;
 
 /// Pause between two tries, in milliseconds.
 const PAUSE_MS: u64 = 60;
 
-/// Longest time for which a batch is repeated after its callers were answered, in milliseconds. They have come
+/// Longest time for which an append is repeated after its callers were answered, in milliseconds. They have come
 /// back with the same job by then.
 const REPEAT_MS: u64 = 10_000;
 
 /// Most records of one append; a record has a few KiB.
 const MOST_RECORDS: usize = 200;
 
+/// Makes a record durable, through the leader if there is a link to one.
+pub async fn store(shared: &Shared, key: String, value: Bytes) -> Stored {
+    let began = clock::now();
+    let mut unknown = false;
+    if let Some(link) = shared.leader_link(began, STALLED_MS) {
+        let (durable, outcome) = oneshot::channel();
+        if link.queue.send(Handed { key: key.clone(), value: value.clone(), durable }).is_ok() {
+            let outcome = timeout(Duration::from_millis(LEADER_MS), outcome).await;
+            drop(link);
+            if matches!(outcome, Ok(Ok(()))) {
+                return Stored::Done;
+            }
+            unknown = true;
+        }
+    }
+    let (reply, stored) = oneshot::channel();
+    if shared.submissions.send(Submission { key, value, began, reply }).is_err() {
+        return if unknown { Stored::Unknown } else { Stored::NotRun };
+    }
+    // The task answers every record. One that it dropped may have been appended.
+    match stored.await.unwrap_or(Stored::Unknown) {
+        Stored::NotRun if unknown => Stored::Unknown,
+        stored => stored,
+    }
+}
+
 /// An append under way.
 struct Batch {
     records: Vec<Record>,
     replies: Vec<oneshot::Sender<Stored>>,
+    /// Since when the first of its callers waits.
     began: Moment,
+    /// Whether the batch is repeated without end.
+    lasting: bool,
 }
 
 impl Batch {
     fn new(items: Vec<Submission>) -> Self {
+        let began = items.iter().map(|item| item.began).min().unwrap_or_else(clock::now);
         let (records, replies) = items
             .into_iter()
             .map(|item| (Record { key: item.key, value: item.value }, item.reply))
             .unzip();
-        Self { records, replies, began: clock::now() }
-    }
-
-    fn age(&self) -> u64 {
-        clock::now().since(self.began)
+        Self { records, replies, began, lasting: false }
     }
 
     fn answer(&mut self, stored: Stored) {
@@ -67,14 +99,14 @@
     }
 }
 
-/// Appends what is handed in for as long as the process runs.
+/// Appends what no leader took, for as long as the process runs. The first record is the address of this VM's link.
 pub async fn run(shared: Arc<Shared>, mut queue: mpsc::UnboundedReceiver<Submission>) {
     let mut store = Store::new(shared.settings.platform.store);
     let vm = &shared.settings.vm;
     let (key, value) = jobs::announced(&vm.name, vm.link);
-    let announcement = vec![Record { key, value }];
-    let mut batch =
-        Batch { records: announcement, replies: Vec::new(), began: clock::now() };
+    let mut batch = Batch::new(Vec::new());
+    batch.records.push(Record { key, value });
+    batch.lasting = true;
     let mut waiting: Vec<Submission> = Vec::new();
     loop {
         append(&shared, &mut store, &mut batch, &mut queue, &mut waiting).await;
@@ -93,47 +125,17 @@
     queue: &mut mpsc::UnboundedReceiver<Submission>,
     waiting: &mut Vec<Submission>,
 ) {
+    let started = clock::now();
     let mut unknown = false;
     loop {
         Counters::count(&shared.counters.appends);
-        let records = batch.records.clone();
-        let began = batch.began;
-        let mut replies = mem::take(&mut batch.replies);
-        let work = store.append(Topic::Intake, &records, None, None);
-        let outcome = {
-            let mut work = std::pin::pin!(work);
-            loop {
-                let age = clock::now().since(began);
-                let next = if age < STALLED_MS { STALLED_MS } else { UNKNOWN_MS.max(age + 1) };
-                tokio::select! {
-                    outcome = &mut work => break outcome,
-                    Some(item) = queue.recv() => {
-                        if age < STALLED_MS {
-                            waiting.push(item);
-                        } else {
-                            refuse(item);
-                        }
-                    }
-                    () = sleep(Duration::from_millis(next - age)) => {
-                        waiting.drain(..).for_each(refuse);
-                        if clock::now().since(began) >= UNKNOWN_MS {
-                            for reply in mem::take(&mut replies) {
-                                // A caller that has left needs no answer.
-                                let _gone = reply.send(Stored::Unknown);
-                            }
-                        }
-                    }
-                }
-            }
-        };
-        batch.replies = replies;
-        let error = match outcome {
-            Ok(_) => return batch.answer(Stored::Done),
+        let error = match try_append(store, batch, started, queue, waiting).await {
+            Ok(()) => return batch.answer(Stored::Done),
             Err(error) => error,
         };
         Counters::count(&shared.counters.store_errors);
         unknown |= error == AppendError::Unknown;
-        let age = batch.age();
+        let age = clock::now().since(started);
         if !unknown && age >= STALLED_MS {
             log::warn!(
                 "event=intake_refused records={} age_ms={age} error=\"{error}\"",
@@ -141,14 +143,11 @@
             );
             waiting.drain(..).for_each(refuse);
             batch.answer(Stored::NotRun);
-            if !batch.records.iter().any(|record| jobs::is_announcement(&record.key)) {
+            if !batch.lasting {
                 return;
             }
         }
-        if unknown && age >= UNKNOWN_MS {
-            batch.answer(Stored::Unknown);
-        }
-        if age >= REPEAT_MS && !batch.records.iter().any(|r| jobs::is_announcement(&r.key)) {
+        if age >= REPEAT_MS && !batch.lasting {
             log::warn!("event=intake_given_up records={} age_ms={age}", batch.records.len());
             return;
         }
@@ -156,6 +155,38 @@
     }
 }
 
+/// Appends once. Callers who waited long enough meanwhile are told that the outcome is unknown.
+async fn try_append(
+    store: &mut Store,
+    batch: &mut Batch,
+    started: Moment,
+    queue: &mut mpsc::UnboundedReceiver<Submission>,
+    waiting: &mut Vec<Submission>,
+) -> Result<(), AppendError> {
+    let records = batch.records.clone();
+    let mut work = std::pin::pin!(store.append(Topic::Intake, &records, None, None));
+    loop {
+        let now = clock::now();
+        let stalled = now.since(started) >= STALLED_MS;
+        if stalled {
+            waiting.drain(..).for_each(refuse);
+        }
+        if now.since(batch.began) >= UNKNOWN_MS {
+            batch.answer(Stored::Unknown);
+        }
+        let next = [started.after(STALLED_MS), batch.began.after(UNKNOWN_MS)];
+        let next = next.into_iter().filter(|at| *at > now).min().unwrap_or(now.after(REPEAT_MS));
+        tokio::select! {
+            outcome = &mut work => return outcome.map(|_| ()),
+            Some(item) = queue.recv() => match stalled {
+                true => refuse(item),
+                false => waiting.push(item),
+            },
+            () = sleep(Duration::from_millis(next.since(now))) => {}
+        }
+    }
+}
+
 /// Tells a caller that its record was not sent.
 fn refuse(item: Submission) {
     // A caller that has left needs no answer.
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -16,14 +16,14 @@
     coriandertack_jobs::{
         board::{Leader, Note},
         ids::JobId,
-        moment::Moment,
+        moment::{Moment, WallTime},
         sched::{AdviceCall, Batch, LEADERSHIP_MS, RENEWAL_MS, Scheduler},
     },
     coriandertack_log::jobs,
-    coriandertack_peers::errands::Advice,
+    coriandertack_peers::errands::{Advice, Handed},
     coriandertack_platform::store::{AppendError, Fence, Record, Store, Topic},
     tokio::{
-        sync::{mpsc, watch},
+        sync::{mpsc, oneshot, watch},
         task::JoinSet,
         time::{sleep, timeout},
     },
@@ -67,6 +67,26 @@
 /// Pause between two looks for jobs to forget, in milliseconds.
 const FORGET_EVERY_MS: u64 = 5_000;
 
+/// Something that callers want.
+#[derive(Debug)]
+pub enum Arrival {
+    /// It was read from the intake.
+    Read(Note),
+    /// A VM handed it in. It is not durable yet.
+    Handed(Handed),
+}
+
+/// What the leader decided in one go.
+#[derive(Debug, Default)]
+struct Decision {
+    batch: Batch,
+    calls: Vec<AdviceCall>,
+    /// Records that VMs handed in, and who waits for them.
+    handed: Vec<(Record, oneshot::Sender<()>)>,
+    /// When the next decision is due even if nothing changes.
+    again: Option<Moment>,
+}
+
 /// State of a VM that leads.
 #[derive(Debug)]
 pub struct Leading {
@@ -122,6 +142,17 @@
         clock::now() < Moment(self.proof.load(Ordering::Relaxed)).after(RENEWAL_MS)
     }
 
+    /// Takes a record that a VM handed in.
+    pub fn take(&self, handed: Handed) {
+        let listener = self.shared.listener.lock().unwrap_or_else(PoisonError::into_inner);
+        // Without a listener the leadership has ended, and the record's sender hears that its outcome is unknown.
+        if let Some(listener) = listener.as_ref()
+            && listener.send(Arrival::Handed(handed)).is_ok()
+        {
+            self.shared.wake.notify_one();
+        }
+    }
+
     /// Ends the leadership because a higher epoch was seen.
     pub fn depose(&self, seen_by: &str) {
         if !self.deposed.send_replace(true) {
@@ -261,7 +292,7 @@
 }
 
 /// Takes over all jobs on the board, and listens for later ones.
-fn adopt(leading: &Leading, notes: mpsc::UnboundedSender<Note>) {
+fn adopt(leading: &Leading, notes: mpsc::UnboundedSender<Arrival>) {
     let shared = &leading.shared;
     let (now, wall) = (clock::now(), clock::wall());
     let board = shared.board();
@@ -285,7 +316,7 @@
     leading: &Arc<Leading>,
     mut store: Store,
     mut number: u64,
-    mut arrivals: mpsc::UnboundedReceiver<Note>,
+    mut arrivals: mpsc::UnboundedReceiver<Arrival>,
 ) {
     let shared = &leading.shared;
     let mut beat = clock::now();
@@ -304,18 +335,24 @@
             release(leading, &mut store, number).await;
             return;
         }
-        let (batch, calls, next) = decide(leading, &mut arrivals);
-        again = next;
-        ask(leading, calls);
-        crew::send_stops(leading, &batch);
+        let decision = decide(leading, &mut arrivals);
+        again = decision.again;
+        ask(leading, decision.calls);
+        crew::send_stops(leading, &decision.batch);
+        let (records, waiting): (Vec<_>, Vec<_>) = decision.handed.into_iter().unzip();
         let now = clock::now();
-        if batch.is_empty() && now.since(beat) < BEAT_MS {
+        if decision.batch.is_empty() && records.is_empty() && now.since(beat) < BEAT_MS {
             continue;
         }
         number += 1;
-        let Some(began) = record(leading, &mut store, number, &batch).await else { return };
+        let recorded = record(leading, &mut store, number, &decision.batch, records).await;
+        let Some(began) = recorded else { return };
         beat = began;
-        commit(leading, batch);
+        commit(leading, decision.batch);
+        for durable in waiting {
+            // The VM may have lost its link.
+            let _gone = durable.send(());
+        }
         sleep(Duration::from_millis(BATCH_MS)).await;
     }
 }
@@ -323,21 +360,20 @@
 /// Applies what has arrived, and decides.
 fn decide(
     leading: &Leading,
-    arrivals: &mut mpsc::UnboundedReceiver<Note>,
-) -> (Batch, Vec<AdviceCall>, Option<Moment>) {
+    arrivals: &mut mpsc::UnboundedReceiver<Arrival>,
+) -> Decision {
     let (now, wall) = (clock::now(), clock::wall());
     let config = leading.shared.config.borrow().clone();
     let mut scheduler = leading.scheduler();
     scheduler.configure(config);
-    while let Ok(note) = arrivals.try_recv() {
-        match note {
-            Note::Submitted(id, spec) => {
-                let cancelled = leading.shared.board().jobs.get(&id).is_some_and(|p| p.cancelled);
-                scheduler.admit(id, spec, None, cancelled, now, wall);
+    let mut handed = Vec::new();
+    while let Ok(arrival) = arrivals.try_recv() {
+        match arrival {
+            Arrival::Read(note) => apply(leading, &mut scheduler, note, now, wall),
+            Arrival::Handed(Handed { key, value, durable }) => {
+                apply(leading, &mut scheduler, jobs::note(&key, &value), now, wall);
+                handed.push((Record { key, value }, durable));
             }
-            Note::Cancelled(id) => scheduler.cancel(id, now),
-            Note::Dropped(id) => scheduler.forget(id),
-            Note::Progressed(..) | Note::Led(_) | Note::Announced(..) | Note::Unreadable => {}
         }
     }
     let timed = scheduler.open_timed(now, wall);
@@ -347,7 +383,20 @@
         (Some(a), Some(b)) => Some(a.min(b)),
         (a, b) => a.or(b),
     };
-    (scheduler.take_batch(), scheduler.take_calls(), again)
+    Decision { batch: scheduler.take_batch(), calls: scheduler.take_calls(), handed, again }
+}
+
+/// Tells the scheduler what callers want.
+fn apply(leading: &Leading, scheduler: &mut Scheduler, note: Note, now: Moment, wall: WallTime) {
+    match note {
+        Note::Submitted(id, spec) => {
+            let cancelled = leading.shared.board().jobs.get(&id).is_some_and(|p| p.cancelled);
+            scheduler.admit(id, spec, None, cancelled, now, wall);
+        }
+        Note::Cancelled(id) => scheduler.cancel(id, now),
+        Note::Dropped(id) => scheduler.forget(id),
+        Note::Progressed(..) | Note::Led(_) | Note::Announced(..) | Note::Unreadable => {}
+    }
 }
 
 /// Hands calls for advice to the VMs that make them.
@@ -367,16 +416,13 @@
     store: &mut Store,
     number: u64,
     batch: &Batch,
+    mut records: Vec<Record>,
 ) -> Option<Moment> {
     let shared = &leading.shared;
-    let mut records: Vec<Record> = batch
-        .records
-        .iter()
-        .map(|(id, progress)| {
-            let (key, value) = jobs::progressed(*id, progress);
-            Record { key, value }
-        })
-        .collect();
+    records.extend(batch.records.iter().map(|(id, progress)| {
+        let (key, value) = jobs::progressed(*id, progress);
+        Record { key, value }
+    }));
     if records.is_empty() {
         let vm = Arc::from(&*shared.settings.vm.name);
         let (key, value) = jobs::led(&Leader { epoch: leading.epoch, vm });
@@ -447,8 +493,11 @@
         if jobs.is_empty() {
             continue;
         }
-        drop_records(shared, &mut store, Topic::Progress, progress_keys(&jobs)).await;
-        drop_records(shared, &mut store, Topic::Intake, intake_keys(&jobs)).await;
+        // A submission is in the one stream or the other, depending on who appended it.
+        let mut keys = intake_keys(&jobs);
+        drop_records(shared, &mut store, Topic::Intake, keys.clone()).await;
+        keys.extend(progress_keys(&jobs));
+        drop_records(shared, &mut store, Topic::Progress, keys).await;
     }
 }
 
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -1,6 +1,7 @@
 //! What the tasks of an entry VM share.
 
 use std::{
+    collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -9,14 +10,15 @@
 
 use {
     coriandertack_jobs::{
-        board::{Board, Note},
+        board::Board,
         config::Config,
         moment::Moment,
     },
+    coriandertack_peers::errands::Handed,
     tokio::sync::{Notify, mpsc, oneshot, watch},
 };
 
-use super::{clock, settings::Settings};
+use super::{clock, lead::Arrival, settings::Settings};
 
 /// Age of the last read of the store beyond which this VM does not say that something does not exist, in milliseconds.
 const FRESH_MS: u64 = 2_500;
@@ -54,10 +56,36 @@
     pub key: String,
     /// Value.
     pub value: bytes::Bytes,
+    /// Since when its caller waits.
+    pub began: Moment,
     /// Receives the outcome.
     pub reply: oneshot::Sender<Stored>,
 }
 
+/// The queue of records for the leader, and the records that wait for its answer.
+#[derive(Debug, Default)]
+struct LeaderLink {
+    queue: Option<mpsc::UnboundedSender<Handed>>,
+    waiting: BTreeMap<u64, Moment>,
+    last: u64,
+}
+
+/// Use of the link to the leader for one record, until it is dropped.
+#[derive(Debug)]
+pub struct LinkUse<'a> {
+    /// Queue of records.
+    pub queue: mpsc::UnboundedSender<Handed>,
+    link: &'a Mutex<LeaderLink>,
+    number: u64,
+}
+
+impl Drop for LinkUse<'_> {
+    fn drop(&mut self) {
+        let mut link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
+        link.waiting.remove(&self.number);
+    }
+}
+
 /// Numbers for the metrics.
 #[derive(Debug, Default)]
 pub struct Counters {
@@ -105,8 +133,10 @@
     pub progress: watch::Sender<Reached>,
     /// Records for the intake.
     pub submissions: mpsc::UnboundedSender<Submission>,
+    /// Link to the leader.
+    leader_link: Mutex<LeaderLink>,
     /// Receives the records of the intake while this VM leads.
-    pub listener: Mutex<Option<mpsc::UnboundedSender<Note>>>,
+    pub listener: Mutex<Option<mpsc::UnboundedSender<Arrival>>>,
     /// Wakes the leader's loop.
     pub wake: Notify,
     /// Whether the VM is told to stop.
@@ -131,6 +161,7 @@
             intake: watch::Sender::default(),
             progress: watch::Sender::default(),
             submissions,
+            leader_link: Mutex::default(),
             listener: Mutex::default(),
             wake: Notify::new(),
             stopping: watch::Sender::default(),
@@ -146,6 +177,23 @@
         self.board.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes a new link to a leader. The newest one counts.
+    pub fn set_leader_link(&self, queue: mpsc::UnboundedSender<Handed>) {
+        let mut link = self.leader_link.lock().unwrap_or_else(PoisonError::into_inner);
+        link.queue = Some(queue);
+    }
+
+    /// Returns the link to the leader, unless it is closed or a record waits for its answer since `stalled_ms`.
+    pub fn leader_link(&self, now: Moment, stalled_ms: u64) -> Option<LinkUse<'_>> {
+        let mut link = self.leader_link.lock().unwrap_or_else(PoisonError::into_inner);
+        let stalled = link.waiting.values().next().is_some_and(|at| now.since(*at) >= stalled_ms);
+        let queue = link.queue.clone().filter(|queue| !queue.is_closed() && !stalled)?;
+        link.last += 1;
+        let number = link.last;
+        link.waiting.insert(number, now);
+        Some(LinkUse { queue, link: &self.leader_link, number })
+    }
+
     /// Returns the configuration in force, if there is one.
     pub fn config(&self) -> Option<Arc<Config>> {
         let config = self.config.borrow().clone();
@@ -157,8 +205,10 @@
         self.intake.borrow().loaded && self.progress.borrow().loaded
     }
 
-    /// Tells whether this VM has read the intake a short time ago.
+    /// Tells whether this VM has read the records of jobs a short time ago.
     pub fn is_fresh(&self) -> bool {
-        self.is_loaded() && clock::now().since(self.intake.borrow().began) < FRESH_MS
+        let now = clock::now();
+        let fresh = |reached: &Reached| reached.loaded && now.since(reached.began) < FRESH_MS;
+        fresh(&self.intake.borrow()) && fresh(&self.progress.borrow())
     }
 }
