--- a/crates/coriandertack-jobs/src/sched/adopt.rs
+++ b/crates/coriandertack-jobs/src/sched/adopt.rs
@@ -34,12 +34,8 @@
         let (id, spec) = (job.id, job.spec.clone());
         for task in &known.tasks {
             let Some(step) = spec.steps.get(task.step as usize) else { continue };
-            let name = TaskId {
-                job: id,
-                occurrence: task.occurrence,
-                step: task.step,
-                index: task.index,
-            };
+            let name =
+                TaskId { job: id, occurrence: task.occurrence, step: task.step, index: task.index };
             let place = match (&task.worker, task.done) {
                 (_, true) => Place::Done,
                 (None, false) => Place::Waiting,
@@ -61,9 +57,9 @@
                     Place::Bound(worker)
                 }
             };
-            let Some(step) = self.jobs.get_mut(key).and_then(|job| {
-                job.step_mut(task.occurrence, task.step)
-            }) else {
+            let Some(step) =
+                self.jobs.get_mut(key).and_then(|job| job.step_mut(task.occurrence, task.step))
+            else {
                 continue;
             };
             let Some(state) = step.tasks.get_mut(task.index as usize) else { continue };
--- a/crates/coriandertack-jobs/src/sched/advise.rs
+++ b/crates/coriandertack-jobs/src/sched/advise.rs
@@ -334,7 +334,12 @@
     }
 
     /// Takes the least loaded lane, or returns when one will be free.
-    fn take_lane(&mut self, cost_ms: u64, heavy: bool, now: Moment) -> Result<Arc<str>, Option<Moment>> {
+    fn take_lane(
+        &mut self,
+        cost_ms: u64,
+        heavy: bool,
+        now: Moment,
+    ) -> Result<Arc<str>, Option<Moment>> {
         // Short calls wait behind no heavy one in at least a quarter of the lanes.
         let most = (self.lanes.len() * 3 / 4).max(1) as u32;
         if heavy && self.lanes.iter().map(|lane| lane.heavy).sum::<u32>() >= most {
--- a/crates/coriandertack-jobs/src/sched/health.rs
+++ b/crates/coriandertack-jobs/src/sched/health.rs
@@ -67,8 +67,7 @@
             worker.entry.as_ref().is_some_and(|entry| &*entry.service == service)
         };
         let all = self.workers.values().filter(of_service).count();
-        let avoided =
-            self.workers.values().filter(of_service).filter(|w| w.avoided > now).count();
+        let avoided = self.workers.values().filter(of_service).filter(|w| w.avoided > now).count();
         (all, avoided)
     }
 }
--- a/crates/coriandertack-jobs/src/sched/lists.rs
+++ b/crates/coriandertack-jobs/src/sched/lists.rs
@@ -51,9 +51,9 @@
     /// Notes a run that a worker listed. A run that should not be there is stopped.
     fn runs_there(&mut self, key: WorkerKey, running: &Running, now: Moment) {
         let (task, attempt) = (running.task, running.attempt);
-        let wanted = self.task(task).is_some_and(|known| {
-            known.place == Place::Bound(key) && known.attempt == attempt
-        });
+        let wanted = self
+            .task(task)
+            .is_some_and(|known| known.place == Place::Bound(key) && known.attempt == attempt);
         let charge = self.charge(task);
         let Some(worker) = self.workers.get_mut(key) else { return };
         if !worker.runs.contains_key(&(task, attempt)) {
@@ -121,9 +121,8 @@
     /// Drops runs that the worker had answered for before it was asked, and that it does not list.
     fn drop_unlisted(&mut self, key: WorkerKey, sent: Moment, listing: &Listing, now: Moment) {
         let Some(worker) = self.workers.get(key) else { return };
-        let listed = |id: &(TaskId, u32)| {
-            listing.running.iter().any(|run| (run.task, run.attempt) == *id)
-        };
+        let listed =
+            |id: &(TaskId, u32)| listing.running.iter().any(|run| (run.task, run.attempt) == *id);
         let gone: Vec<_> = worker
             .runs
             .iter()
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -358,8 +358,7 @@
 
     /// Returns the progress of a job as it is to be recorded.
     fn progress(&self, job: &Job) -> Progress {
-        let mut progress =
-            Progress { phase: job.phase, finished: job.finished, tasks: Vec::new() };
+        let mut progress = Progress { phase: job.phase, finished: job.finished, tasks: Vec::new() };
         if job.phase.is_final() {
             return progress;
         }
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -13,10 +13,7 @@
 
 use {coriandertack_core::resources::Resources, slotmap::SecondaryMap};
 
-use super::{
-    Order, Place, Rank, Scheduler, StartOrder, Worker, WorkerKey,
-    worker::Run,
-};
+use super::{Order, Place, Rank, Scheduler, StartOrder, Worker, WorkerKey, worker::Run};
 
 use crate::{
     config::Route,
@@ -92,7 +89,10 @@
     fn floor(&self, now: Moment) -> Floor {
         let open = self.workers.iter().filter(|(_, worker)| worker.is_open(now));
         let free = open.map(|(key, worker)| (key, worker.free()));
-        Floor { free: free.filter(|(_, free)| *free != Resources::ZERO).collect(), ..Floor::default() }
+        Floor {
+            free: free.filter(|(_, free)| *free != Resources::ZERO).collect(),
+            ..Floor::default()
+        }
     }
 
     /// Binds the tasks of a step that find room, and returns their number.
@@ -132,9 +132,7 @@
         }
         let route = self.route_of(job);
         let (gang, waiting_ms) = (spec.gang, now.since(step.ready));
-        let again = route.advice.and_then(|policy| {
-            self.ask_advice(id, &route, policy, floor, now)
-        });
+        let again = route.advice.and_then(|policy| self.ask_advice(id, &route, policy, floor, now));
         self.keep_claims(id, floor, now);
         if gang && waiting_ms > RESERVE_AFTER_MS {
             self.reserve(id, &route, floor, now);
@@ -171,7 +169,10 @@
         match route.advice {
             Some(_) => {
                 let valid = step.advice.valid_tickets(now);
-                valid.map(|ticket| (ticket.worker, floor.free(ticket.worker))).filter_map(fits).collect()
+                valid
+                    .map(|ticket| (ticket.worker, floor.free(ticket.worker)))
+                    .filter_map(fits)
+                    .collect()
             }
             None => floor.workers().filter_map(fits).collect(),
         }
@@ -250,9 +251,8 @@
             let remote = self.preference(key, spec, Resources::ZERO).0;
             (remote, Reverse(room))
         });
-        let mut slots = candidates
-            .into_iter()
-            .flat_map(|(key, room)| std::iter::repeat_n(key, room as usize));
+        let mut slots =
+            candidates.into_iter().flat_map(|(key, room)| std::iter::repeat_n(key, room as usize));
         let waiting = step.tasks.iter().enumerate();
         waiting
             .filter(|(_, task)| task.place == Place::Waiting)
@@ -313,9 +313,7 @@
     /// Returns the next attempt of a gang, which is the same for all members.
     fn next_attempt(&self, id: StepId) -> u32 {
         let step = self.step(id).map(|(_, _, step)| step);
-        step.map_or(1, |step| {
-            step.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1
-        })
+        step.map_or(1, |step| step.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1)
     }
 
     /// Binds a task to a worker and prepares its start.
@@ -339,14 +337,8 @@
         let (attempt, checkpoint) = (state.attempt, state.checkpoint.clone());
         let Some(target) = self.workers.get_mut(worker) else { return };
         target.used += charge;
-        let run = Run {
-            charge,
-            confirmed: None,
-            stopped: None,
-            percent: 0,
-            moved: now,
-            bound: now,
-        };
+        let run =
+            Run { charge, confirmed: None, stopped: None, percent: 0, moved: now, bound: now };
         target.runs.insert((task, attempt), run);
         log::info!(
             "event=task_bound task={task} attempt={attempt} worker={} waited_ms={waited} free={}",
--- a/crates/coriandertack-jobs/src/sched/queue.rs
+++ b/crates/coriandertack-jobs/src/sched/queue.rs
@@ -2,11 +2,7 @@
 
 use super::{JobKey, Scheduler};
 
-use crate::{
-    ids::StepId,
-    moment::Moment,
-    progress::Phase,
-};
+use crate::{ids::StepId, moment::Moment, progress::Phase};
 
 /// Order of a step in the queue: lower ranks are served first.
 ///
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -214,8 +214,7 @@
 
     /// Notes that a worker has no entry any more. It gets no new tasks; its runs are kept while it answers.
     pub fn worker_absent(&mut self, name: &str) {
-        if let Some(worker) =
-            self.worker_names.get(name).and_then(|&key| self.workers.get_mut(key))
+        if let Some(worker) = self.worker_names.get(name).and_then(|&key| self.workers.get_mut(key))
         {
             worker.absent = true;
             log::info!("event=worker_absent worker={name} runs={}", worker.runs.len());
--- /dev/null
+++ b/crates/coriandertack-jobs/tests/sched/advice.rs
@@ -0,0 +1,121 @@
+//! Calls for advice and their tickets.
+
+use std::sync::Arc;
+
+use coriandertack_jobs::{
+    report::StartRefusal,
+    sched::{AdviceCall, StartOutcome},
+};
+
+use crate::support::{World, advised_route, spec, step, task};
+
+fn lanes(world: &mut World, names: &[&str]) {
+    let names: Vec<Arc<str>> = names.iter().map(|name| Arc::from(*name)).collect();
+    world.sched.set_lanes(&names);
+}
+
+fn allow_all(call: &AdviceCall) -> Vec<(Arc<str>, Arc<str>)> {
+    call.workers.iter().map(|(_, name)| (name.clone(), "ticket".into())).collect()
+}
+
+/// Guards against starts that the policy would reject for want of a ticket.
+#[test]
+fn a_start_waits_for_its_ticket() {
+    let mut world = World::new(&[4, 4]);
+    lanes(&mut world, &["split-1"]);
+    world.admit(1, spec(advised_route(), vec![step(1, 1)]));
+    let calls = world.turn();
+    assert_eq!((calls.len(), world.running()), (1, 0));
+    let rows = allow_all(&calls[0]);
+    world.sched.advised(&calls[0], Some(&rows), world.now);
+    world.turn();
+    assert_eq!(world.starts[0].ticket.as_ref().map(|ticket| &*ticket.text), Some("ticket"));
+}
+
+/// Guards against a start with a ticket that has lapsed.
+#[test]
+fn a_lapsed_ticket_is_asked_for_again() {
+    let mut world = World::new(&[4]);
+    lanes(&mut world, &["split-1"]);
+    world.admit(1, spec(advised_route(), vec![step(1, 1)]));
+    let calls = world.turn();
+    let rows = allow_all(&calls[0]);
+    world.sched.advised(&calls[0], Some(&rows), world.now);
+    world.now = world.now.after(1_900);
+    let again = world.turn();
+    assert_eq!((again.len(), world.running()), (1, 0));
+}
+
+/// Guards against calls that name workers which the policy never allows.
+#[test]
+fn a_worker_that_is_not_allowed_is_not_named_again() {
+    let mut world = World::new(&[4]);
+    lanes(&mut world, &["split-1"]);
+    world.admit(1, spec(advised_route(), vec![step(1, 1)]));
+    let calls = world.turn();
+    world.sched.advised(&calls[0], Some(&[]), world.now);
+    world.now = world.now.after(5_000);
+    assert!(world.turn().is_empty());
+}
+
+/// Guards against a call that fails and holds the step for ever.
+#[test]
+fn a_failed_call_is_made_again() {
+    let mut world = World::new(&[4]);
+    lanes(&mut world, &["split-1"]);
+    world.admit(1, spec(advised_route(), vec![step(1, 1)]));
+    let calls = world.turn();
+    world.sched.advised(&calls[0], None, world.now);
+    world.now = world.now.after(200);
+    assert_eq!(world.turn().len(), 1);
+}
+
+/// Guards against calls that queue at one VM while others have nothing to do.
+#[test]
+fn calls_are_spread_over_the_lanes() {
+    let mut world = World::new(&[4]);
+    lanes(&mut world, &["split-1", "zadar-1", "dubrovnik-1"]);
+    for id in 1..=3 {
+        world.admit(id, spec(advised_route(), vec![step(1, 1)]));
+    }
+    let calls = world.turn();
+    let mut vms: Vec<_> = calls.iter().map(|call| call.vm.clone()).collect();
+    vms.sort();
+    vms.dedup();
+    assert_eq!(vms.len(), 3);
+}
+
+/// Guards against a ticket that a worker refuses and that is used again.
+#[test]
+fn a_refused_ticket_is_dropped() {
+    let mut world = World::new(&[4]);
+    lanes(&mut world, &["split-1"]);
+    world.admit(1, spec(advised_route(), vec![step(1, 1)]));
+    let calls = world.turn();
+    world.sched.advised(&calls[0], Some(&allow_all(&calls[0])), world.now);
+    world.sched.place(world.now);
+    world.sched.take_batch();
+    let refused = StartOutcome::Refused(StartRefusal::Ticket);
+    world.sched.start_answered(world.keys[0], task(1, 0, 0), 1, refused, world.now);
+    assert_eq!(world.turn().len(), 1);
+}
+
+/// Guards against a gang that asks again and again for tickets that lapse before it has room.
+#[test]
+fn a_gang_without_room_asks_for_no_tickets() {
+    let mut world = World::new(&[4, 4, 4, 4]);
+    lanes(&mut world, &["split-1"]);
+    let mut gang = step(4, 1);
+    gang.gang = true;
+    world.admit(1, spec(advised_route(), vec![gang]));
+    let calls = world.turn();
+    world.sched.advised(&calls[0], Some(&allow_all(&calls[0])), world.now);
+    // Other work takes the room while the call was under way.
+    for id in 10..26 {
+        world.admit(id, crate::support::job(vec![step(1, 1)]));
+    }
+    world.now = world.now.after(3_000);
+    world.turn();
+    let later: usize = (0..50).map(|_| world.turn().len()).sum();
+    assert!(later <= 2, "{later} calls");
+}
--- /dev/null
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -0,0 +1,10 @@
+//! Decisions of the leader: placement, ends, takeover, advice.
+
+mod adopt;
+mod advice;
+mod ends;
+mod gangs;
+mod orders;
+mod random;
+mod support;
+mod timed;
--- /dev/null
+++ b/crates/coriandertack-jobs/tests/sched/support.rs
@@ -0,0 +1,215 @@
+//! A scheduler with workers that carry out what they are told.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use {
+    coriandertack_core::resources::Resources,
+    coriandertack_jobs::{
+        config::{Advice, Config, Route},
+        ids::{JobId, TaskId},
+        moment::{Moment, WallTime},
+        progress::{Phase, Progress},
+        report::{EndCause, Ended, Entry, Listing, Running},
+        sched::{AdviceCall, Batch, Order, Scheduler, StartOrder, StartOutcome, WorkerKey},
+        spec::{JobSpec, StepSpec},
+    },
+};
+
+/// A worker that runs what it is told, until a test ends the run.
+#[derive(Default)]
+pub struct FakeWorker {
+    pub running: BTreeMap<(TaskId, u32), (Arc<str>, u32)>,
+    pub ended: Vec<Ended>,
+    last: u64,
+}
+
+impl FakeWorker {
+    pub fn end(&mut self, task: TaskId, attempt: u32, cause: EndCause) {
+        let known = self.running.remove(&(task, attempt));
+        let checkpoint = known.map_or_else(Arc::default, |(checkpoint, _)| checkpoint);
+        self.last += 1;
+        self.ended.push(Ended { number: self.last, task, attempt, cause, checkpoint });
+    }
+
+    pub fn listing(&self, born: u64) -> Listing {
+        let running = self.running.iter().map(|((task, attempt), (checkpoint, percent))| Running {
+            task: *task,
+            attempt: *attempt,
+            checkpoint: checkpoint.clone(),
+            percent: *percent,
+            load: 0,
+        });
+        Listing { clock_ms: 1, born, running: running.collect(), ended: self.ended.clone() }
+    }
+}
+
+/// A scheduler, its workers and the records that it wrote.
+pub struct World {
+    pub sched: Scheduler,
+    pub workers: HashMap<WorkerKey, FakeWorker>,
+    pub keys: Vec<WorkerKey>,
+    pub records: HashMap<JobId, Progress>,
+    pub starts: Vec<StartOrder>,
+    pub stops: Vec<(WorkerKey, TaskId, u32)>,
+    pub now: Moment,
+}
+
+pub const BORN: u64 = 7;
+
+pub fn route() -> Route {
+    Route {
+        name: "plans".into(),
+        service: "vans".into(),
+        attempts: 2,
+        stretch: 2.0,
+        slo_ms: 1_000,
+        ..Route::default()
+    }
+}
+
+pub fn advised_route() -> Route {
+    let advice = Advice { call_ms: 10.0, worker_ms: 1.0, validity_ms: 2_000 };
+    Route { advice: Some(advice), ..route() }
+}
+
+pub fn entry(cores: u32) -> Entry {
+    Entry {
+        service: "vans".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "split".into(),
+        capacity: Resources::new(cores * 1_000, cores * 2_048, 0),
+        labels: vec!["a".into(), "r1".into()],
+        draining: false,
+        remaining_ms: 0,
+        born: BORN,
+    }
+}
+
+pub fn step(count: u32, cores: u32) -> StepSpec {
+    let need = Resources::new(cores * 1_000, 64, 0);
+    StepSpec { count, need, estimate_ms: 1_000, ..StepSpec::default() }
+}
+
+pub fn job(steps: Vec<StepSpec>) -> JobSpec {
+    spec(route(), steps)
+}
+
+pub fn spec(route: Route, steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        route: Arc::new(route),
+        payload: "payload".into(),
+        steps,
+        repeat: None,
+        accepted: WallTime(0),
+    }
+}
+
+pub fn task(job: u64, step: u32, index: u32) -> TaskId {
+    TaskId { job: JobId(job), occurrence: 0, step, index }
+}
+
+impl World {
+    /// Returns a world with workers of the given numbers of cores, all of which were listed.
+    pub fn new(cores: &[u32]) -> Self {
+        let mut world = Self {
+            sched: Scheduler::new(Arc::new(Config::default())),
+            workers: HashMap::new(),
+            keys: Vec::new(),
+            records: HashMap::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            now: Moment(1_000_000),
+        };
+        for (number, cores) in cores.iter().enumerate() {
+            let name = Arc::from(format!("w{number}"));
+            let key = world.sched.worker_seen(&name, Arc::new(entry(*cores)), world.now);
+            world.workers.insert(key, FakeWorker::default());
+            world.keys.push(key);
+        }
+        world.list_all();
+        world
+    }
+
+    pub fn admit(&mut self, id: u64, spec: JobSpec) {
+        self.sched.admit(JobId(id), Arc::new(spec), None, false, self.now, WallTime(0));
+    }
+
+    /// Places, records, and carries out the orders.
+    pub fn turn(&mut self) -> Vec<AdviceCall> {
+        self.now = self.now.after(20);
+        self.sched.place(self.now);
+        let batch = self.sched.take_batch();
+        let calls = self.sched.take_calls();
+        self.record(&batch);
+        for order in batch.orders {
+            self.carry_out(order);
+        }
+        calls
+    }
+
+    pub fn record(&mut self, batch: &Batch) {
+        for (id, progress) in &batch.records {
+            self.records.insert(*id, progress.clone());
+        }
+        self.sched.recorded(&batch.acks);
+    }
+
+    fn carry_out(&mut self, order: Order) {
+        match order {
+            Order::Start(start) => {
+                let run = (start.checkpoint.clone(), 0);
+                let worker = self.workers.entry(start.worker).or_default();
+                worker.running.insert((start.task, start.attempt), run);
+                let (key, task, attempt) = (start.worker, start.task, start.attempt);
+                self.sched.start_answered(key, task, attempt, StartOutcome::Started, self.now);
+                self.starts.push(start);
+            }
+            Order::Stop { worker, task, attempt } => {
+                self.stops.push((worker, task, attempt));
+                let fake = self.workers.entry(worker).or_default();
+                if fake.running.contains_key(&(task, attempt)) {
+                    fake.end(task, attempt, EndCause::Stopped);
+                }
+                self.sched.stop_answered(worker, task, attempt, self.now);
+            }
+        }
+    }
+
+    pub fn list_all(&mut self) {
+        self.now = self.now.after(20);
+        for key in self.keys.clone() {
+            let listing = self.workers[&key].listing(BORN);
+            self.sched.listed(key, self.now, &listing, self.now.after(1));
+        }
+        self.now = self.now.after(2);
+    }
+
+    /// Ends the run of a task wherever it runs.
+    pub fn end(&mut self, task: TaskId, cause: EndCause) {
+        for worker in self.workers.values_mut() {
+            let runs: Vec<_> =
+                worker.running.keys().filter(|(id, _)| *id == task).copied().collect();
+            for (task, attempt) in runs {
+                worker.end(task, attempt, cause);
+            }
+        }
+        self.list_all();
+    }
+
+    /// Returns the workers that run a task.
+    pub fn places(&self, task: TaskId) -> Vec<WorkerKey> {
+        let runs = |worker: &FakeWorker| worker.running.keys().any(|(id, _)| *id == task);
+        self.workers.iter().filter(|(_, worker)| runs(worker)).map(|(key, _)| *key).collect()
+    }
+
+    pub fn running(&self) -> usize {
+        self.workers.values().map(|worker| worker.running.len()).sum()
+    }
+
+    pub fn phase(&self, id: u64) -> Option<Phase> {
+        self.records.get(&JobId(id)).map(|progress| progress.phase)
+    }
+}
--- a/crates/coriandertackd/src/fleet/advice.rs
+++ b/crates/coriandertackd/src/fleet/advice.rs
@@ -1,11 +1,6 @@
 //! Calls for advice: those of this VM, and the links to the VMs that make calls for the leader.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use {
     coriandertack_jobs::sched::AdviceCall,
--- a/crates/coriandertackd/src/fleet/crew.rs
+++ b/crates/coriandertackd/src/fleet/crew.rs
@@ -25,11 +25,7 @@
     },
 };
 
-use super::{
-    clock, follow,
-    lead::Leading,
-    shared::Counters,
-};
+use super::{clock, follow, lead::Leading, shared::Counters};
 
 /// How long a worker waits for an end before it answers with its list, in milliseconds.
 const LIST_WAIT_MS: u64 = 1_000;
@@ -199,7 +195,8 @@
         wake.notify_one();
     }
     let until = leading.may_start_until();
-    let sent = queues.orders.get(&key).is_some_and(|queue| queue.send((order.clone(), until)).is_ok());
+    let sent =
+        queues.orders.get(&key).is_some_and(|queue| queue.send((order.clone(), until)).is_ok());
     drop(queues);
     if !sent && let Order::Start(start) = order {
         let mut scheduler = leading.scheduler();
--- a/crates/coriandertackd/src/fleet/front.rs
+++ b/crates/coriandertackd/src/fleet/front.rs
@@ -204,9 +204,7 @@
     }
     match phase {
         None => text(StatusCode::GONE, "no such job"),
-        Some(Phase::Completed | Phase::Failed | Phase::Cancelled) => {
-            text(StatusCode::OK, "ended")
-        }
+        Some(Phase::Completed | Phase::Failed | Phase::Cancelled) => text(StatusCode::OK, "ended"),
         Some(Phase::Queued | Phase::Running) => {
             let (key, value) = jobs::cancelled(id);
             let stored = intake::store(shared, key, value).await;
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -358,10 +358,7 @@
 }
 
 /// Applies what has arrived, and decides.
-fn decide(
-    leading: &Leading,
-    arrivals: &mut mpsc::UnboundedReceiver<Arrival>,
-) -> Decision {
+fn decide(leading: &Leading, arrivals: &mut mpsc::UnboundedReceiver<Arrival>) -> Decision {
     let (now, wall) = (clock::now(), clock::wall());
     let config = leading.shared.config.borrow().clone();
     let mut scheduler = leading.scheduler();
--- a/crates/coriandertackd/src/fleet/settings.rs
+++ b/crates/coriandertackd/src/fleet/settings.rs
@@ -136,7 +136,8 @@
 ///
 /// Names the file, the key and the reason.
 pub fn read(file: &Path) -> Result<Settings> {
-    let text = fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
+    let text =
+        fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
     let mut settings = parse(&text).with_context(|| file.display().to_string())?;
     settings.file = file.to_owned();
     Ok(settings)
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -9,11 +9,7 @@
 };
 
 use {
-    coriandertack_jobs::{
-        board::Board,
-        config::Config,
-        moment::Moment,
-    },
+    coriandertack_jobs::{board::Board, config::Config, moment::Moment},
     coriandertack_peers::errands::Handed,
     tokio::sync::{Notify, mpsc, oneshot, watch},
 };
