Refuse what is no part of a stalled append, start takeovers sooner, and allow for a slow store

Change: the leader refuses records that are no part of the append under way once it has stalled; a VM whose link to the leader ended tries to lead after 350 ms of silence, others after 800 ms; limits allow 800 ms to 1.45 s.

--- a/crates/coriandertack-peers/src/errands.rs
+++ b/crates/coriandertack-peers/src/errands.rs
@@ -63,8 +63,17 @@
     pub key: String,
     /// Value.
     pub value: Bytes,
-    /// Receives a message once the record is durable, and closes if that is unknown.
-    pub durable: oneshot::Sender<()>,
+    /// Receives what became of the record, and closes if that is unknown.
+    pub outcome: oneshot::Sender<Taken>,
+}
+
+/// What a leader made of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It is durable.
+    Durable,
+    /// It was not appended and will not be.
+    Refused,
 }
 
 /// Carries calls to another VM, and its records back, until the connection breaks or the queue closes.
@@ -114,7 +123,7 @@
         tokio::select! {
             _ = beat.tick() => {
                 ensure!(Instant::now() < silent_at, "the peer is silent");
-                send(connection, Body::Outcome(Outcome { id: BEAT_ID })).await?;
+                send(connection, Body::Outcome(Outcome { id: BEAT_ID, refused: false })).await?;
             }
             next = queue.recv() => {
                 let Some((call, limit_ms)) = next else { return Ok(()) };
@@ -123,10 +132,11 @@
                 pending.insert(last, call);
                 send(connection, Body::Errand(errand)).await?;
             }
-            Some((id, durable)) = handed.next(), if !handed.is_empty() => {
-                let durable: Result<(), oneshot::error::RecvError> = durable;
-                if durable.is_ok() {
-                    send(connection, Body::Outcome(Outcome { id })).await?;
+            Some((id, taken)) = handed.next(), if !handed.is_empty() => {
+                let taken: Result<Taken, oneshot::error::RecvError> = taken;
+                if let Ok(taken) = taken {
+                    let refused = taken == Taken::Refused;
+                    send(connection, Body::Outcome(Outcome { id, refused })).await?;
                 }
             }
             body = receive(connection) => match body? {
@@ -137,9 +147,9 @@
                     }
                 }
                 Body::Submission(Submission { id, key, value }) => {
-                    let (durable, outcome) = oneshot::channel();
-                    take(Handed { key, value, durable });
-                    handed.push(async move { (id, outcome.await) });
+                    let (outcome, taken) = oneshot::channel();
+                    take(Handed { key, value, outcome });
+                    handed.push(async move { (id, taken.await) });
                 }
                 Body::Errand(_) | Body::Outcome(_) => bail!("a frame that only a leader sends"),
             }
@@ -176,7 +186,7 @@
 /// Accepts the connections of leaders for as long as the future is polled.
 ///
 /// `ask` makes a call for advice. `linked` is called for each new connection with the queue of records for its leader;
-/// the queue closes when the connection ends.
+/// the queue closes when the connection ends, and `ended` is called.
 ///
 /// # Errors
 ///
@@ -185,19 +195,21 @@
     listener: &TcpListener,
     ask: impl Fn(Question) -> F + Clone + Send + Sync + 'static,
     linked: impl Fn(mpsc::UnboundedSender<Handed>),
+    ended: impl Fn() + Clone + Send + Sync + 'static,
 ) -> Result<()>
 where
     F: Future<Output = Advice> + Send + 'static,
 {
     loop {
         let (stream, peer) = listener.accept().await.context("cannot accept a link")?;
-        let ask = ask.clone();
+        let (ask, ended) = (ask.clone(), ended.clone());
         let (sender, records) = mpsc::unbounded_channel();
         linked(sender);
         tokio::spawn(async move {
             if let Err(error) = follow(stream, ask, records).await {
                 log::debug!("event=errands_ended peer={peer} error=\"{error:#}\"");
             }
+            ended();
         });
     }
 }
@@ -213,7 +225,7 @@
 {
     let mut connection = frames::wrap(stream)?;
     let mut calls = FuturesOrdered::new();
-    let mut pending: HashMap<u64, oneshot::Sender<()>> = HashMap::new();
+    let mut pending: HashMap<u64, oneshot::Sender<Taken>> = HashMap::new();
     let mut last = 0;
     let mut silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
     loop {
@@ -223,15 +235,16 @@
                     let (id, call) = (errand.id, ask(question(errand)));
                     calls.push_back(async move { report(id, call.await) });
                 }
-                Body::Outcome(Outcome { id: BEAT_ID }) => {
+                Body::Outcome(Outcome { id: BEAT_ID, .. }) => {
                     silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
                     let beat = Report { id: BEAT_ID, ..Report::default() };
                     send(&mut connection, Body::Report(beat)).await?;
                 }
-                Body::Outcome(Outcome { id }) => {
-                    if let Some(durable) = pending.remove(&id) {
+                Body::Outcome(Outcome { id, refused }) => {
+                    if let Some(outcome) = pending.remove(&id) {
+                        let taken = if refused { Taken::Refused } else { Taken::Durable };
                         // Whoever handed the record in may have stopped waiting.
-                        let _gone = durable.send(());
+                        let _gone = outcome.send(taken);
                     }
                 }
                 Body::Report(_) | Body::Submission(_) => bail!("a frame that no leader sends"),
@@ -241,8 +254,8 @@
             }
             Some(record) = records.recv() => {
                 last += 1;
-                let Handed { key, value, durable } = record;
-                pending.insert(last, durable);
+                let Handed { key, value, outcome } = record;
+                pending.insert(last, outcome);
                 send(&mut connection, Body::Submission(Submission { id: last, key, value })).await?;
             }
         }
--- a/crates/coriandertackd/src/fleet/advice.rs
+++ b/crates/coriandertackd/src/fleet/advice.rs
@@ -34,7 +34,9 @@
     loop {
         // The listener serves until accepting fails, as when no descriptor is left.
         let linked = |queue| shared.set_leader_link(queue);
-        if let Err(error) = errands::serve(&listener, ask.clone(), linked).await {
+        let state = shared.clone();
+        let ended = move || state.note_link_end();
+        if let Err(error) = errands::serve(&listener, ask.clone(), linked, ended).await {
             log::warn!("event=link_not_accepted error=\"{error:#}\"");
             sleep(Duration::from_millis(REDIAL_MS)).await;
         }
--- a/crates/coriandertackd/src/fleet/follow.rs
+++ b/crates/coriandertackd/src/fleet/follow.rs
@@ -83,7 +83,11 @@
                         reached(next, began, moved);
                     }
                     if moved {
-                        sleep(Duration::from_millis(pace_ms())).await;
+                        let pause = sleep(Duration::from_millis(pace_ms()));
+                        tokio::select! {
+                            () = pause => {}
+                            () = shared.hurry.notified(), if topic == Topic::Progress => {}
+                        }
                     }
                 }
                 Err(ReadError::Deleted { first }) => {
--- a/crates/coriandertackd/src/fleet/intake.rs
+++ b/crates/coriandertackd/src/fleet/intake.rs
@@ -10,7 +10,7 @@
     bytes::Bytes,
     coriandertack_jobs::moment::Moment,
     coriandertack_log::jobs,
-    coriandertack_peers::errands::Handed,
+    coriandertack_peers::errands::{Handed, Taken},
     coriandertack_platform::store::{AppendError, Record, Store, Topic},
     tokio::{
         sync::{mpsc, oneshot},
@@ -24,16 +24,16 @@
 };
 
 /// Time for which the leader may take to make a record durable, in milliseconds. With a slow store, a record waits for
-/// one append of 250 ms and is part of the next.
-const LEADER_MS: u64 = 800;
+/// one append of 500 ms and is part of the next; the leader refuses what waits for longer.
+const LEADER_MS: u64 = 1_300;
 
 /// Age of a record without an answer, or of an append under way, from which new records take no part in it, in
 /// milliseconds.
-const STALLED_MS: u64 = 600;
+const STALLED_MS: u64 = 900;
 
 /// Age of a record at which its caller is told that the outcome is unknown, in milliseconds: before half of the 3 s
 /// for which callers wait have passed.
-const UNKNOWN_MS: u64 = 1_300;
+const UNKNOWN_MS: u64 = 1_450;
 
 /// Pause between two tries, in milliseconds.
 const PAUSE_MS: u64 = 60;
@@ -50,14 +50,15 @@
     let began = clock::now();
     let mut unknown = false;
     if let Some(link) = shared.leader_link(began, STALLED_MS) {
-        let (durable, outcome) = oneshot::channel();
-        if link.queue.send(Handed { key: key.clone(), value: value.clone(), durable }).is_ok() {
-            let outcome = timeout(Duration::from_millis(LEADER_MS), outcome).await;
+        let (outcome, taken) = oneshot::channel();
+        if link.queue.send(Handed { key: key.clone(), value: value.clone(), outcome }).is_ok() {
+            let taken = timeout(Duration::from_millis(LEADER_MS), taken).await;
             drop(link);
-            if matches!(outcome, Ok(Ok(()))) {
-                return Stored::Done;
+            match taken {
+                Ok(Ok(Taken::Durable)) => return Stored::Done,
+                Ok(Ok(Taken::Refused)) => return Stored::NotRun,
+                Ok(Err(_)) | Err(_) => unknown = true,
             }
-            unknown = true;
         }
     }
     let (reply, stored) = oneshot::channel();
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -5,6 +5,8 @@
 //! then on. The epoch is also the token of all orders to workers, so that a former leader is refused at both ends.
 
 use std::{
+    mem,
+    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -20,7 +22,7 @@
         sched::{AdviceCall, Batch, LEADERSHIP_MS, RENEWAL_MS, Scheduler},
     },
     coriandertack_log::jobs,
-    coriandertack_peers::errands::{Advice, Handed},
+    coriandertack_peers::errands::{Advice, Handed, Taken},
     coriandertack_platform::store::{AppendError, Fence, Record, Store, Topic},
     tokio::{
         sync::{mpsc, oneshot, watch},
@@ -36,11 +38,15 @@
 };
 
 /// Longest time between two records of a leader, in milliseconds.
-const BEAT_MS: u64 = 300;
+const BEAT_MS: u64 = 200;
 
-/// Silence of the progress stream after which a VM tries to lead, in milliseconds. A slow store delays a record by
-/// some 240 ms twice, on its way in and out.
-const SILENCE_MS: u64 = 1_000;
+/// Silence of the progress stream after which a VM tries to lead, in milliseconds. A slow store brings a record every
+/// 500 ms.
+const SILENCE_MS: u64 = 800;
+
+/// Silence after which a VM tries to lead whose link to the leader has ended, in milliseconds. A killed process closes
+/// its connections at once.
+const UNLINKED_SILENCE_MS: u64 = 350;
 
 /// Time by which VMs of the next rank wait longer, in milliseconds, so that one append suffices.
 const RANK_MS: u64 = 60;
@@ -49,6 +55,10 @@
 /// waits for the batch that records it.
 const BATCH_MS: u64 = 10;
 
+/// Age of an append from which records that are no part of it are refused, in milliseconds. A slow store takes some
+/// 500 ms: 60 times as long for the append and for its answer.
+const STALLED_MS: u64 = 800;
+
 /// Pause after an append that failed, in milliseconds.
 const RETRY_MS: u64 = 50;
 
@@ -76,13 +86,63 @@
     Handed(Handed),
 }
 
+/// What has arrived for the leader's loop.
+struct Arrivals {
+    queue: mpsc::UnboundedReceiver<Arrival>,
+    /// Arrivals that were looked at while an append was under way.
+    kept: Vec<Arrival>,
+}
+
+impl Arrivals {
+    /// Takes what has arrived.
+    fn take(&mut self) -> Vec<Arrival> {
+        let mut arrivals = mem::take(&mut self.kept);
+        while let Ok(arrival) = self.queue.try_recv() {
+            arrivals.push(arrival);
+        }
+        arrivals
+    }
+
+    /// Waits for an append. Once it has stalled, records of callers that are no part of it are refused, so that
+    /// the callers hear in time that their jobs were not accepted.
+    async fn refuse_during<T>(&mut self, append: impl Future<Output = T>, started: Moment) -> T {
+        let mut append = pin!(append);
+        loop {
+            let left = started.after(STALLED_MS).since(clock::now());
+            if left == 0 {
+                for arrival in self.take() {
+                    self.refuse(arrival);
+                }
+            }
+            tokio::select! {
+                result = &mut append => return result,
+                Some(arrival) = self.queue.recv() => match left {
+                    0 => self.refuse(arrival),
+                    _ => self.kept.push(arrival),
+                },
+                () = sleep(Duration::from_millis(left)), if left > 0 => {}
+            }
+        }
+    }
+
+    fn refuse(&mut self, arrival: Arrival) {
+        match arrival {
+            Arrival::Handed(handed) => {
+                // The VM may have lost its link.
+                let _gone = handed.outcome.send(Taken::Refused);
+            }
+            Arrival::Read(note) => self.kept.push(Arrival::Read(note)),
+        }
+    }
+}
+
 /// What the leader decided in one go.
 #[derive(Debug, Default)]
 struct Decision {
     batch: Batch,
     calls: Vec<AdviceCall>,
     /// Records that VMs handed in, and who waits for them.
-    handed: Vec<(Record, oneshot::Sender<()>)>,
+    handed: Vec<(Record, oneshot::Sender<Taken>)>,
     /// When the next decision is due even if nothing changes.
     again: Option<Moment>,
 }
@@ -205,7 +265,12 @@
             let released = leader.as_ref().is_none_or(|leader| leader.vm.is_empty());
             let own = leader.as_ref().is_some_and(|l| *l.vm == *shared.settings.vm.name);
             // A record of this VM's own former process binds nobody.
-            let silence = if released || own { 0 } else { SILENCE_MS } + RANK_MS * rank as u64;
+            let silence = match shared.lost_leader() {
+                _ if released || own => 0,
+                true => UNLINKED_SILENCE_MS,
+                false => SILENCE_MS,
+            };
+            let silence = silence + RANK_MS * rank as u64;
             let configured = config.borrow_and_update().revision > 0;
             if configured && reached.quiet >= reached.moved.after(silence) {
                 return (leader.map_or(0, |leader| leader.epoch) + 1, reached.next);
@@ -287,6 +352,7 @@
 /// Waits until this VM has read its own leader's record, and with it all records of former leaders.
 async fn caught_up(shared: &Shared, first: u64) -> bool {
     let mut progress = shared.progress.subscribe();
+    shared.hurry.notify_one();
     let reach = progress.wait_for(|reached| reached.next > first);
     timeout(Duration::from_millis(CATCH_UP_MS), reach).await.is_ok_and(|reached| reached.is_ok())
 }
@@ -316,8 +382,9 @@
     leading: &Arc<Leading>,
     mut store: Store,
     mut number: u64,
-    mut arrivals: mpsc::UnboundedReceiver<Arrival>,
+    queue: mpsc::UnboundedReceiver<Arrival>,
 ) {
+    let mut arrivals = Arrivals { queue, kept: Vec::new() };
     let shared = &leading.shared;
     let mut beat = clock::now();
     let mut again: Option<Moment> = None;
@@ -345,31 +412,32 @@
             continue;
         }
         number += 1;
-        let recorded = record(leading, &mut store, number, &decision.batch, records).await;
+        let batch = &decision.batch;
+        let recorded = record(leading, &mut store, number, batch, records, &mut arrivals).await;
         let Some(began) = recorded else { return };
         beat = began;
         commit(leading, decision.batch);
-        for durable in waiting {
+        for outcome in waiting {
             // The VM may have lost its link.
-            let _gone = durable.send(());
+            let _gone = outcome.send(Taken::Durable);
         }
         sleep(Duration::from_millis(BATCH_MS)).await;
     }
 }
 
 /// Applies what has arrived, and decides.
-fn decide(leading: &Leading, arrivals: &mut mpsc::UnboundedReceiver<Arrival>) -> Decision {
+fn decide(leading: &Leading, arrivals: &mut Arrivals) -> Decision {
     let (now, wall) = (clock::now(), clock::wall());
     let config = leading.shared.config.borrow().clone();
     let mut scheduler = leading.scheduler();
     scheduler.configure(config);
     let mut handed = Vec::new();
-    while let Ok(arrival) = arrivals.try_recv() {
+    for arrival in arrivals.take() {
         match arrival {
             Arrival::Read(note) => apply(leading, &mut scheduler, note, now, wall),
-            Arrival::Handed(Handed { key, value, durable }) => {
+            Arrival::Handed(Handed { key, value, outcome }) => {
                 apply(leading, &mut scheduler, jobs::note(&key, &value), now, wall);
-                handed.push((Record { key, value }, durable));
+                handed.push((Record { key, value }, outcome));
             }
         }
     }
@@ -414,7 +482,9 @@
     number: u64,
     batch: &Batch,
     mut records: Vec<Record>,
+    arrivals: &mut Arrivals,
 ) -> Option<Moment> {
+    let started = clock::now();
     let shared = &leading.shared;
     records.extend(batch.records.iter().map(|(id, progress)| {
         let (key, value) = jobs::progressed(*id, progress);
@@ -430,7 +500,8 @@
     loop {
         let began = clock::now();
         Counters::count(&shared.counters.appends);
-        match store.append(Topic::Progress, &records, fence, None).await {
+        let append = store.append(Topic::Progress, &records, fence, None);
+        match arrivals.refuse_during(append, started).await {
             Ok(_) => {
                 if lost {
                     log::info!("event=dependency_regained dependency=store topic=Progress");
@@ -444,7 +515,7 @@
             }
             Err(error) => {
                 Counters::count(&shared.counters.store_errors);
-                if !std::mem::replace(&mut lost, true) {
+                if !mem::replace(&mut lost, true) {
                     log::warn!(
                         "event=dependency_lost dependency=store topic=Progress error=\"{error}\""
                     );
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -135,6 +135,8 @@
     pub listener: Mutex<Option<mpsc::UnboundedSender<Arrival>>>,
     /// Wakes the leader's loop.
     pub wake: Notify,
+    /// Ends the pause before the next read of the progress.
+    pub hurry: Notify,
     /// Whether the VM is told to stop.
     pub stopping: watch::Sender<bool>,
     /// Whether connections of callers are closed after the request in flight.
@@ -160,6 +162,7 @@
             leader_link: Mutex::default(),
             listener: Mutex::default(),
             wake: Notify::new(),
+            hurry: Notify::new(),
             stopping: watch::Sender::default(),
             closing: watch::Sender::default(),
             leading: watch::Sender::default(),
@@ -179,6 +182,17 @@
         link.queue = Some(queue);
     }
 
+    /// Notes that a link to a leader has ended.
+    pub fn note_link_end(&self) {
+        self.hurry.notify_one();
+    }
+
+    /// Tells whether the newest link to a leader has ended.
+    pub fn lost_leader(&self) -> bool {
+        let link = self.leader_link.lock().unwrap_or_else(PoisonError::into_inner);
+        link.queue.as_ref().is_some_and(mpsc::UnboundedSender::is_closed)
+    }
+
     /// Returns the link to the leader, unless it is closed or a record waits for its answer since `stalled_ms`.
     pub fn leader_link(&self, now: Moment, stalled_ms: u64) -> Option<LinkUse<'_>> {
         let mut link = self.leader_link.lock().unwrap_or_else(PoisonError::into_inner);
