Wait between a worker's lists unless an urgent end is predicted

Change: the gap is 250 ms, or 60% of the time until the earliest urgent end, by progress or estimate.

--- a/crates/coriandertack-jobs/src/sched/adopt.rs
+++ b/crates/coriandertack-jobs/src/sched/adopt.rs
@@ -41,14 +41,8 @@
                 (None, false) => Place::Waiting,
                 (Some(worker), false) => {
                     let worker = self.inherited(worker, now);
-                    let run = Run {
-                        charge: step.charge(),
-                        confirmed: Some(now),
-                        stopped: None,
-                        percent: 0,
-                        moved: now,
-                        bound: now,
-                    };
+                    let mut run = Run::new(step.charge(), self.urgency(name), now);
+                    run.confirmed = Some(now);
                     if let Some(worker) = self.workers.get_mut(worker) {
                         worker.inherit_leases(now.after(INHERITED_MS));
                         worker.used += run.charge;
--- a/crates/coriandertack-jobs/src/sched/lists.rs
+++ b/crates/coriandertack-jobs/src/sched/lists.rs
@@ -54,20 +54,14 @@
         let wanted = self
             .task(task)
             .is_some_and(|known| known.place == Place::Bound(key) && known.attempt == attempt);
-        let charge = self.charge(task);
+        let (charge, urgent) = (self.charge(task), self.urgency(task));
         let Some(worker) = self.workers.get_mut(key) else { return };
         if !worker.runs.contains_key(&(task, attempt)) {
             // A run of a job that nobody knows takes the whole worker until it is gone.
             let charge = charge.unwrap_or_else(|| worker.free());
             worker.used += charge;
-            let run = Run {
-                charge,
-                confirmed: Some(now),
-                stopped: None,
-                percent: 0,
-                moved: now,
-                bound: now,
-            };
+            let mut run = Run::new(charge, urgent, now);
+            run.confirmed = Some(now);
             worker.runs.insert((task, attempt), run);
         }
         let Some(run) = worker.runs.get_mut(&(task, attempt)) else { return };
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -400,6 +400,13 @@
         self.config.named(&job.spec.route.name).unwrap_or(&job.spec.route).clone()
     }
 
+    /// Returns the estimated run time of a task whose end should be noticed at once, in milliseconds.
+    fn urgency(&self, task: TaskId) -> Option<u64> {
+        let (job, spec, _) = self.step(task.step_id())?;
+        let urgent = self.route_of(job).priority == URGENT_PRIORITY && !spec.lasting;
+        urgent.then_some(spec.estimate_ms)
+    }
+
     /// Returns what a run takes of its worker, also after its job has ended.
     fn charge(&self, task: TaskId) -> Option<Resources> {
         let job = self.names.get(&task.job).and_then(|&key| self.jobs.get(key));
@@ -427,6 +434,9 @@
     }
 }
 
+/// Priority of the most urgent routes.
+const URGENT_PRIORITY: u32 = 0;
+
 /// Age of a submission beyond which its objective has passed in any case; it bounds what a jump of the time of day does.
 const MAX_AGE_MS: u64 = 60_000;
 
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -328,6 +328,7 @@
         let Some((_, spec, step)) = self.step(task.step_id()) else { return };
         let (charge, ticket) = (spec.charge(), step.advice.ticket(worker, now).cloned());
         let waited = now.since(step.ready);
+        let urgent = self.urgency(task);
         let Some(&key) = self.names.get(&task.job) else { return };
         let Some(step) = self.step_mut(task.step_id()) else { return };
         step.waiting -= 1;
@@ -337,8 +338,7 @@
         let (attempt, checkpoint) = (state.attempt, state.checkpoint.clone());
         let Some(target) = self.workers.get_mut(worker) else { return };
         target.used += charge;
-        let run =
-            Run { charge, confirmed: None, stopped: None, percent: 0, moved: now, bound: now };
+        let run = Run::new(charge, urgent, now);
         target.runs.insert((task, attempt), run);
         log::info!(
             "event=task_bound task={task} attempt={attempt} worker={} waited_ms={waited} free={}",
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -13,6 +13,12 @@
     pub struct WorkerKey;
 }
 
+/// Longest pause between a worker's list and the next one, in milliseconds. Each list is priced.
+const GAP_MS: u64 = 250;
+
+/// Share of the predicted time until an urgent end that a list waits, in percent: predictions are off by a fifth.
+const URGENT_SHARE: u64 = 60;
+
 /// A run that a worker may hold. Its capacity counts until the worker lists its end.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
@@ -29,6 +35,32 @@
     pub(super) moved: Moment,
     /// When the start was decided.
     pub(super) bound: Moment,
+    /// Estimated run time in milliseconds, if the end of the run should be noticed at once.
+    pub(super) urgent: Option<u64>,
+}
+
+impl Run {
+    /// Returns a run that was decided now.
+    pub(super) fn new(charge: Resources, urgent: Option<u64>, now: Moment) -> Self {
+        Self {
+            charge,
+            confirmed: None,
+            stopped: None,
+            percent: 0,
+            moved: now,
+            bound: now,
+            urgent,
+        }
+    }
+
+    /// Returns the milliseconds until the run should end, by its progress or its estimate.
+    fn left_ms(&self, estimate_ms: u64, now: Moment) -> u64 {
+        let elapsed = now.since(self.bound);
+        match u64::from(self.percent) {
+            0 => estimate_ms.saturating_sub(elapsed),
+            percent => self.moved.since(self.bound) * (100 - percent.min(100)) / percent,
+        }
+    }
 }
 
 /// One incarnation of a worker.
@@ -92,6 +124,14 @@
         whole.saturating_sub(self.used)
     }
 
+    /// Returns for how long the next list can wait, in milliseconds: ends that come close together are in one list,
+    /// but an urgent one is noticed at once.
+    #[must_use]
+    pub fn list_gap(&self, now: Moment) -> u64 {
+        let urgent = self.runs.values().filter_map(|run| Some(run.left_ms(run.urgent?, now)));
+        urgent.map(|left| left * URGENT_SHARE / 100).min().unwrap_or(GAP_MS).min(GAP_MS)
+    }
+
     /// Returns the number of runs that the worker may hold.
     #[must_use]
     pub fn held(&self) -> usize {
--- a/crates/coriandertackd/src/fleet/crew.rs
+++ b/crates/coriandertackd/src/fleet/crew.rs
@@ -304,16 +304,20 @@
         let wait = if answered && busy { LIST_WAIT_MS } else { 0 };
         Counters::count(&leading.shared.counters.lists);
         let wait = Duration::from_millis(wait);
-        match worker.list(leading.epoch, acknowledged, lease, wait).await {
+        let answer = worker.list(leading.epoch, acknowledged, lease, wait).await;
+        let received = clock::now();
+        match answer {
             Ok(listing) => {
-                let (pending, known) = {
+                let (pending, known, gap) = {
                     let mut scheduler = leading.scheduler();
                     let known = scheduler.listed(key, now, &listing, clock::now()).is_some();
                     let pending = scheduler.worker_mut(key).is_some_and(|state| {
                         state.acknowledged = state.acknowledged.max(acknowledged);
                         state.has_unrecorded_ends()
                     });
-                    (pending, known)
+                    let now = clock::now();
+                    let gap = scheduler.worker(key).map_or(0, |state| state.list_gap(now));
+                    (pending, known, gap)
                 };
                 if !known {
                     lost(&leading, key, "another incarnation");
@@ -329,6 +333,8 @@
                     // The next list is asked for in any case, since it renews the lease.
                     let _late = timeout(limit, recorded.changed()).await;
                 }
+                let gap = Duration::from_millis(gap.saturating_sub(clock::now().since(received)));
+                sleep(gap).await;
                 continue;
             }
             Err(ListError::Refused(StartRefusal::Fenced)) => {
