Test entry VMs on the platform as processes, against stand-ins of store, workers and advice

Change: stand-ins with faults on demand; ten tests that kill, pause and stop processes and check what callers and workers saw.

Found: one run failed because two tests drew the same free port; each VM now has a loopback address of its own.

--- a/crates/coriandertack-standins/src/lib.rs
+++ b/crates/coriandertack-standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod audit;
 pub mod log;
+pub mod platform;
 pub mod serving;
 pub mod traffic;
 pub mod vmlist;
--- /dev/null
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -0,0 +1,393 @@
+//! Entry VMs as child processes, and the platform's stand-ins in this process.
+
+use std::{
+    collections::HashMap,
+    fs::{self, File},
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use {
+    coriandertack_standins::platform::{
+        advice::Advice,
+        store::Store,
+        worker::{Noted, Worker},
+    },
+    nix::{
+        sys::signal::{Signal, kill},
+        unistd::Pid,
+    },
+    serde_json::json,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::{sleep, timeout},
+    },
+};
+
+/// Length of each run, in milliseconds.
+const RUN_MS: u64 = 700;
+
+/// Longest wait for a condition: several takeovers and the time that an unreachable worker is waited for. A test that
+/// needs it has failed.
+const LONGEST: Duration = Duration::from_secs(90);
+
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+pub struct Vm {
+    callers: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// A deployment of real processes. Dropping it kills those that still run.
+pub struct Cluster {
+    pub store: Store,
+    pub workers: Vec<Worker>,
+    pub vms: Vec<Vm>,
+    _advice: Advice,
+    directory: PathBuf,
+    next: u64,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for vm in &mut self.vms {
+            if let Some(mut child) = vm.child.take() {
+                let _gone = child.kill();
+                let _gone = child.wait();
+            }
+        }
+        if std::thread::panicking() {
+            eprintln!("logs are in {}", self.directory.display());
+        } else {
+            let _left = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+/// VMs of all tests of this process, each with a loopback address of its own: ports that were merely free a moment ago
+/// are taken by other tests.
+static VMS: AtomicU8 = AtomicU8::new(1);
+
+/// Ports of a VM.
+const CALLERS_PORT: u16 = 21_001;
+const READY_PORT: u16 = 21_002;
+const LINK_PORT: u16 = 21_003;
+
+fn own_address() -> Ipv4Addr {
+    let process = (std::process::id() % 250) as u8 + 1;
+    Ipv4Addr::new(127, 77, process, VMS.fetch_add(1, Ordering::Relaxed))
+}
+
+impl Cluster {
+    pub async fn start(vms: usize, workers: usize) -> Self {
+        let store = Store::start().await.unwrap();
+        let advice = Advice::start().await.unwrap();
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!(
+            "platform-{}-{}",
+            std::process::id(),
+            since.as_nanos()
+        ));
+        fs::create_dir_all(&directory).unwrap();
+        let mut cluster = Self {
+            store,
+            workers: Vec::new(),
+            vms: Vec::new(),
+            _advice: advice,
+            directory,
+            next: 1,
+        };
+        cluster.configure(2, false);
+        for number in 0..workers {
+            let id = format!("i-{number}");
+            let worker = Worker::start(&id, RUN_MS, 1_000 + number as u64).await.unwrap();
+            cluster.store.put("keyed.servers", &id, worker.entry("vans", 4).as_bytes());
+            cluster.workers.push(worker);
+        }
+        for number in 0..vms {
+            cluster.add_vm(number);
+        }
+        cluster.restart_all().await;
+        cluster
+    }
+
+    fn add_vm(&mut self, number: usize) {
+        let ip = own_address();
+        let callers = SocketAddr::from((ip, CALLERS_PORT));
+        let text = format!(
+            "[vm]\nname = \"vm-{number}\"\nzone = \"split\"\ncallers = \"{callers}\"\n\
+             ready = \"{ip}:{READY_PORT}\"\nlink = \"{ip}:{LINK_PORT}\"\n\n\
+             [platform]\nstore = \"{}\"\nadvice = \"{}\"\n",
+            self.store.address(),
+            self._advice.address(),
+        );
+        let settings = self.directory.join(format!("vm-{number}.toml"));
+        fs::write(&settings, text).unwrap();
+        let log = self.directory.join(format!("vm-{number}.log"));
+        self.vms.push(Vm { callers, settings, log, child: None });
+    }
+
+    /// Starts every process that does not run, and waits until all serve.
+    pub async fn restart_all(&mut self) {
+        for vm in &mut self.vms {
+            if vm.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_none()) {
+                continue;
+            }
+            let log = File::options().create(true).append(true).open(&vm.log).unwrap();
+            let child = Command::new(env!("CARGO_BIN_EXE_coriandertackd"))
+                .args(["--platform", "--settings"])
+                .arg(&vm.settings)
+                .stdin(Stdio::null())
+                .stdout(log.try_clone().unwrap())
+                .stderr(log)
+                .spawn()
+                .unwrap();
+            vm.child = Some(child);
+        }
+        self.until("all VMs serve", async |cluster| {
+            for vm in 0..cluster.vms.len() {
+                if cluster.pending(vm, "/plans/").await != Some(200) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    }
+
+    pub fn configure(&self, revision: u64, extra: bool) {
+        let route = |name: &str, prefix: &str| {
+            json!({
+                "name": name, "hostname": "vans.example", "path-prefix": prefix,
+                "route-type": "unsafe", "timeout-ms": 3000, "slo-ms": 1000, "priority": 1,
+                "backend": "vans", "attempts": 3, "stretch": 2.0,
+                "advice": { "decision-ms": 5.0, "period-ms": 0.5, "validity-ms": 2000 },
+            })
+        };
+        let mut routes = vec![route("plans", "/plans/")];
+        if extra {
+            routes.push(route("extra", "/extra/"));
+        }
+        let config = json!({
+            "revision": revision,
+            "routes": routes,
+            "services": [{ "name": "vans", "enforces-capacity": false, "standby": false }],
+            "limits": {
+                "max-header-bytes": 16384, "max-body-bytes": 262144,
+                "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
+            },
+        });
+        self.store.put("keyed.op", "config", config.to_string().as_bytes());
+    }
+
+    /// Waits until a condition holds.
+    pub async fn until(&mut self, what: &str, holds: impl AsyncFn(&mut Self) -> bool) {
+        let wait = async {
+            while !holds(self).await {
+                sleep(LOOK_EVERY).await;
+            }
+        };
+        assert!(timeout(LONGEST, wait).await.is_ok(), "{what}");
+    }
+
+    /// Sends a request and returns status and body, or nothing without an answer.
+    async fn call(&self, vm: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let work = async {
+            let mut stream = TcpStream::connect(self.vms[vm].callers).await.ok()?;
+            let request = format!(
+                "{method} {path} HTTP/1.1\r\nhost: vans.example\r\nconnection: close\r\n\
+                 content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            stream.write_all(request.as_bytes()).await.ok()?;
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.ok()?;
+            let status = answer.split(' ').nth(1)?.parse().ok()?;
+            let body = answer.split_once("\r\n\r\n").map(|(_, body)| body.to_owned());
+            Some((status, body.unwrap_or_default()))
+        };
+        timeout(Duration::from_secs(5), work).await.ok().flatten()
+    }
+
+    pub async fn post(&self, vm: usize, job: &str, body: &str) -> Option<u16> {
+        let answer = self.call(vm, "POST", &format!("/plans/{job}"), body).await;
+        answer.map(|(status, _)| status)
+    }
+
+    pub async fn state(&self, vm: usize, job: &str) -> Option<String> {
+        let (status, body) = self.call(vm, "GET", &format!("/plans/{job}"), "").await?;
+        let body: serde_json::Value = serde_json::from_str(&body).ok()?;
+        (status == 200).then(|| body["state"].as_str().unwrap_or_default().to_owned())
+    }
+
+    pub async fn pending(&self, vm: usize, prefix: &str) -> Option<u16> {
+        self.call(vm, "GET", prefix, "").await.map(|(status, _)| status)
+    }
+
+    fn body(number: u64) -> String {
+        let gang = number.is_multiple_of(3);
+        json!({
+            "task-spec": "plan",
+            "steps": [
+                { "count": 2, "cpu": 500, "mem-mb": 64, "est-runtime-ms": RUN_MS, "gang": gang },
+                { "count": 1, "cpu": 1000, "mem-mb": 64, "est-runtime-ms": RUN_MS, "depends-on": [0] },
+            ],
+        })
+        .to_string()
+    }
+
+    fn job_name(&mut self) -> (String, u64) {
+        self.next += 1;
+        (format!("{:016x}", self.next), self.next)
+    }
+
+    /// Submits jobs at all VMs in turn, each until it is accepted.
+    pub async fn submit(&mut self, count: usize) -> Vec<String> {
+        let mut jobs = Vec::new();
+        for number in 0..count {
+            let vm = number % self.vms.len();
+            jobs.extend(self.submit_at(vm, 1).await);
+        }
+        jobs
+    }
+
+    /// Submits jobs, each until it is accepted, at one VM first and then at the others.
+    pub async fn submit_at(&mut self, vm: usize, count: usize) -> Vec<String> {
+        let mut jobs = Vec::new();
+        for _ in 0..count {
+            let (job, number) = self.job_name();
+            let body = Self::body(number);
+            let mut at = vm;
+            while self.post(at, &job, &body).await != Some(200) {
+                at = (at + 1) % self.vms.len();
+                sleep(LOOK_EVERY).await;
+            }
+            jobs.push(job);
+        }
+        jobs
+    }
+
+    /// Submits jobs of which each is refused as not run.
+    pub async fn refused(&mut self, count: usize) -> Vec<String> {
+        let mut jobs = Vec::new();
+        for number in 0..count {
+            let (job, id) = self.job_name();
+            if self.post(number % self.vms.len(), &job, &Self::body(id)).await == Some(503) {
+                jobs.push(job);
+            }
+        }
+        assert!(!jobs.is_empty(), "a store that is down refuses something");
+        jobs
+    }
+
+    /// Waits until every job is shown as completed.
+    pub async fn completed(&mut self, jobs: &[String]) {
+        for job in jobs {
+            self.until(&format!("job {job} is completed"), async |cluster| {
+                for vm in 0..cluster.vms.len() {
+                    if cluster.state(vm, job).await.as_deref() == Some("completed") {
+                        return true;
+                    }
+                }
+                false
+            })
+            .await;
+        }
+    }
+
+    /// Returns the VM that took the lead last.
+    pub async fn leader(&mut self) -> usize {
+        let mut found = None;
+        self.until("a VM leads", async |_| true).await;
+        for _ in 0..200 {
+            let taken = |vm: &Vm| {
+                let log = fs::read_to_string(&vm.log).unwrap_or_default();
+                let line =
+                    log.lines().rev().find(|line| line.contains("event=leadership_taken"))?;
+                let epoch = line.split("epoch=").nth(1)?.split(' ').next()?;
+                epoch.parse::<u64>().ok()
+            };
+            let last = self.vms.iter().enumerate().filter_map(|(n, vm)| Some((taken(vm)?, n)));
+            found = last.max().map(|(_, n)| n);
+            if found.is_some() {
+                break;
+            }
+            sleep(LOOK_EVERY).await;
+        }
+        found.expect("a VM leads")
+    }
+
+    pub async fn kill_leader(&mut self) {
+        let leader = self.leader().await;
+        self.signal(leader, Signal::SIGKILL);
+    }
+
+    pub fn signal(&mut self, vm: usize, signal: Signal) {
+        if let Some(child) = &self.vms[vm].child {
+            kill(Pid::from_raw(child.id() as i32), signal).unwrap();
+        }
+    }
+
+    pub fn signal_all(&mut self, signal: Signal) {
+        for vm in 0..self.vms.len() {
+            self.signal(vm, signal);
+        }
+        if signal == Signal::SIGKILL {
+            for vm in &mut self.vms {
+                if let Some(child) = &mut vm.child {
+                    let _status = child.wait();
+                }
+            }
+        }
+    }
+
+    /// Waits for a process to end, and tells whether it did so without an error.
+    pub async fn ended_well(&mut self, vm: usize) -> bool {
+        for _ in 0..200 {
+            if let Some(child) = &mut self.vms[vm].child
+                && let Some(status) = child.try_wait().unwrap()
+            {
+                return status.success();
+            }
+            sleep(LOOK_EVERY).await;
+        }
+        false
+    }
+
+    fn runs(&self) -> HashMap<String, Vec<Noted>> {
+        let mut runs: HashMap<String, Vec<Noted>> = HashMap::new();
+        for run in self.workers.iter().flat_map(Worker::noted) {
+            runs.entry(run.task.clone()).or_default().push(run);
+        }
+        runs
+    }
+
+    /// Checks that no task ran twice at a time, or again after it was done.
+    pub fn audit(&self) {
+        for (task, mut runs) in self.runs() {
+            runs.sort_by_key(|run| run.began);
+            for pair in runs.windows(2) {
+                let ended = pair[0].ended;
+                assert!(
+                    ended.is_some_and(|ended| ended <= pair[1].began),
+                    "{task} ran twice at a time: {pair:?}"
+                );
+                assert_ne!(pair[0].cause, "done", "{task} ran again after it was done: {pair:?}");
+                assert!(pair[0].attempt < pair[1].attempt, "attempts rise: {pair:?}");
+            }
+        }
+    }
+
+    /// Checks that no task of the jobs ever started.
+    pub fn never_ran(&self, jobs: &[String]) {
+        for task in self.runs().keys() {
+            assert!(!jobs.iter().any(|job| task.starts_with(job)), "{task} was refused and ran");
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -0,0 +1,146 @@
+//! Entry VMs on the platform as processes, against stand-ins of its store, workers and advice.
+//!
+//! Faults come from outside: signals to the processes, and stand-ins that refuse, stay silent or answer late. What callers
+//! and workers saw is checked at the end: every accepted job is completed, and no task ran twice.
+
+mod cluster;
+
+use std::time::Duration;
+
+use {
+    coriandertack_standins::platform::{store, worker},
+    nix::sys::signal::Signal,
+    tokio::time::sleep,
+};
+
+use self::cluster::Cluster;
+
+/// Guards against a path that is broken anywhere between a caller and a worker.
+#[tokio::test]
+async fn jobs_are_accepted_run_and_shown_at_every_vm() {
+    let mut cluster = Cluster::start(3, 4).await;
+    let jobs = cluster.submit(12).await;
+    cluster.completed(&jobs).await;
+    for job in &jobs {
+        for vm in 0..3 {
+            assert_eq!(cluster.state(vm, job).await.as_deref(), Some("completed"), "at VM {vm}");
+        }
+    }
+    cluster.audit();
+}
+
+/// Guards against work that is lost or runs twice when the leader is killed.
+#[tokio::test]
+async fn the_death_of_the_leader_loses_nothing() {
+    let mut cluster = Cluster::start(3, 4).await;
+    let mut jobs = cluster.submit(10).await;
+    cluster.kill_leader().await;
+    jobs.extend(cluster.submit(10).await);
+    cluster.completed(&jobs).await;
+    cluster.audit();
+}
+
+/// Guards against work that is lost or runs twice when all processes are killed at once.
+#[tokio::test]
+async fn the_death_of_all_loses_nothing() {
+    let mut cluster = Cluster::start(3, 4).await;
+    let jobs = cluster.submit(10).await;
+    cluster.signal_all(Signal::SIGKILL);
+    cluster.restart_all().await;
+    cluster.completed(&jobs).await;
+    cluster.audit();
+}
+
+/// Guards against a leader that wakes from a pause and sends orders although another one leads.
+#[tokio::test]
+async fn a_leader_that_was_paused_does_no_harm() {
+    let mut cluster = Cluster::start(3, 4).await;
+    let jobs = cluster.submit(8).await;
+    let leader = cluster.leader().await;
+    cluster.signal(leader, Signal::SIGSTOP);
+    sleep(Duration::from_millis(2_500)).await;
+    let more = cluster.submit_at((leader + 1) % 3, 8).await;
+    cluster.signal(leader, Signal::SIGCONT);
+    cluster.completed(&jobs).await;
+    cluster.completed(&more).await;
+    cluster.audit();
+}
+
+/// Guards against refusals that are untrue, and against jobs that are lost while the store is down.
+#[tokio::test]
+async fn an_outage_of_the_store_is_survived() {
+    let mut cluster = Cluster::start(3, 4).await;
+    let jobs = cluster.submit(8).await;
+    cluster.store.fail(store::Faults { down: true, ..Default::default() });
+    sleep(Duration::from_millis(1_500)).await;
+    let refused = cluster.refused(4).await;
+    cluster.store.fail(store::Faults::default());
+    cluster.completed(&jobs).await;
+    cluster.audit();
+    cluster.never_ran(&refused);
+}
+
+/// Guards against two leaders and double records when answers of the store are lost.
+#[tokio::test]
+async fn lost_answers_of_the_store_change_nothing() {
+    let mut cluster = Cluster::start(3, 4).await;
+    cluster.store.fail(store::Faults { lost_every: 4, ..Default::default() });
+    let jobs = cluster.submit(8).await;
+    cluster.store.fail(store::Faults::default());
+    cluster.store.forget_history();
+    cluster.completed(&jobs).await;
+    cluster.audit();
+}
+
+/// Guards against a second run of a task whose start was carried out late.
+#[tokio::test]
+async fn a_late_start_is_barred() {
+    let mut cluster = Cluster::start(3, 4).await;
+    cluster.workers[0].fail(worker::Faults { late_ms: 1_500, ..Default::default() });
+    let jobs = cluster.submit(12).await;
+    sleep(Duration::from_millis(1_000)).await;
+    cluster.workers[0].fail(worker::Faults::default());
+    cluster.completed(&jobs).await;
+    cluster.audit();
+}
+
+/// Guards against a planned stop that loses answers, or that leaves the others without a leader.
+#[tokio::test]
+async fn a_planned_stop_hands_over() {
+    let mut cluster = Cluster::start(3, 4).await;
+    let leader = cluster.leader().await;
+    cluster.signal(leader, Signal::SIGTERM);
+    let jobs = cluster.submit_at((leader + 1) % 3, 10).await;
+    cluster.completed(&jobs).await;
+    assert!(cluster.ended_well(leader).await, "the process ends by itself");
+    cluster.audit();
+}
+
+/// Guards against a configuration that reverts, and a route that is not served after it was added.
+#[tokio::test]
+async fn a_configuration_is_in_force_and_stays() {
+    let mut cluster = Cluster::start(3, 2).await;
+    cluster.configure(5, true);
+    cluster
+        .until("the new route is served", async |cluster| {
+            cluster.pending(0, "/extra/").await == Some(200)
+        })
+        .await;
+    cluster.configure(4, false);
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(cluster.pending(0, "/extra/").await, Some(200));
+}
+
+/// Guards against an unreadable entry that keeps others from use, and malformed jobs that do harm.
+#[tokio::test]
+async fn bad_input_harms_nothing_else() {
+    let mut cluster = Cluster::start(3, 2).await;
+    cluster.store.put("keyed.servers", "i-bad", b"\xff\x00 no entry");
+    cluster.store.put("keyed.servers", "i-odd", br#"{"backend":7,"state":"asleep"}"#);
+    assert_eq!(cluster.post(0, "zzzz", "{}").await, Some(400));
+    assert_eq!(cluster.post(0, "00000000000000aa", "no JSON").await, Some(400));
+    assert_eq!(cluster.post(0, "00000000000000ab", r#"{"steps":[]}"#).await, Some(400));
+    let jobs = cluster.submit(6).await;
+    cluster.completed(&jobs).await;
+    cluster.audit();
+}
