Take the time of a suspension off the permission to act

Cause: the steady clock stands still while a VM is suspended, so a woken VM believed for up to 3 s that it may act on a state that others had taken over.

Change: the deadline keeps how long the VM had been suspended when its read began, and what was slept since is taken off.

--- a/crates/coriandertack-core/src/node.rs
+++ b/crates/coriandertack-core/src/node.rs
@@ -31,7 +31,7 @@
     route::lanes::LEAST_KEPT_PERCENT,
     state::{State, Verdict},
     stats::Stats,
-    validity::Validity,
+    validity::{Began, Validity},
 };
 
 /// Records waiting for the log task.
@@ -270,7 +270,7 @@
     }
 
     /// Extends the permission to act after a read of the tail that began at `began`.
-    pub fn extend(&self, began: Instant) {
+    pub fn extend(&self, began: impl Into<Began>) {
         let until = self.with(|inner| {
             if !inner.state.has_ended(self.author) {
                 inner.validity.extend(began);
--- a/crates/coriandertack-core/src/validity.rs
+++ b/crates/coriandertack-core/src/validity.rs
@@ -17,7 +17,10 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
+use {
+    nix::time::{ClockId, clock_gettime},
+    tokio::time::Instant,
+};
 
 /// How long a successful read of the tail allows a VM to act.
 pub const VALIDITY: Duration = Duration::from_millis(3_000);
@@ -30,23 +33,69 @@
 /// Term of a lease after a renewal. A task whose owner is gone ends by itself after at most this time.
 pub const LEASE_TERM: Duration = Duration::from_secs(30);
 
+/// When a read of the tail began, on a clock that stands still while the VM is suspended, and how long the VM had been
+/// suspended by then.
+#[derive(Clone, Copy, Debug)]
+pub struct Began {
+    /// The steady clock.
+    pub at: Instant,
+    /// Time since the boot for which the VM was suspended.
+    pub asleep: Duration,
+}
+
+impl Began {
+    /// Returns the present moment.
+    #[must_use]
+    pub fn now() -> Self {
+        Self { at: Instant::now(), asleep: asleep() }
+    }
+}
+
+impl From<Instant> for Began {
+    fn from(at: Instant) -> Self {
+        Self { at, asleep: asleep() }
+    }
+}
+
+/// Returns for how long the VM was suspended since its boot, in whole milliseconds. A system without both clocks counts
+/// as never suspended.
+fn asleep() -> Duration {
+    let read = |clock| clock_gettime(clock).map(Duration::from);
+    match (read(ClockId::CLOCK_BOOTTIME), read(ClockId::CLOCK_MONOTONIC)) {
+        (Ok(boot), Ok(steady)) => {
+            // The clocks are read one after the other, so that they differ by some microseconds.
+            let asleep = boot.saturating_sub(steady);
+            Duration::from_millis(asleep.as_millis() as u64)
+        }
+        (Err(_), _) | (_, Err(_)) => Duration::ZERO,
+    }
+}
+
 /// Permission to act on the replicated state, as a stored deadline.
+///
+/// The steady clock stands still while the VM is suspended. A VM that wakes up would believe that its permission
+/// still holds, so the time for which it was suspended is taken off the deadline.
 #[derive(Clone, Copy, Debug)]
 pub struct Validity {
     until: Instant,
+    asleep: Duration,
 }
 
 impl Validity {
     /// Returns a permission that has already ended.
     #[must_use]
     pub fn lapsed(now: Instant) -> Self {
-        Self { until: now }
+        Self { until: now, asleep: asleep() }
     }
 
     /// Extends the permission after a read of the tail that began at `began` and whose records are
     /// all applied.
-    pub fn extend(&mut self, began: Instant) {
-        self.until = self.until.max(began + VALIDITY);
+    pub fn extend(&mut self, began: impl Into<Began>) {
+        let began = began.into();
+        let until = began.at + VALIDITY;
+        if until > self.until_after(began.asleep) {
+            (self.until, self.asleep) = (until, began.asleep);
+        }
     }
 
     /// Ends the permission, as after reading one's own fence.
@@ -57,12 +106,19 @@
     /// Tells whether the VM may act at `now`.
     #[must_use]
     pub fn holds(self, now: Instant) -> bool {
-        now < self.until
+        now < self.until()
     }
 
     /// Returns the deadline.
     #[must_use]
     pub fn until(self) -> Instant {
-        self.until
+        self.until_after(asleep())
+    }
+
+    /// Returns the deadline for a VM that was suspended for `asleep` since its boot.
+    #[must_use]
+    pub fn until_after(self, asleep: Duration) -> Instant {
+        let slept = asleep.saturating_sub(self.asleep);
+        self.until.checked_sub(slept).unwrap_or(self.until)
     }
 }
--- a/crates/coriandertack-log/src/tail.rs
+++ b/crates/coriandertack-log/src/tail.rs
@@ -11,6 +11,7 @@
         keys::Offset,
         node::{Node, now_ms},
         record::{Batch, Entry, Record},
+        validity::Began,
     },
     derive_more::Display,
     tokio::time::{Instant, sleep, sleep_until},
@@ -113,7 +114,8 @@
     let mut backoff = Backoff::default();
     let mut current = false;
     loop {
-        let began = Instant::now();
+        let reading = Began::now();
+        let began = reading.at;
         let wait = poll_wait(began, node.valid_until());
         let page = match client.read(from, wait).await {
             Ok(Read::Page(page)) => page,
@@ -135,7 +137,7 @@
             return Ok(Ended::Session);
         }
         if from == page.tail {
-            node.extend(began);
+            node.extend(reading);
             current = true;
             if !page.records.is_empty() {
                 sleep_until(began + READ_SPACING).await;
