Prefer large VMs for the lead, and trace a job through the logs

Cause: on the grown sites VMs of 0.12 cores took the lead by name; leading needs some 0.14 cores there.

Change: a VM announces its share of processors, and the order in which VMs try to lead follows it. coriandertack trace ID FILE... puts the lines of a job in order and names the cause of its end.

--- a/crates/coriandertack-jobs/src/board.rs
+++ b/crates/coriandertack-jobs/src/board.rs
@@ -12,6 +12,15 @@
     spec::JobSpec,
 };
 
+/// Where an entry VM can be reached by others, and what it has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Link {
+    /// Address.
+    pub address: SocketAddr,
+    /// Its share of processors, in thousandths of a core; 0 if unknown.
+    pub millicores: u32,
+}
+
 /// Who leads, from the newest record of a leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Leader {
@@ -59,7 +68,7 @@
     /// A leader took over or renewed its record.
     Led(Leader),
     /// An entry VM announced the address of its link.
-    Announced(Arc<str>, SocketAddr),
+    Announced(Arc<str>, Link),
     /// The records of a job were dropped.
     Dropped(JobId),
     /// The record could not be read. It names nothing to act on.
@@ -74,7 +83,7 @@
     /// Newest leader.
     pub leader: Option<Leader>,
     /// Links of the entry VMs.
-    pub links: HashMap<Arc<str>, SocketAddr>,
+    pub links: HashMap<Arc<str>, Link>,
 }
 
 impl Board {
@@ -100,8 +109,8 @@
                 }
                 return;
             }
-            Note::Announced(vm, address) => {
-                self.links.insert(vm, address);
+            Note::Announced(vm, link) => {
+                self.links.insert(vm, link);
                 return;
             }
             Note::Dropped(id) => {
@@ -126,6 +135,17 @@
         Some(posting.phase())
     }
 
+    /// Returns how many VMs should lead rather than this one: those with more processors, and then by name. Leading
+    /// takes several times the processor time of anything else that a VM does.
+    #[must_use]
+    pub fn rank(&self, vm: &str) -> usize {
+        let own = self.links.get(vm).map_or(0, |link| link.millicores);
+        let before = |name: &str, link: &Link| {
+            link.millicores > own || (link.millicores == own && name < vm)
+        };
+        self.links.iter().filter(|(name, link)| before(name, link)).count()
+    }
+
     /// Counts the jobs of a route that have no started task and no times of their own.
     #[must_use]
     pub fn pending(&self, route: &str) -> usize {
--- a/crates/coriandertack-log/src/jobs.rs
+++ b/crates/coriandertack-log/src/jobs.rs
@@ -18,7 +18,7 @@
     bytes::Bytes,
     coriandertack_core::resources::Resources,
     coriandertack_jobs::{
-        board::{Leader, Note},
+        board::{Leader, Link, Note},
         config::{Advice, Route},
         ids::JobId,
         moment::WallTime,
@@ -66,8 +66,8 @@
 
 /// Returns key and value of the address of a VM's link.
 #[must_use]
-pub fn announced(vm: &str, address: std::net::SocketAddr) -> (String, Bytes) {
-    let wire = proto::Link { address: address.to_string() };
+pub fn announced(vm: &str, link: Link) -> (String, Bytes) {
+    let wire = proto::Link { address: link.address.to_string(), millicores: link.millicores };
     (format!("{LINK}{vm}"), wire.encode_to_vec().into())
 }
 
@@ -107,7 +107,8 @@
     match kind {
         LINK => {
             let wire = proto::Link::decode(value)?;
-            Ok(Note::Announced(name.into(), wire.address.parse()?))
+            let link = Link { address: wire.address.parse()?, millicores: wire.millicores };
+            Ok(Note::Announced(name.into(), link))
         }
         SUBMITTED | PROGRESSED if value.is_empty() => Ok(Note::Dropped(name.parse()?)),
         CANCELLED if value.is_empty() => Ok(Note::Dropped(name.parse()?)),
--- a/crates/coriandertack/src/cli/args.rs
+++ b/crates/coriandertack/src/cli/args.rs
@@ -109,7 +109,7 @@
     ]
 }
 
-fn local() -> [Command; 5] {
+fn local() -> [Command; 6] {
     [
         Command::new("check").about("Checks a settings file").arg(
             Arg::new("file")
@@ -117,6 +117,17 @@
                 .required(true)
                 .help("Settings file of a deployment"),
         ),
+        Command::new("trace")
+            .about("Puts the log lines of one job from several VMs in order, and names the cause of its end")
+            .arg(Arg::new("id").value_name("ID").required(true).help("Name of the job"))
+            .arg(
+                Arg::new("files")
+                    .value_name("FILE")
+                    .required(true)
+                    .num_args(1..)
+                    .value_parser(value_parser!(std::path::PathBuf))
+                    .help("Log files"),
+            ),
         Command::new("completion").about("Prints the completion script of a shell").arg(
             Arg::new("shell")
                 .value_name("SHELL")
--- a/crates/coriandertack/src/cli/mod.rs
+++ b/crates/coriandertack/src/cli/mod.rs
@@ -11,6 +11,7 @@
 mod output;
 mod read;
 mod records;
+mod trace;
 
 use clap::ArgMatches;
 
@@ -33,6 +34,7 @@
 pub fn run(name: &str, matches: &ArgMatches) -> Result<(), Failure> {
     match name {
         "check" => check::check(matches),
+        "trace" => trace::trace(matches),
         "completion" => args::completion(matches),
         _ => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- a/crates/coriandertackd/src/fleet/advice.rs
+++ b/crates/coriandertackd/src/fleet/advice.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use {
-    coriandertack_jobs::sched::AdviceCall,
+    coriandertack_jobs::{board::Link, sched::AdviceCall},
     coriandertack_peers::errands::{self, Advice, Question},
     coriandertack_platform::advice::Adviser,
     tokio::{
@@ -69,7 +69,7 @@
     let mut links = JoinSet::new();
     loop {
         let known = leading.shared.board().links.clone();
-        for (vm, address) in known {
+        for (vm, Link { address, .. }) in known {
             if tasks.get(&vm) != Some(&address) {
                 tasks.insert(vm.clone(), address);
                 links.spawn(dial(leading.clone(), vm, address));
@@ -82,11 +82,15 @@
     }
 }
 
+fn is_at(leading: &Leading, vm: &str, address: SocketAddr) -> bool {
+    leading.shared.board().links.get(vm).is_some_and(|link| link.address == address)
+}
+
 /// Keeps the link to one VM, for as long as the VM is announced at this address.
 async fn dial(leading: Arc<Leading>, vm: Arc<str>, address: SocketAddr) {
     let mut up = false;
     let mut unlinked = leading.unlinked.subscribe();
-    while leading.shared.board().links.get(&vm) == Some(&address) {
+    while is_at(&leading, &vm, address) {
         if unlinked.wait_for(|unlinked| !unlinked).await.is_err() {
             return;
         }
--- a/crates/coriandertackd/src/fleet/intake.rs
+++ b/crates/coriandertackd/src/fleet/intake.rs
@@ -8,7 +8,7 @@
 
 use {
     bytes::Bytes,
-    coriandertack_jobs::moment::Moment,
+    coriandertack_jobs::{board::Link, moment::Moment},
     coriandertack_log::jobs,
     coriandertack_peers::errands::{Handed, Taken},
     coriandertack_platform::store::{AppendError, Record, Store, Topic},
@@ -104,7 +104,8 @@
 pub async fn run(shared: Arc<Shared>, mut queue: mpsc::UnboundedReceiver<Submission>) {
     let mut store = Store::new(shared.settings.platform.store);
     let vm = &shared.settings.vm;
-    let (key, value) = jobs::announced(&vm.name, vm.link);
+    let link = Link { address: vm.link, millicores: (vm.cores * 1_000.0) as u32 };
+    let (key, value) = jobs::announced(&vm.name, link);
     let mut batch = Batch::new(Vec::new());
     batch.records.push(Record { key, value });
     batch.lasting = true;
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -266,7 +266,7 @@
             let (leader, rank) = {
                 let board = shared.board();
                 let own = &*shared.settings.vm.name;
-                (board.leader.clone(), board.links.keys().filter(|vm| &***vm < own).count())
+                (board.leader.clone(), board.rank(own))
             };
             let released = leader.as_ref().is_none_or(|leader| leader.vm.is_empty());
             let own = leader.as_ref().is_some_and(|l| *l.vm == *shared.settings.vm.name);
--- a/crates/coriandertackd/src/fleet/settings.rs
+++ b/crates/coriandertackd/src/fleet/settings.rs
@@ -60,6 +60,9 @@
     pub ready: SocketAddr,
     /// Address for other entry VMs.
     pub link: SocketAddr,
+    /// Share of a core that the VM has; 0 if unknown.
+    #[serde(default)]
+    pub cores: f64,
     /// Address of the metrics, if they are served.
     #[serde(default, deserialize_with = "optional")]
     pub metrics: Option<SocketAddr>,
