Put late steps last, keep reservations of gangs, and explore by capacity

Cause: on the grown sites gangs waited 20 s. A reservation was chosen anew in each pass, so that no worker became empty; other work was sent to just the workers that emptied; late work of one kind delayed work that was still in time.

Change: a gang keeps its reserved workers, chosen by the room predicted 1.5 s ahead; other work avoids them; steps that cannot be in time come after all others; one call names enough workers by capacity.

--- a/crates/coriandertack-jobs/src/sched/advise.rs
+++ b/crates/coriandertack-jobs/src/sched/advise.rs
@@ -148,6 +148,21 @@
     pub heavy: bool,
 }
 
+/// Takes candidates until the room that they should bring is enough.
+fn name_until(candidates: Vec<Named>, wanted: f64, share: f64) -> Vec<Named> {
+    let mut expected = 0.0;
+    let mut named = Vec::new();
+    for candidate in candidates {
+        if expected >= wanted || named.len() >= MAX_NAMED {
+            break;
+        }
+        let weight = if candidate.allowed { 1.0 } else { share };
+        expected += f64::from(candidate.room) * weight;
+        named.push(candidate);
+    }
+    named
+}
+
 impl Scheduler {
     /// Replaces the VMs that can make calls for advice. Those that stay keep their load.
     pub fn set_lanes(&mut self, names: &[Arc<str>]) {
@@ -260,29 +275,47 @@
         let (known, unknown) = (sum(true) + valid, f64::from(sum(false)) * share);
         if spec.gang && known < step.waiting {
             let whole = self.allowed_capacity(spec, step, now);
-            let hopeful = f64::from(known) + unknown >= f64::from(step.waiting);
-            // More workers are worth a call if it can suffice. If it cannot, they are only worth one while few are
-            // known to be allowed; the gang waits for those to have room.
+            let hopeful = f64::from(known) + unknown >= f64::from(step.waiting) * SPARE_KNOWN;
+            // Calls for gangs are the longest. More workers are worth one if it can suffice at once, or while those known
+            // to be allowed could not hold the gang a few times over; otherwise the gang waits for them.
             let few = whole < step.waiting * ENOUGH_KNOWN;
-            if !step.advice.explores(now) || (!hopeful && !few) {
+            if !step.advice.explores(now) || (!few && !hopeful) {
                 return Vec::new();
             }
+            if !hopeful {
+                return self.name_by_capacity(spec, step, service, share, now);
+            }
         }
         let wanted = match spec.gang && known >= step.waiting {
             true => f64::from(step.waiting.saturating_sub(valid)) * SPARE_KNOWN,
             false => f64::from(step.waiting) * SPARE - f64::from(valid),
         };
-        let mut expected = 0.0;
-        let mut named = Vec::new();
-        for candidate in candidates {
-            if expected >= wanted || named.len() >= MAX_NAMED {
-                break;
+        name_until(candidates, wanted, share)
+    }
+
+    /// Chooses unknown workers so that those allowed among them could hold a gang a few times over when empty.
+    fn name_by_capacity(
+        &self,
+        spec: &StepSpec,
+        step: &Step,
+        service: &str,
+        share: f64,
+        now: Moment,
+    ) -> Vec<Named> {
+        let charge = spec.charge();
+        let unknown = |(key, worker): (WorkerKey, &super::Worker)| {
+            let known = step.advice.allows(key) || step.advice.barred.contains(&key);
+            if known || !worker.is_open(now) || !self.suits(worker, spec, service) {
+                return None;
             }
-            let weight = if candidate.allowed { 1.0 } else { share };
-            expected += f64::from(candidate.room) * weight;
-            named.push(candidate);
-        }
-        named
+            let capacity = worker.entry.as_ref()?.capacity;
+            let room = charge.count_in(capacity).min(step.waiting);
+            (room > 0).then_some(Named { key, allowed: false, room })
+        };
+        let candidates: Vec<Named> = self.workers.iter().filter_map(unknown).collect();
+        let known = self.allowed_capacity(spec, step, now);
+        let wanted = (step.waiting * ENOUGH_KNOWN).saturating_sub(known);
+        name_until(candidates, f64::from(wanted), share)
     }
 
     /// Returns the workers that a call could name, the best first.
@@ -311,7 +344,10 @@
             let allowed = step.advice.allows(key);
             candidates.push(Named { key, allowed, room: room.min(step.waiting) });
         }
-        candidates.sort_by_key(|named| (!named.allowed, std::cmp::Reverse(named.room)));
+        candidates.sort_by_key(|named| {
+            let kept = !spec.gang && self.reserved.contains(&named.key);
+            (!named.allowed, kept, std::cmp::Reverse(named.room))
+        });
         candidates
     }
 
--- a/crates/coriandertack-jobs/src/sched/lists.rs
+++ b/crates/coriandertack-jobs/src/sched/lists.rs
@@ -54,13 +54,13 @@
         let wanted = self
             .task(task)
             .is_some_and(|known| known.place == Place::Bound(key) && known.attempt == attempt);
-        let (charge, urgent) = (self.charge(task), self.urgency(task));
+        let (charge, pace) = (self.charge(task), self.pace(task));
         let Some(worker) = self.workers.get_mut(key) else { return };
         if !worker.runs.contains_key(&(task, attempt)) {
             // A run of a job that nobody knows takes the whole worker until it is gone.
             let charge = charge.unwrap_or_else(|| worker.free());
             worker.used += charge;
-            let mut run = Run::new(charge, urgent, now);
+            let mut run = Run::new(charge, pace, now);
             run.confirmed = Some(now);
             worker.runs.insert((task, attempt), run);
         }
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -43,7 +43,7 @@
     worker::{Worker, WorkerKey},
 };
 
-use self::advise::AdviceState;
+use self::{advise::AdviceState, worker::Pace};
 
 new_key_type! {
     /// Key of a job in the scheduler's arena.
@@ -99,6 +99,8 @@
     /// Rank in the queue, while the step is in it.
     queued: Option<Rank>,
     advice: AdviceState,
+    /// Workers that a waiting gang keeps reserved.
+    reserved: Vec<WorkerKey>,
     /// When the step became ready.
     ready: Moment,
     /// When it was last logged why the step waits.
@@ -190,6 +192,8 @@
     lanes: Vec<Lane>,
     /// Jobs that ended, whose runs may not be gone yet.
     ended: HashMap<JobId, Arc<JobSpec>>,
+    /// Workers that gangs had reserved after the last pass.
+    reserved: HashSet<WorkerKey>,
     /// Share of named workers that the policy allows, by route.
     allowed: HashMap<Arc<str>, f64>,
     /// What the scheduler did.
@@ -400,11 +404,11 @@
         self.config.named(&job.spec.route.name).unwrap_or(&job.spec.route).clone()
     }
 
-    /// Returns the estimated run time of a task whose end should be noticed at once, in milliseconds.
-    fn urgency(&self, task: TaskId) -> Option<u64> {
-        let (job, spec, _) = self.step(task.step_id())?;
+    /// Returns how long a task should run, and whether its end should be noticed at once.
+    fn pace(&self, task: TaskId) -> Pace {
+        let Some((job, spec, _)) = self.step(task.step_id()) else { return Pace::default() };
         let urgent = self.route_of(job).priority == URGENT_PRIORITY && !spec.lasting;
-        urgent.then_some(spec.estimate_ms)
+        Pace { estimate_ms: spec.estimate_ms, urgent }
     }
 
     /// Returns what a run takes of its worker, also after its job has ended.
@@ -460,6 +464,7 @@
             waiting: spec.count,
             queued: None,
             advice: AdviceState::default(),
+            reserved: Vec::new(),
             ready: now,
             explained: now,
         }
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -25,6 +25,9 @@
 /// Time after which a gang that finds no room reserves workers, in milliseconds.
 const RESERVE_AFTER_MS: u64 = 300;
 
+/// How far ahead the room of a worker is predicted for a reservation, in milliseconds.
+const SOON_MS: u64 = 1_500;
+
 /// Share of a service's workers that gangs may reserve together, as a divisor.
 const RESERVE_DIVISOR: usize = 2;
 
@@ -71,10 +74,10 @@
 impl Scheduler {
     /// Binds what waits and asks for the advice that is missing.
     pub fn place(&mut self, now: Moment) -> Pass {
-        let queued: Vec<(Rank, StepId)> = self.queue.iter().copied().collect();
+        let queued = self.ranked(now);
         let mut pass = Pass::default();
         let mut floor = self.floor(now);
-        for (_, id) in queued {
+        for id in queued {
             pass.bound += self.place_step(id, &mut floor, now);
             let again = self.ask_for_step(id, &mut floor, now);
             pass.again = match (pass.again, again) {
@@ -82,9 +85,25 @@
                 (a, b) => a.or(b),
             };
         }
+        self.reserved = floor.reserved;
         pass
     }
 
+    /// Returns the queue in the order of this moment: steps that can no longer be done in time come after all others,
+    /// since what is left of their worth is small.
+    fn ranked(&self, now: Moment) -> Vec<StepId> {
+        let mut queued: Vec<(bool, Rank, StepId)> = self
+            .queue
+            .iter()
+            .map(|&(rank, id)| {
+                let left = self.step(id).map_or(0, |(_, spec, _)| spec.estimate_ms);
+                (now.after(left) > rank.due, rank, id)
+            })
+            .collect();
+        queued.sort_unstable();
+        queued.into_iter().map(|(_, _, id)| id).collect()
+    }
+
     /// Returns the room of the open workers.
     fn floor(&self, now: Moment) -> Floor {
         let open = self.workers.iter().filter(|(_, worker)| worker.is_open(now));
@@ -222,14 +241,16 @@
         chosen
     }
 
-    /// Orders workers for one task by what it would leave: data on the rack first, then the least room, or the most
-    /// for tasks that last.
-    fn preference(&self, key: WorkerKey, spec: &StepSpec, left: Resources) -> (bool, u64) {
-        let Some(worker) = self.workers.get(key) else { return (true, u64::MAX) };
+    /// Orders workers for one task: data on the rack first, then those that no gang reserved, then by what the task would
+    /// leave: the least room, or the most for tasks that last.
+    fn preference(&self, key: WorkerKey, spec: &StepSpec, left: Resources) -> (bool, bool, u64) {
+        let Some(worker) = self.workers.get(key) else { return (true, true, u64::MAX) };
+        // A gang waits until a reserved worker is empty; other work goes elsewhere if it can.
+        let reserved = !spec.gang && self.reserved.contains(&key);
         let remote = spec.data_rack.as_ref().is_some_and(|rack| !worker.has_label(rack));
         let capacity = worker.entry.as_ref().map_or(Resources::ZERO, |entry| entry.capacity);
         let share = (left.dominant_share(capacity) * 1_000_000.0) as u64;
-        (remote, if spec.lasting { u64::MAX - share } else { share })
+        (remote, reserved, if spec.lasting { u64::MAX - share } else { share })
     }
 
     /// Chooses workers for all tasks of a gang, or none.
@@ -277,37 +298,59 @@
         fitting.min_by_key(|(name, room)| (*room, name.clone())).map(|(rack, _)| rack)
     }
 
-    /// Reserves the workers that need to become free for a waiting gang, those with the most room first.
-    fn reserve(&self, id: StepId, route: &Route, floor: &mut Floor, now: Moment) {
+    /// Reserves workers for a waiting gang. The choice is kept until the gang starts, so that they do become empty.
+    fn reserve(&mut self, id: StepId, route: &Route, floor: &mut Floor, now: Moment) {
         let Some((_, spec, step)) = self.step(id) else { return };
         let charge = spec.charge();
         let most = self.workers.len() / RESERVE_DIVISOR;
-        let mut possible: Vec<(Reverse<u32>, u32, WorkerKey)> = Vec::new();
-        for (key, worker) in &self.workers {
-            let allowed = route.advice.is_none() || step.advice.allows(key);
-            let usable = allowed && !floor.reserved.contains(&key) && worker.is_open(now);
-            if !usable || !self.suits(worker, spec, &route.service) {
-                continue;
-            }
+        let slots = |key: &WorkerKey| {
+            let worker = self.workers.get(*key)?;
+            let allowed = route.advice.is_none() || step.advice.allows(*key);
+            let usable = allowed && !floor.reserved.contains(key) && worker.is_open(now);
             let whole = worker.entry.as_ref().map_or(Resources::ZERO, |entry| entry.capacity);
-            let slots = charge.count_in(whole);
-            if slots > 0 {
-                possible.push((Reverse(charge.count_in(worker.free())), slots, key));
-            }
+            (usable && self.suits(worker, spec, &route.service)).then(|| charge.count_in(whole))
+        };
+        let kept: u32 = step.reserved.iter().filter_map(slots).sum();
+        let chosen = match kept >= step.waiting {
+            true => step.reserved.clone(),
+            false => self.choose_reserved(charge, step.waiting, slots, now),
+        };
+        if chosen.is_empty() || floor.reserved.len() + chosen.len() > most {
+            return;
+        }
+        chosen.iter().for_each(|key| floor.reserve(*key));
+        if let Some(step) = self.step_mut(id) {
+            step.reserved = chosen;
         }
+    }
+
+    /// Chooses the workers that should soon have the most room, enough to hold `count` tasks when they are empty.
+    fn choose_reserved(
+        &self,
+        charge: Resources,
+        count: u32,
+        slots: impl Fn(&WorkerKey) -> Option<u32>,
+        now: Moment,
+    ) -> Vec<WorkerKey> {
+        let mut possible: Vec<(Reverse<u32>, u32, WorkerKey)> = self
+            .workers
+            .iter()
+            .filter_map(|(key, worker)| {
+                let slots = slots(&key).filter(|slots| *slots > 0)?;
+                Some((Reverse(charge.count_in(worker.free_soon(SOON_MS, now))), slots, key))
+            })
+            .collect();
         possible.sort_unstable();
         let mut room = 0;
         let mut chosen = Vec::new();
         for (_, slots, key) in possible {
-            if room >= step.waiting {
+            if room >= count {
                 break;
             }
             room += slots;
             chosen.push(key);
         }
-        if room >= step.waiting && floor.reserved.len() + chosen.len() <= most {
-            chosen.into_iter().for_each(|key| floor.reserve(key));
-        }
+        if room >= count { chosen } else { Vec::new() }
     }
 
     /// Returns the next attempt of a gang, which is the same for all members.
@@ -328,7 +371,7 @@
         let Some((_, spec, step)) = self.step(task.step_id()) else { return };
         let (charge, ticket) = (spec.charge(), step.advice.ticket(worker, now).cloned());
         let waited = now.since(step.ready);
-        let urgent = self.urgency(task);
+        let pace = self.pace(task);
         let Some(&key) = self.names.get(&task.job) else { return };
         let Some(step) = self.step_mut(task.step_id()) else { return };
         step.waiting -= 1;
@@ -338,7 +381,7 @@
         let (attempt, checkpoint) = (state.attempt, state.checkpoint.clone());
         let Some(target) = self.workers.get_mut(worker) else { return };
         target.used += charge;
-        let run = Run::new(charge, urgent, now);
+        let run = Run::new(charge, pace, now);
         target.runs.insert((task, attempt), run);
         log::info!(
             "event=task_bound task={task} attempt={attempt} worker={} waited_ms={waited} free={}",
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -19,6 +19,13 @@
 /// Share of the predicted time until an urgent end that a list waits, in percent: predictions are off by a fifth.
 const URGENT_SHARE: u64 = 60;
 
+/// How long a task should run, and how closely it is watched.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Pace {
+    pub(super) estimate_ms: u64,
+    pub(super) urgent: bool,
+}
+
 /// A run that a worker may hold. Its capacity counts until the worker lists its end.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
@@ -35,21 +42,32 @@
     pub(super) moved: Moment,
     /// When the start was decided.
     pub(super) bound: Moment,
-    /// Estimated run time in milliseconds, if the end of the run should be noticed at once.
-    pub(super) urgent: Option<u64>,
+    /// Estimated run time, in milliseconds.
+    pub(super) estimate_ms: u64,
+    /// Whether the end of the run should be noticed at once.
+    pub(super) urgent: bool,
 }
 
 impl Run {
     /// Returns a run that was decided now.
-    pub(super) fn new(charge: Resources, urgent: Option<u64>, now: Moment) -> Self {
-        Self { charge, confirmed: None, stopped: None, percent: 0, moved: now, bound: now, urgent }
+    pub(super) fn new(charge: Resources, pace: Pace, now: Moment) -> Self {
+        Self {
+            charge,
+            confirmed: None,
+            stopped: None,
+            percent: 0,
+            moved: now,
+            bound: now,
+            estimate_ms: pace.estimate_ms,
+            urgent: pace.urgent,
+        }
     }
 
     /// Returns the milliseconds until the run should end, by its progress or its estimate.
-    fn left_ms(&self, estimate_ms: u64, now: Moment) -> u64 {
+    fn left_ms(&self, now: Moment) -> u64 {
         let elapsed = now.since(self.bound);
         match u64::from(self.percent) {
-            0 => estimate_ms.saturating_sub(elapsed),
+            0 => self.estimate_ms.saturating_sub(elapsed),
             percent => self.moved.since(self.bound) * (100 - percent.min(100)) / percent,
         }
     }
@@ -116,11 +134,17 @@
         whole.saturating_sub(self.used)
     }
 
+    /// Returns the capacity that should be free `ahead_ms` milliseconds from now, if nothing else starts.
+    pub(super) fn free_soon(&self, ahead_ms: u64, now: Moment) -> Resources {
+        let ending = self.runs.values().filter(|run| run.left_ms(now) <= ahead_ms);
+        ending.fold(self.free(), |free, run| free.saturating_add(run.charge))
+    }
+
     /// Returns for how long the next list can wait, in milliseconds: ends that come close together are in one list,
     /// but an urgent one is noticed at once.
     #[must_use]
     pub fn list_gap(&self, now: Moment) -> u64 {
-        let urgent = self.runs.values().filter_map(|run| Some(run.left_ms(run.urgent?, now)));
+        let urgent = self.runs.values().filter(|run| run.urgent).map(|run| run.left_ms(now));
         urgent.map(|left| left * URGENT_SHARE / 100).min().unwrap_or(GAP_MS).min(GAP_MS)
     }
 
