--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -28,6 +28,7 @@
 };
 
 use crate::{
+    board::Posting,
     config::{Config, Route},
     ids::{JobId, StepId, TaskId},
     moment::{Moment, WallTime},
@@ -278,6 +279,15 @@
         }
     }
 
+    /// Takes over a job from the board, with the progress that a former leader recorded. The submission can be read after
+    /// the progress; until then there is nothing to take over.
+    pub fn admit_posting(&mut self, id: JobId, posting: &Posting, now: Moment, wall: WallTime) {
+        if let Some(spec) = posting.spec.clone() {
+            let progress = posting.progress.as_deref();
+            self.admit(id, spec, progress, posting.cancelled, now, wall);
+        }
+    }
+
     /// Opens the occurrences that have become due, and returns when the next one will, as a time of day.
     pub fn open_timed(&mut self, now: Moment, wall: WallTime) -> Option<WallTime> {
         let timed = mem::take(&mut self.timed);
--- a/crates/coriandertack-jobs/tests/sched/adopt.rs
+++ b/crates/coriandertack-jobs/tests/sched/adopt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use coriandertack_jobs::{
+    board::Posting,
     config::Config,
     ids::JobId,
     moment::{Moment, WallTime},
@@ -96,6 +97,29 @@
     assert_eq!(batch.orders.len(), 1);
 }
 
+/// Guards against a submission that is read after its progress: the runs were taken for strangers, and the tasks started
+/// again with the same attempts.
+#[test]
+fn a_submission_that_is_read_late_keeps_its_progress() {
+    let mut world = World::new(&[4, 4]);
+    let spec = job(vec![step(1, 1)]);
+    world.admit(1, spec.clone());
+    world.turn();
+    let progress = world.records.get(&JobId(1)).cloned().map(Arc::new);
+    let mut posting = Posting { progress, ..Posting::default() };
+    let mut next = Scheduler::new(Arc::new(Config::default()));
+    for number in 0..world.keys.len() {
+        let name = Arc::from(format!("w{number}"));
+        next.worker_seen(&name, Arc::new(entry(4)), world.now);
+    }
+    next.admit_posting(JobId(1), &posting, world.now, WallTime(0));
+    assert_eq!(next.open_jobs(), 0);
+    posting.spec = Some(Arc::new(spec));
+    next.admit_posting(JobId(1), &posting, world.now, WallTime(0));
+    assert_eq!(next.open_jobs(), 1);
+    assert_eq!(starts(&mut next, world.now), 0, "the run is adopted, not started again");
+}
+
 /// Guards against a gang of which a successor adopts a part.
 #[test]
 fn a_successor_stops_the_rest_of_a_broken_gang() {
--- a/crates/coriandertackd/src/fleet/follow.rs
+++ b/crates/coriandertackd/src/fleet/follow.rs
@@ -1,6 +1,9 @@
 //! Tasks that follow the store's streams.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
 
 use {
     coriandertack_jobs::{board::Note, moment::Moment},
@@ -171,24 +174,27 @@
 /// Follows submissions and cancellations.
 pub async fn intake(shared: Arc<Shared>) {
     let pace = || if *shared.leading.borrow() { INTAKE_PACE_MS.0 } else { INTAKE_PACE_MS.1 };
-    let apply = |records: Vec<Record>, _| {
-        let now = clock::now();
-        let mut board = shared.board();
-        let listener = shared.listener.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        for record in records {
-            let note = jobs::note(&record.key, &record.value);
-            if let Some(listener) = listener.as_ref()
-                && listener.send(Arrival::Read(note.clone())).is_ok()
-            {
-                shared.wake.notify_one();
-            }
-            board.apply(note, now);
-        }
-    };
+    let apply = |records: Vec<Record>, _| apply_intake(&shared, records);
     let reached = |next, began, moved| note_reached(&shared.intake, next, began, moved);
     stream(&shared, Topic::Intake, || INTAKE_WAIT_MS, pace, apply, reached).await;
 }
 
+/// Puts records of the intake on the board, and hands them to the leader's loop if this VM leads.
+pub fn apply_intake(shared: &Shared, records: Vec<Record>) {
+    let now = clock::now();
+    let mut board = shared.board();
+    let listener = shared.listener.lock().unwrap_or_else(PoisonError::into_inner);
+    for record in records {
+        let note = jobs::note(&record.key, &record.value);
+        if let Some(listener) = listener.as_ref()
+            && listener.send(Arrival::Read(note.clone())).is_ok()
+        {
+            shared.wake.notify_one();
+        }
+        board.apply(note, now);
+    }
+}
+
 /// Follows what the leader recorded.
 pub async fn progress(shared: Arc<Shared>) {
     let apply = |records: Vec<Record>, _| {
--- a/crates/coriandertackd/src/fleet/intake.rs
+++ b/crates/coriandertackd/src/fleet/intake.rs
@@ -35,6 +35,10 @@
 /// for which callers wait have passed.
 const UNKNOWN_MS: u64 = 1_450;
 
+/// Time for which an append that the store refuses is tried, in milliseconds. Nothing was done, so callers can come back
+/// at once.
+const REFUSED_MS: u64 = 300;
+
 /// Pause between two tries, in milliseconds.
 const PAUSE_MS: u64 = 60;
 
@@ -138,7 +142,7 @@
         Counters::count(&shared.counters.store_errors);
         unknown |= error == AppendError::Unknown;
         let age = clock::now().since(started);
-        if !unknown && age >= STALLED_MS {
+        if !unknown && age >= REFUSED_MS {
             log::warn!(
                 "event=intake_refused records={} age_ms={age} error=\"{error}\"",
                 batch.records.len()
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -23,7 +23,7 @@
     },
     coriandertack_log::jobs,
     coriandertack_peers::errands::{Advice, Handed, Taken},
-    coriandertack_platform::store::{AppendError, Fence, Record, Store, Topic},
+    coriandertack_platform::store::{AppendError, Fence, ReadError, Record, Store, Topic},
     tokio::{
         sync::{mpsc, oneshot, watch},
         task::JoinSet,
@@ -33,7 +33,7 @@
 
 use super::{
     advice::{self, Links},
-    clock, crew,
+    clock, crew, follow,
     shared::{Counters, Shared},
 };
 
@@ -330,8 +330,8 @@
     first: u64,
     began: Moment,
 ) {
-    if !caught_up(shared, first).await {
-        log::warn!("event=takeover_failed epoch={epoch} reason=own_record_not_read");
+    if !caught_up(shared, first).await || !read_intake(shared).await {
+        log::warn!("event=takeover_failed epoch={epoch} reason=records_not_read");
         return;
     }
     let Some(config) = shared.config() else { return };
@@ -367,6 +367,39 @@
     timeout(Duration::from_millis(CATCH_UP_MS), reach).await.is_ok_and(|reached| reached.is_ok())
 }
 
+/// Reads the intake to its end. A job that a former leader took from there is known by its progress alone before, and
+/// its runs would be taken for strangers. Returns false if the store is unavailable.
+async fn read_intake(shared: &Shared) -> bool {
+    let mut store = Store::new(shared.settings.platform.store);
+    let mut next = shared.intake.borrow().next;
+    let until = clock::now().after(CATCH_UP_MS);
+    while clock::now() < until {
+        Counters::count(&shared.counters.reads);
+        match store.read(Topic::Intake, next, Duration::ZERO).await {
+            Ok(page) => {
+                let whole = page.next >= page.end;
+                next = page.next;
+                follow::apply_intake(shared, page.records.into_iter().flatten().collect());
+                if whole {
+                    return true;
+                }
+            }
+            Err(ReadError::Deleted { .. }) => match store.newest(Topic::Intake).await {
+                Ok(newest) => {
+                    next = newest.end;
+                    follow::apply_intake(shared, newest.records);
+                }
+                Err(error) => log::info!("event=takeover_waits error=\"{error}\""),
+            },
+            Err(error) => {
+                log::info!("event=takeover_waits error=\"{error}\"");
+                sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+    false
+}
+
 /// Takes over all jobs on the board, and listens for later ones.
 fn adopt(leading: &Leading, notes: mpsc::UnboundedSender<Arrival>) {
     let shared = &leading.shared;
@@ -375,9 +408,7 @@
     *shared.listener.lock().unwrap_or_else(PoisonError::into_inner) = Some(notes);
     let mut scheduler = leading.scheduler();
     for (&id, posting) in &board.jobs {
-        let Some(spec) = posting.spec.clone() else { continue };
-        let progress = posting.progress.as_deref();
-        scheduler.admit(id, spec, progress, posting.cancelled, now, wall);
+        scheduler.admit_posting(id, posting, now, wall);
     }
     log::info!(
         "event=takeover epoch={} jobs={} workers={}",
@@ -465,8 +496,9 @@
 fn apply(leading: &Leading, scheduler: &mut Scheduler, note: Note, now: Moment, wall: WallTime) {
     match note {
         Note::Submitted(id, spec) => {
-            let cancelled = leading.shared.board().jobs.get(&id).is_some_and(|p| p.cancelled);
-            scheduler.admit(id, spec, None, cancelled, now, wall);
+            let mut posting = leading.shared.board().jobs.get(&id).cloned().unwrap_or_default();
+            posting.spec.get_or_insert(spec);
+            scheduler.admit_posting(id, &posting, now, wall);
         }
         Note::Cancelled(id) => scheduler.cancel(id, now),
         Note::Dropped(id) => scheduler.forget(id),
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -6,11 +6,17 @@
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU8, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use {
+    coriandertack_jobs::{config::Route, moment::WallTime},
+    coriandertack_log::jobs,
+    coriandertack_platform::callers,
     coriandertack_standins::platform::{
         advice::Advice,
         store::Store,
@@ -135,6 +141,20 @@
 
     /// Starts every process that does not run, and waits until all serve.
     pub async fn restart_all(&mut self) {
+        self.revive();
+        self.until("all VMs serve", async |cluster| {
+            for vm in 0..cluster.vms.len() {
+                if cluster.pending(vm, "/plans/").await != Some(200) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    }
+
+    /// Starts every process that does not run.
+    pub fn revive(&mut self) {
         for vm in &mut self.vms {
             if vm.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_none()) {
                 continue;
@@ -150,15 +170,33 @@
                 .unwrap();
             vm.child = Some(child);
         }
-        self.until("all VMs serve", async |cluster| {
-            for vm in 0..cluster.vms.len() {
-                if cluster.pending(vm, "/plans/").await != Some(200) {
-                    return false;
-                }
+    }
+
+    /// Tells whether a process runs.
+    pub fn runs(&mut self, vm: usize) -> bool {
+        let child = self.vms[vm].child.as_mut();
+        child.is_some_and(|child| child.try_wait().unwrap().is_none())
+    }
+
+    /// Kills a process.
+    pub fn kill(&mut self, vm: usize) {
+        if let Some(child) = &mut self.vms[vm].child {
+            let _gone = child.kill();
+            let _status = child.wait();
+        }
+    }
+
+    /// Submits jobs at all VMs, and returns those that were accepted.
+    pub async fn try_submit(&mut self, count: usize) -> Vec<String> {
+        let mut jobs = Vec::new();
+        for number in 0..count {
+            let (job, id) = self.job_name();
+            let body = Self::body(id);
+            if self.post(number % self.vms.len(), &job, &body).await == Some(200) {
+                jobs.push(job);
             }
-            true
-        })
-        .await;
+        }
+        jobs
     }
 
     pub fn configure(&self, revision: u64, extra: bool) {
@@ -273,6 +311,28 @@
         jobs
     }
 
+    /// Puts a submission in the intake, as a VM without a link to the leader does.
+    pub fn put_in_intake(&mut self) -> String {
+        let (job, number) = self.job_name();
+        let route = Arc::new(Route {
+            name: "plans".into(),
+            service: "vans".into(),
+            attempts: 3,
+            stretch: 2.0,
+            ..Route::default()
+        });
+        let body = Self::body(number);
+        let spec = callers::submission(body.as_bytes(), &route, WallTime(0)).unwrap();
+        let (key, value) = jobs::submitted(job.parse().unwrap(), &spec);
+        self.store.put("keyed.intake", &key, &value);
+        job
+    }
+
+    /// Tells whether a task of a job has started.
+    pub fn has_run(&self, job: &str) -> bool {
+        self.noted().keys().any(|task| task.starts_with(job))
+    }
+
     /// Submits jobs of which each is refused as not run.
     pub async fn refused(&mut self, count: usize) -> Vec<String> {
         let mut jobs = Vec::new();
@@ -329,6 +389,9 @@
     }
 
     pub fn signal(&mut self, vm: usize, signal: Signal) {
+        if !self.runs(vm) {
+            return;
+        }
         if let Some(child) = &self.vms[vm].child {
             kill(Pid::from_raw(child.id() as i32), signal).unwrap();
         }
@@ -360,7 +423,7 @@
         false
     }
 
-    fn runs(&self) -> HashMap<String, Vec<Noted>> {
+    fn noted(&self) -> HashMap<String, Vec<Noted>> {
         let mut runs: HashMap<String, Vec<Noted>> = HashMap::new();
         for run in self.workers.iter().flat_map(Worker::noted) {
             runs.entry(run.task.clone()).or_default().push(run);
@@ -370,7 +433,7 @@
 
     /// Checks that no task ran twice at a time, or again after it was done.
     pub fn audit(&self) {
-        for (task, mut runs) in self.runs() {
+        for (task, mut runs) in self.noted() {
             runs.sort_by_key(|run| run.began);
             for pair in runs.windows(2) {
                 let ended = pair[0].ended;
@@ -386,7 +449,7 @@
 
     /// Checks that no task of the jobs ever started.
     pub fn never_ran(&self, jobs: &[String]) {
-        for task in self.runs().keys() {
+        for task in self.noted().keys() {
             assert!(!jobs.iter().any(|job| task.starts_with(job)), "{task} was refused and ran");
         }
     }
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -4,6 +4,7 @@
 //! and workers saw is checked at the end: every accepted job is completed, and no task ran twice.
 
 mod cluster;
+mod soak;
 
 use std::time::Duration;
 
@@ -40,6 +41,23 @@
     cluster.audit();
 }
 
+/// Guards against a successor that has read a job's progress and not its submission: it took the runs for strangers and
+/// started the tasks again with the same attempts.
+#[tokio::test]
+async fn a_submission_that_is_read_late_keeps_its_progress() {
+    let mut cluster = Cluster::start(3, 4).await;
+    let leader = cluster.leader().await;
+    // The first record makes the others pause their reads of the intake, so that they have not read the second.
+    let first = cluster.put_in_intake();
+    sleep(Duration::from_millis(30)).await;
+    let second = cluster.put_in_intake();
+    let started = second.clone();
+    cluster.until("the second job runs", async |cluster| cluster.has_run(&started)).await;
+    cluster.signal(leader, Signal::SIGKILL);
+    cluster.completed(&[first, second]).await;
+    cluster.audit();
+}
+
 /// Guards against work that is lost or runs twice when all processes are killed at once.
 #[tokio::test]
 async fn the_death_of_all_loses_nothing() {
