--- a/crates/coriandertack-jobs/src/sched/adopt.rs
+++ b/crates/coriandertack-jobs/src/sched/adopt.rs
@@ -41,7 +41,7 @@
                 (None, false) => Place::Waiting,
                 (Some(worker), false) => {
                     let worker = self.inherited(worker, now);
-                    let mut run = Run::new(step.charge(), self.pace(name), now);
+                    let mut run = Run::new(step.charge(), self.traits(name), now);
                     run.confirmed = Some(now);
                     if let Some(worker) = self.workers.get_mut(worker) {
                         worker.inherit_leases(now.after(INHERITED_MS));
--- a/crates/coriandertack-jobs/src/sched/lists.rs
+++ b/crates/coriandertack-jobs/src/sched/lists.rs
@@ -54,13 +54,13 @@
         let wanted = self
             .task(task)
             .is_some_and(|known| known.place == Place::Bound(key) && known.attempt == attempt);
-        let (charge, pace) = (self.charge(task), self.pace(task));
+        let (charge, traits) = (self.charge(task), self.traits(task));
         let Some(worker) = self.workers.get_mut(key) else { return };
         if !worker.runs.contains_key(&(task, attempt)) {
             // A run of a job that nobody knows takes the whole worker until it is gone.
             let charge = charge.unwrap_or_else(|| worker.free());
             worker.used += charge;
-            let mut run = Run::new(charge, pace, now);
+            let mut run = Run::new(charge, traits, now);
             run.confirmed = Some(now);
             worker.runs.insert((task, attempt), run);
         }
@@ -89,6 +89,10 @@
 
     /// Stops a run that makes no progress, unless the members of its gang are still assembling.
     fn stalled(&mut self, key: WorkerKey, task: TaskId, attempt: u32, now: Moment) {
+        // A task that lasts makes no progress once it is at work, and stopping it would make it unavailable.
+        if self.step(task.step_id()).is_some_and(|(_, spec, _)| spec.lasting) {
+            return;
+        }
         let fresh = self.workers.get(key).and_then(|worker| worker.runs.get(&(task, attempt)));
         if fresh.is_some_and(|run| run.stopped.is_some()) {
             return;
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -44,7 +44,7 @@
     worker::{Worker, WorkerKey},
 };
 
-use self::{advise::AdviceState, worker::Pace};
+use self::{advise::AdviceState, worker::Traits};
 
 new_key_type! {
     /// Key of a job in the scheduler's arena.
@@ -414,11 +414,12 @@
         self.config.named(&job.spec.route.name).unwrap_or(&job.spec.route).clone()
     }
 
-    /// Returns how long a task should run, and whether its end should be noticed at once.
-    fn pace(&self, task: TaskId) -> Pace {
-        let Some((job, spec, _)) = self.step(task.step_id()) else { return Pace::default() };
+    /// Returns what matters of a task while it runs.
+    fn traits(&self, task: TaskId) -> Traits {
+        let Some((job, spec, _)) = self.step(task.step_id()) else { return Traits::default() };
         let urgent = self.route_of(job).priority == URGENT_PRIORITY && !spec.lasting;
-        Pace { estimate_ms: spec.estimate_ms, urgent }
+        let serves = spec.target_ms > 0;
+        Traits { estimate_ms: spec.estimate_ms, urgent, fills: spec.fills, serves }
     }
 
     /// Returns what a run takes of its worker, also after its job has ended.
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -162,7 +162,9 @@
     /// Tells whether a worker may run a step's tasks at all, its room aside.
     pub(super) fn suits(&self, worker: &Worker, spec: &StepSpec, service: &str) -> bool {
         let of_service = worker.entry.as_ref().is_some_and(|entry| &*entry.service == service);
-        of_service && spec.label.as_ref().is_none_or(|label| worker.has_label(label))
+        of_service
+            && worker.is_compatible(spec)
+            && spec.label.as_ref().is_none_or(|label| worker.has_label(label))
     }
 
     /// Returns the workers that may run a step now, with the number of its tasks that fit on each.
@@ -371,7 +373,7 @@
         let Some((_, spec, step)) = self.step(task.step_id()) else { return };
         let (charge, ticket) = (spec.charge(), step.advice.ticket(worker, now).cloned());
         let waited = now.since(step.ready);
-        let pace = self.pace(task);
+        let traits = self.traits(task);
         let Some(&key) = self.names.get(&task.job) else { return };
         let Some(step) = self.step_mut(task.step_id()) else { return };
         step.waiting -= 1;
@@ -381,7 +383,7 @@
         let (attempt, checkpoint) = (state.attempt, state.checkpoint.clone());
         let Some(target) = self.workers.get_mut(worker) else { return };
         target.used += charge;
-        let run = Run::new(charge, pace, now);
+        let run = Run::new(charge, traits, now);
         target.runs.insert((task, attempt), run);
         log::info!(
             "event=task_bound task={task} attempt={attempt} worker={} waited_ms={waited} free={}",
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -6,7 +6,7 @@
 
 use super::{CLOCK_DRIFT_PERMILLE, LEASE_MS, Scheduler};
 
-use crate::{ids::TaskId, moment::Moment, report::Entry};
+use crate::{ids::TaskId, moment::Moment, report::Entry, spec::StepSpec};
 
 new_key_type! {
     /// Key of one incarnation of a worker in the scheduler's arena.
@@ -19,11 +19,17 @@
 /// Share of the predicted time until an urgent end that a list waits, in percent: predictions are off by a fifth.
 const URGENT_SHARE: u64 = 60;
 
-/// How long a task should run, and how closely it is watched.
+/// What matters of a task while it runs.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Pace {
+pub(super) struct Traits {
+    /// Estimated run time, in milliseconds.
     pub(super) estimate_ms: u64,
+    /// Whether its end should be noticed at once.
     pub(super) urgent: bool,
+    /// Whether it uses what others leave, and so disturbs tasks with a response target.
+    pub(super) fills: bool,
+    /// Whether it has a response target.
+    pub(super) serves: bool,
 }
 
 /// A run that a worker may hold. Its capacity counts until the worker lists its end.
@@ -42,32 +48,21 @@
     pub(super) moved: Moment,
     /// When the start was decided.
     pub(super) bound: Moment,
-    /// Estimated run time, in milliseconds.
-    pub(super) estimate_ms: u64,
-    /// Whether the end of the run should be noticed at once.
-    pub(super) urgent: bool,
+    /// What matters of its task.
+    pub(super) traits: Traits,
 }
 
 impl Run {
     /// Returns a run that was decided now.
-    pub(super) fn new(charge: Resources, pace: Pace, now: Moment) -> Self {
-        Self {
-            charge,
-            confirmed: None,
-            stopped: None,
-            percent: 0,
-            moved: now,
-            bound: now,
-            estimate_ms: pace.estimate_ms,
-            urgent: pace.urgent,
-        }
+    pub(super) fn new(charge: Resources, traits: Traits, now: Moment) -> Self {
+        Self { charge, confirmed: None, stopped: None, percent: 0, moved: now, bound: now, traits }
     }
 
     /// Returns the milliseconds until the run should end, by its progress or its estimate.
     fn left_ms(&self, now: Moment) -> u64 {
         let elapsed = now.since(self.bound);
         match u64::from(self.percent) {
-            0 => self.estimate_ms.saturating_sub(elapsed),
+            0 => self.traits.estimate_ms.saturating_sub(elapsed),
             percent => self.moved.since(self.bound) * (100 - percent.min(100)) / percent,
         }
     }
@@ -134,6 +129,14 @@
         whole.saturating_sub(self.used)
     }
 
+    /// Tells whether a step's tasks can share the worker with what runs there: tasks that fill stay away from those
+    /// with a response target, since how much they disturb is unknown and changes within seconds.
+    pub(super) fn is_compatible(&self, spec: &StepSpec) -> bool {
+        let serves = spec.target_ms > 0;
+        let clash = |run: &Run| (spec.fills && run.traits.serves) || (serves && run.traits.fills);
+        !(spec.fills || serves) || !self.runs.values().any(clash)
+    }
+
     /// Returns the capacity that should be free `ahead_ms` milliseconds from now, if nothing else starts.
     pub(super) fn free_soon(&self, ahead_ms: u64, now: Moment) -> Resources {
         let ending = self.runs.values().filter(|run| run.left_ms(now) <= ahead_ms);
@@ -144,7 +147,7 @@
     /// but an urgent one is noticed at once.
     #[must_use]
     pub fn list_gap(&self, now: Moment) -> u64 {
-        let urgent = self.runs.values().filter(|run| run.urgent).map(|run| run.left_ms(now));
+        let urgent = self.runs.values().filter(|run| run.traits.urgent).map(|run| run.left_ms(now));
         urgent.map(|left| left * URGENT_SHARE / 100).min().unwrap_or(GAP_MS).min(GAP_MS)
     }
 
--- a/crates/coriandertack-jobs/tests/sched/main.rs
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -2,6 +2,7 @@
 
 mod adopt;
 mod advice;
+mod colocation;
 mod ends;
 mod gangs;
 mod orders;
--- a/crates/coriandertack-standins/src/platform/worker.rs
+++ b/crates/coriandertack-standins/src/platform/worker.rs
@@ -43,6 +43,9 @@
     pub ended: Option<Instant>,
     /// How the run ended.
     pub cause: &'static str,
+    /// Whether the end was acknowledged before the worker's lease ran out. Only then does it count for good: what a
+    /// silent worker finished may run again once its lease has lapsed.
+    pub acknowledged: bool,
 }
 
 #[derive(Debug)]
@@ -55,7 +58,9 @@
     epoch: Instant,
     running: BTreeMap<(String, u64), usize>,
     barred: BTreeMap<String, u64>,
-    ended: Vec<Value>,
+    ended: Vec<(Value, usize)>,
+    /// Ends that were not acknowledged when the lease ran out.
+    lapsed: HashSet<usize>,
     last: u64,
     noted: Vec<Noted>,
     seen: HashSet<(String, u64)>,
@@ -72,7 +77,7 @@
         let noted = &mut self.noted[index];
         (noted.ended, noted.cause) = (Some(Instant::now()), cause);
         self.last += 1;
-        self.ended.push(json!([self.last, task, attempt, cause, ""]));
+        self.ended.push((json!([self.last, task, attempt, cause, ""]), index));
         let barred = self.barred.entry(task.to_owned()).or_default();
         *barred = (*barred).max(attempt);
     }
@@ -87,6 +92,7 @@
         if Instant::now() < self.lease_end {
             return;
         }
+        self.lapsed.extend(self.ended.iter().map(|(_, index)| *index));
         for (task, attempt) in self.running.keys().cloned().collect::<Vec<_>>() {
             self.end(&task, attempt, "lapsed");
         }
@@ -125,6 +131,7 @@
             running: BTreeMap::new(),
             barred: BTreeMap::new(),
             ended: Vec::new(),
+            lapsed: HashSet::new(),
             last: 0,
             noted: Vec::new(),
             seen: HashSet::new(),
@@ -238,8 +245,14 @@
         return refused("late");
     }
     state.extend(until);
-    let noted =
-        Noted { task: task.clone(), attempt, began: Instant::now(), ended: None, cause: "running" };
+    let noted = Noted {
+        task: task.clone(),
+        attempt,
+        began: Instant::now(),
+        ended: None,
+        cause: "running",
+        acknowledged: false,
+    };
     state.noted.push(noted);
     let index = state.noted.len() - 1;
     state.seen.insert((task.clone(), attempt));
@@ -271,7 +284,14 @@
     {
         let mut state = lock(shared);
         state.extend(body.get("until-ms").and_then(Value::as_u64));
-        state.ended.retain(|end| end[0].as_u64().is_some_and(|number| number > acknowledged));
+        let (kept, forgotten): (Vec<_>, Vec<_>) = std::mem::take(&mut state.ended)
+            .into_iter()
+            .partition(|(end, _)| end[0].as_u64().is_some_and(|number| number > acknowledged));
+        state.ended = kept;
+        for (_, index) in forgotten {
+            let lapsed = state.lapsed.contains(&index);
+            state.noted[index].acknowledged = !lapsed;
+        }
     }
     loop {
         let notified = changed.notified();
@@ -286,13 +306,14 @@
                         json!([task, attempt, "", (ran * 100 / state.run_ms.max(1)).min(99), 0])
                     })
                     .collect();
+                let ended: Vec<&Value> = state.ended.iter().map(|(end, _)| end).collect();
                 return json(
                     200,
                     &json!({
                         "clock-ms": state.clock(),
                         "born": state.born,
                         "running": running,
-                        "ended": state.ended,
+                        "ended": ended,
                     }),
                 );
             }
