Learn the share of allowed workers from unknown ones, and tell VMs of ended jobs over the links

Renewed tickets, which are always granted, taught the scheduler that a policy allows nearly all workers, so that calls named too few and had to be repeated.

Change: only workers that were not known to be allowed count; the test fails without it (4 of 8 workers named). The leader also tells VMs of ended jobs, and they read the progress every 250 ms instead of 150 ms.

--- a/crates/coriandertack-jobs/src/board.rs
+++ b/crates/coriandertack-jobs/src/board.rs
@@ -100,7 +100,12 @@
                 id
             }
             Note::Progressed(id, progress) => {
-                self.jobs.entry(id).or_default().progress = Some(progress);
+                let posting = self.jobs.entry(id).or_default();
+                // A final state is final: the leader tells of it before this VM has read the records before it.
+                let ended = posting.progress.as_ref().is_some_and(|known| known.phase.is_final());
+                if !ended {
+                    posting.progress = Some(progress);
+                }
                 id
             }
             Note::Led(leader) => {
--- a/crates/coriandertack-jobs/src/sched/advise.rs
+++ b/crates/coriandertack-jobs/src/sched/advise.rs
@@ -417,8 +417,14 @@
             return;
         };
         let until = Moment(now.after(validity_ms).0.saturating_sub(TICKET_MARGIN_MS));
+        let (mut asked, mut found) = (0_u32, 0_u32);
         for (key, name) in &call.workers {
             step.advice.drop_ticket(*key);
+            // Workers that were known to be allowed say nothing of the share of the others.
+            if !step.advice.allows(*key) {
+                asked += 1;
+                found += u32::from(eligible.iter().any(|(allowed, _)| allowed == name));
+            }
             match eligible.iter().find(|(allowed, _)| allowed == name) {
                 Some((_, text)) => {
                     step.advice.allowed.insert(*key);
@@ -438,8 +444,10 @@
             call.workers.len(),
             eligible.len()
         );
-        if let Some(route) = route {
-            let share = eligible.len() as f64 / call.workers.len().max(1) as f64;
+        if let Some(route) = route
+            && asked > 0
+        {
+            let share = f64::from(found) / f64::from(asked);
             let known = self.allowed.entry(route.name.clone()).or_insert(ALLOWED_FIRST);
             *known = (*known + (share - *known) * ALLOWED_WEIGHT).max(ALLOWED_LEAST);
         }
--- a/crates/coriandertack-jobs/tests/sched/advice.rs
+++ b/crates/coriandertack-jobs/tests/sched/advice.rs
@@ -119,3 +119,27 @@
     let later: usize = (0..50).map(|_| world.turn().len()).sum();
     assert!(later <= 2, "{later} calls");
 }
+
+/// Guards against calls that name too few workers because renewed tickets, which are all granted, count as a sign that the
+/// policy allows most workers.
+#[test]
+fn renewed_tickets_do_not_teach_the_share() {
+    let mut world = World::new(&[4; 12]);
+    lanes(&mut world, &["split-1"]);
+    world.admit(1, spec(advised_route(), vec![step(1, 4)]));
+    let first = world.turn();
+    world.sched.advised(&first[0], Some(&allow_all(&first[0])), world.now);
+    let mut gang = step(2, 4);
+    gang.gang = true;
+    world.admit(2, spec(advised_route(), vec![gang.clone()]));
+    let before = world.turn().iter().map(|call| call.workers.len()).max();
+    // The tickets of the first step lapse and are renewed again and again.
+    for _ in 0..40 {
+        let call = &first[0];
+        world.sched.advised(call, Some(&allow_all(call)), world.now);
+        world.now = world.now.after(2_000);
+    }
+    world.admit(3, spec(advised_route(), vec![gang]));
+    let after = world.turn().iter().map(|call| call.workers.len()).max();
+    assert!(after >= before, "{after:?} of {before:?} workers");
+}
--- a/crates/coriandertack-peers/src/errands.rs
+++ b/crates/coriandertack-peers/src/errands.rs
@@ -26,7 +26,7 @@
 };
 
 use crate::{
-    errands_proto::{Eligible, Errand, Frame, Outcome, Report, Submission, frame::Body},
+    errands_proto::{self, Eligible, Errand, Frame, Outcome, Report, Submission, frame::Body},
     frames::{self, Frames},
 };
 
@@ -76,6 +76,24 @@
     Refused,
 }
 
+/// Jobs whose final state is recorded.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ended {
+    /// Completed jobs.
+    pub completed: Vec<JobId>,
+    /// Failed jobs.
+    pub failed: Vec<JobId>,
+}
+
+/// What a leader sends to a VM.
+#[derive(Clone, Debug)]
+pub enum ToVm {
+    /// A call for advice, and the milliseconds for which its answer is of use.
+    Ask(AdviceCall, u32),
+    /// Jobs whose final state is recorded, so that the VM need not wait for its next read of the store.
+    Ended(Arc<Ended>),
+}
+
 /// Carries calls to another VM, and its records back, until the connection breaks or the queue closes.
 ///
 /// `answered` is called once for each call, with nothing if it has no answer when the connection breaks. `take` is
@@ -86,7 +104,7 @@
 /// Fails if the connection cannot be opened or breaks.
 pub async fn dial(
     address: SocketAddr,
-    mut queue: mpsc::UnboundedReceiver<(AdviceCall, u32)>,
+    mut queue: mpsc::UnboundedReceiver<ToVm>,
     answered: impl Fn(&AdviceCall, Advice),
     take: impl Fn(Handed),
     connected: impl FnOnce(),
@@ -101,15 +119,17 @@
         answered(call, None);
     }
     queue.close();
-    while let Ok((call, _)) = queue.try_recv() {
-        answered(&call, None);
+    while let Ok(order) = queue.try_recv() {
+        if let ToVm::Ask(call, _) = order {
+            answered(&call, None);
+        }
     }
     result
 }
 
 async fn lead(
     connection: &mut Frames,
-    queue: &mut mpsc::UnboundedReceiver<(AdviceCall, u32)>,
+    queue: &mut mpsc::UnboundedReceiver<ToVm>,
     pending: &mut HashMap<u64, AdviceCall>,
     answered: &impl Fn(&AdviceCall, Advice),
     take: &impl Fn(Handed),
@@ -125,13 +145,16 @@
                 ensure!(Instant::now() < silent_at, "the peer is silent");
                 send(connection, Body::Outcome(Outcome { id: BEAT_ID, refused: false })).await?;
             }
-            next = queue.recv() => {
-                let Some((call, limit_ms)) = next else { return Ok(()) };
-                last += 1;
-                let errand = errand(last, &call, limit_ms);
-                pending.insert(last, call);
-                send(connection, Body::Errand(errand)).await?;
-            }
+            next = queue.recv() => match next {
+                Some(ToVm::Ask(call, limit_ms)) => {
+                    last += 1;
+                    let errand = errand(last, &call, limit_ms);
+                    pending.insert(last, call);
+                    send(connection, Body::Errand(errand)).await?;
+                }
+                Some(ToVm::Ended(ended)) => send(connection, Body::Ended(wire_ended(&ended))).await?,
+                None => return Ok(()),
+            },
             Some((id, taken)) = handed.next(), if !handed.is_empty() => {
                 let taken: Result<Taken, oneshot::error::RecvError> = taken;
                 if let Ok(taken) = taken {
@@ -151,12 +174,19 @@
                     take(Handed { key, value, outcome });
                     handed.push(async move { (id, taken.await) });
                 }
-                Body::Errand(_) | Body::Outcome(_) => bail!("a frame that only a leader sends"),
+                Body::Errand(_) | Body::Outcome(_) | Body::Ended(_) => {
+                    bail!("a frame that only a leader sends");
+                }
             }
         }
     }
 }
 
+fn wire_ended(ended: &Ended) -> errands_proto::Ended {
+    let ids = |jobs: &[JobId]| jobs.iter().map(|job| job.0).collect();
+    errands_proto::Ended { completed: ids(&ended.completed), failed: ids(&ended.failed) }
+}
+
 fn errand(id: u64, call: &AdviceCall, limit_ms: u32) -> Errand {
     Errand {
         id,
@@ -186,7 +216,8 @@
 /// Accepts the connections of leaders for as long as the future is polled.
 ///
 /// `ask` makes a call for advice. `linked` is called for each new connection with the queue of records for its leader;
-/// the queue closes when the connection ends, and `ended` is called.
+/// the queue closes when the connection ends, and `ended` is called. `finished` is called for jobs that the leader has
+/// recorded as ended.
 ///
 /// # Errors
 ///
@@ -195,6 +226,7 @@
     listener: &TcpListener,
     ask: impl Fn(Question) -> F + Clone + Send + Sync + 'static,
     linked: impl Fn(mpsc::UnboundedSender<Handed>),
+    finished: impl Fn(Ended) + Clone + Send + Sync + 'static,
     ended: impl Fn() + Clone + Send + Sync + 'static,
 ) -> Result<()>
 where
@@ -202,11 +234,11 @@
 {
     loop {
         let (stream, peer) = listener.accept().await.context("cannot accept a link")?;
-        let (ask, ended) = (ask.clone(), ended.clone());
+        let (ask, finished, ended) = (ask.clone(), finished.clone(), ended.clone());
         let (sender, records) = mpsc::unbounded_channel();
         linked(sender);
         tokio::spawn(async move {
-            if let Err(error) = follow(stream, ask, records).await {
+            if let Err(error) = follow(stream, ask, finished, records).await {
                 log::debug!("event=errands_ended peer={peer} error=\"{error:#}\"");
             }
             ended();
@@ -218,6 +250,7 @@
 async fn follow<F>(
     stream: TcpStream,
     ask: impl Fn(Question) -> F,
+    finished: impl Fn(Ended),
     mut records: mpsc::UnboundedReceiver<Handed>,
 ) -> Result<()>
 where
@@ -247,6 +280,11 @@
                         let _gone = outcome.send(taken);
                     }
                 }
+                Body::Ended(ended) => {
+                    let ids = |jobs: Vec<u64>| jobs.into_iter().map(JobId).collect();
+                    let (completed, failed) = (ids(ended.completed), ids(ended.failed));
+                    finished(Ended { completed, failed });
+                }
                 Body::Report(_) | Body::Submission(_) => bail!("a frame that no leader sends"),
             },
             Some(report) = calls.next(), if !calls.is_empty() => {
--- a/crates/coriandertackd/src/fleet/advice.rs
+++ b/crates/coriandertackd/src/fleet/advice.rs
@@ -4,7 +4,7 @@
 
 use {
     coriandertack_jobs::{board::Link, sched::AdviceCall},
-    coriandertack_peers::errands::{self, Advice, Question},
+    coriandertack_peers::errands::{self, Advice, Ended, Question, ToVm},
     coriandertack_platform::advice::Adviser,
     tokio::{
         net::TcpListener,
@@ -36,7 +36,10 @@
         let linked = |queue| shared.set_leader_link(queue);
         let state = shared.clone();
         let ended = move || state.note_link_end();
-        if let Err(error) = errands::serve(&listener, ask.clone(), linked, ended).await {
+        let state = shared.clone();
+        let finished = move |ended| state.note_ended(ended);
+        let serving = errands::serve(&listener, ask.clone(), linked, finished, ended);
+        if let Err(error) = serving.await {
             log::warn!("event=link_not_accepted error=\"{error:#}\"");
             sleep(Duration::from_millis(REDIAL_MS)).await;
         }
@@ -46,14 +49,23 @@
 /// The leader's links to the entry VMs, its own among them.
 #[derive(Debug, Default)]
 pub struct Links {
-    queues: HashMap<Arc<str>, mpsc::UnboundedSender<(AdviceCall, u32)>>,
+    queues: HashMap<Arc<str>, mpsc::UnboundedSender<ToVm>>,
 }
 
 impl Links {
     /// Hands a call to a VM. Returns false if there is no link.
     pub fn send(&self, call: &AdviceCall) -> bool {
         let limit = call.until.since(clock::now()).min(u64::from(u32::MAX)) as u32;
-        self.queues.get(&call.vm).is_some_and(|queue| queue.send((call.clone(), limit)).is_ok())
+        let ask = ToVm::Ask(call.clone(), limit);
+        self.queues.get(&call.vm).is_some_and(|queue| queue.send(ask).is_ok())
+    }
+
+    /// Tells all VMs which jobs have ended.
+    pub fn announce(&self, ended: &Arc<Ended>) {
+        for queue in self.queues.values() {
+            // A VM whose link has just ended reads the records.
+            let _gone = queue.send(ToVm::Ended(ended.clone()));
+        }
     }
 
     /// Returns the names of the VMs with a link.
--- a/crates/coriandertackd/src/fleet/follow.rs
+++ b/crates/coriandertackd/src/fleet/follow.rs
@@ -21,9 +21,9 @@
     shared::{Counters, Reached, Shared},
 };
 
-/// Pause between two reads of a VM that does not lead, in milliseconds. Calls are priced, and callers' answers may be
-/// seconds old.
-const PACE_MS: u64 = 150;
+/// Pause between two reads of the progress, in milliseconds. Calls are priced, callers' answers may be seconds old, and
+/// the leader tells of jobs that have ended.
+const PACE_MS: u64 = 250;
 
 /// Pause between two reads of the intake, in milliseconds, for the leader and for others. Only what no leader took
 /// comes there.
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -19,10 +19,11 @@
         board::{Leader, Note},
         ids::JobId,
         moment::{Moment, WallTime},
+        progress::Phase,
         sched::{AdviceCall, Batch, LEADERSHIP_MS, RENEWAL_MS, Scheduler},
     },
     coriandertack_log::jobs,
-    coriandertack_peers::errands::{Advice, Handed, Taken},
+    coriandertack_peers::errands::{Advice, Ended, Handed, Taken},
     coriandertack_platform::store::{AppendError, Fence, ReadError, Record, Store, Topic},
     tokio::{
         sync::{mpsc, oneshot, watch},
@@ -578,6 +579,14 @@
 /// Lets the orders of a recorded batch go out, and its ends be acknowledged.
 fn commit(leading: &Leading, batch: Batch) {
     leading.scheduler().recorded(&batch.acks);
+    let of = |phase| {
+        let ended = batch.records.iter().filter(move |(_, progress)| progress.phase == phase);
+        ended.map(|(id, _)| *id).collect::<Vec<JobId>>()
+    };
+    let ended = Ended { completed: of(Phase::Completed), failed: of(Phase::Failed) };
+    if ended != Ended::default() {
+        leading.links().announce(&Arc::new(ended));
+    }
     crew::send_starts(leading, batch.orders);
     leading.recorded.send_modify(|count| *count += 1);
 }
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -9,8 +9,13 @@
 };
 
 use {
-    coriandertack_jobs::{board::Board, config::Config, moment::Moment},
-    coriandertack_peers::errands::Handed,
+    coriandertack_jobs::{
+        board::{Board, Note},
+        config::Config,
+        moment::Moment,
+        progress::{Phase, Progress},
+    },
+    coriandertack_peers::errands::{Ended, Handed},
     tokio::sync::{Notify, mpsc, oneshot, watch},
 };
 
@@ -185,6 +190,18 @@
         link.queue = Some(queue);
     }
 
+    /// Notes jobs that the leader has recorded as ended.
+    pub fn note_ended(&self, ended: Ended) {
+        let now = clock::now();
+        let completed = ended.completed.into_iter().map(|id| (id, Phase::Completed));
+        let failed = ended.failed.into_iter().map(|id| (id, Phase::Failed));
+        let mut board = self.board();
+        for (id, phase) in completed.chain(failed) {
+            let progress = Arc::new(Progress { phase, ..Progress::default() });
+            board.apply(Note::Progressed(id, progress), now);
+        }
+    }
+
     /// Notes that a link to a leader has ended.
     pub fn note_link_end(&self) {
         self.hurry.notify_one();
