--- a/crates/coriandertack-jobs/src/sched/orders.rs
+++ b/crates/coriandertack-jobs/src/sched/orders.rs
@@ -46,6 +46,8 @@
     pub checkpoint: Arc<str>,
     /// Ticket of the policy, if the route has one.
     pub ticket: Option<Ticket>,
+    /// Milliseconds for which the task's step was ready before.
+    pub waited_ms: u64,
 }
 
 /// What came of a start.
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -146,9 +146,7 @@
     /// Asks for the advice that a step still needs, and keeps the room that it waits for.
     fn ask_for_step(&mut self, id: StepId, floor: &mut Floor, now: Moment) -> Option<Moment> {
         let (job, spec, step) = self.step(id)?;
-        if step.queued.is_none() {
-            return None;
-        }
+        step.queued?;
         let route = self.route_of(job);
         let (gang, waiting_ms) = (spec.gang, now.since(step.ready));
         let again = route.advice.and_then(|policy| self.ask_advice(id, &route, policy, floor, now));
@@ -399,6 +397,7 @@
             payload: payload.clone(),
             checkpoint,
             ticket,
+            waited_ms: waited,
         }));
     }
 }
--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -173,7 +173,7 @@
 fn append(state: &Shared<State>, changed: &Notify, name: &str, call: &Call) -> Reply {
     let mut state = lock(state);
     state.appends += 1;
-    let lost = state.faults.lost_every > 0 && state.appends % state.faults.lost_every == 0;
+    let lost = state.faults.lost_every > 0 && state.appends.is_multiple_of(state.faults.lost_every);
     let topic = state.topics.entry(name.to_owned()).or_default();
     let end = topic.end();
     let fence = call.parameter("producer").zip(call.number("epoch")).zip(call.number("seq-no"));
--- a/crates/coriandertackd/src/fleet/crew.rs
+++ b/crates/coriandertackd/src/fleet/crew.rs
@@ -25,7 +25,7 @@
     },
 };
 
-use super::{clock, follow, lead::Leading, shared::Counters};
+use super::{clock, follow, lead::Leading, metrics, shared::Counters};
 
 /// How long a worker waits for an end before it answers with its list, in milliseconds.
 const LIST_WAIT_MS: u64 = 1_000;
@@ -262,6 +262,7 @@
         return StartOutcome::NotSent;
     };
     Counters::count(&leading.shared.counters.starts);
+    metrics::record(&leading.shared.latencies.waiting, start.waited_ms);
     let order = Start {
         task: start.task,
         attempt: start.attempt,
--- a/crates/coriandertackd/src/fleet/follow.rs
+++ b/crates/coriandertackd/src/fleet/follow.rs
@@ -16,8 +16,8 @@
 };
 
 use super::{
+    arrivals::Arrival,
     clock,
-    lead::Arrival,
     shared::{Counters, Reached, Shared},
 };
 
--- a/crates/coriandertackd/src/fleet/front.rs
+++ b/crates/coriandertackd/src/fleet/front.rs
@@ -27,7 +27,7 @@
 };
 
 use super::{
-    clock, intake,
+    clock, intake, metrics,
     shared::{Counters, Shared, Stored},
 };
 
@@ -162,6 +162,7 @@
     let (key, value) = jobs::submitted(id, &spec);
     let stored = intake::store(shared, key, value).await;
     let waited = clock::now().since(began);
+    metrics::record(&shared.latencies.acceptance, waited);
     log::info!(
         "event=job_submitted job={id} route={} config={} steps={} stored={stored:?} waited_ms={waited}",
         route.name,
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -6,7 +6,6 @@
 
 use std::{
     mem,
-    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -34,7 +33,8 @@
 
 use super::{
     advice::{self, Links},
-    clock, crew, follow,
+    arrivals::{Arrival, Arrivals},
+    clock, crew, follow, forget, metrics,
     shared::{Counters, Shared},
 };
 
@@ -56,10 +56,6 @@
 /// waits for the batch that records it.
 const BATCH_MS: u64 = 10;
 
-/// Age of an append from which records that are no part of it are refused, in milliseconds. A slow store takes some
-/// 500 ms: 60 times as long for the append and for its answer.
-const STALLED_MS: u64 = 800;
-
 /// Time for which the store refuses the leader until it closes its links, in milliseconds. The others then take the
 /// lead sooner, if the store serves them, or append submissions themselves.
 const UNLINK_MS: u64 = 250;
@@ -73,74 +69,6 @@
 /// Longest time that the leader waits to read its own record after the takeover, in milliseconds.
 const CATCH_UP_MS: u64 = 3_000;
 
-/// Time beyond the promised one for which a job that ended stays recorded, in milliseconds.
-const KEPT_MS: u64 = 30_000;
-
-/// Most jobs that are forgotten at a time.
-const MOST_FORGOTTEN: usize = 100;
-
-/// Pause between two looks for jobs to forget, in milliseconds.
-const FORGET_EVERY_MS: u64 = 5_000;
-
-/// Something that callers want.
-#[derive(Debug)]
-pub enum Arrival {
-    /// It was read from the intake.
-    Read(Note),
-    /// A VM handed it in. It is not durable yet.
-    Handed(Handed),
-}
-
-/// What has arrived for the leader's loop.
-struct Arrivals {
-    queue: mpsc::UnboundedReceiver<Arrival>,
-    /// Arrivals that were looked at while an append was under way.
-    kept: Vec<Arrival>,
-}
-
-impl Arrivals {
-    /// Takes what has arrived.
-    fn take(&mut self) -> Vec<Arrival> {
-        let mut arrivals = mem::take(&mut self.kept);
-        while let Ok(arrival) = self.queue.try_recv() {
-            arrivals.push(arrival);
-        }
-        arrivals
-    }
-
-    /// Waits for an append. Once it has stalled, records of callers that are no part of it are refused, so that
-    /// the callers hear in time that their jobs were not accepted.
-    async fn refuse_during<T>(&mut self, append: impl Future<Output = T>, started: Moment) -> T {
-        let mut append = pin!(append);
-        loop {
-            let left = started.after(STALLED_MS).since(clock::now());
-            if left == 0 {
-                for arrival in self.take() {
-                    self.refuse(arrival);
-                }
-            }
-            tokio::select! {
-                result = &mut append => return result,
-                Some(arrival) = self.queue.recv() => match left {
-                    0 => self.refuse(arrival),
-                    _ => self.kept.push(arrival),
-                },
-                () = sleep(Duration::from_millis(left)), if left > 0 => {}
-            }
-        }
-    }
-
-    fn refuse(&mut self, arrival: Arrival) {
-        match arrival {
-            Arrival::Handed(handed) => {
-                // The VM may have lost its link.
-                let _gone = handed.outcome.send(Taken::Refused);
-            }
-            Arrival::Read(note) => self.kept.push(Arrival::Read(note)),
-        }
-    }
-}
-
 /// What the leader decided in one go.
 #[derive(Debug, Default)]
 struct Decision {
@@ -356,7 +284,7 @@
     adopt(&leading, notes);
     tasks.spawn(crew::keep(leading.clone()));
     tasks.spawn(advice::keep(leading.clone()));
-    tasks.spawn(forget(leading.clone()));
+    tasks.spawn(forget::run(leading.clone()));
     serve(&leading, store, number, arrivals).await;
 }
 
@@ -426,7 +354,7 @@
     mut number: u64,
     queue: mpsc::UnboundedReceiver<Arrival>,
 ) {
-    let mut arrivals = Arrivals { queue, kept: Vec::new() };
+    let mut arrivals = Arrivals::new(queue);
     let shared = &leading.shared;
     let mut beat = clock::now();
     let mut again: Option<Moment> = None;
@@ -550,6 +478,7 @@
                     log::info!("event=dependency_regained dependency=store topic=Progress");
                 }
                 leading.prove(began);
+                metrics::record(&shared.latencies.append, clock::now().since(began));
                 leading.unlinked.send_replace(false);
                 return Some(began);
             }
@@ -603,41 +532,3 @@
         }
     }
 }
-
-/// Drops the records of jobs that ended long ago.
-async fn forget(leading: Arc<Leading>) {
-    let shared = &leading.shared;
-    let mut store = Store::new(shared.settings.platform.store);
-    let kept = shared.settings.bounds.status_s * 1_000 + KEPT_MS;
-    loop {
-        sleep(Duration::from_millis(FORGET_EVERY_MS)).await;
-        let before = Moment(clock::now().0.saturating_sub(kept));
-        let jobs = shared.board().expired(before, MOST_FORGOTTEN);
-        if jobs.is_empty() {
-            continue;
-        }
-        // A submission is in the one stream or the other, depending on who appended it.
-        let mut keys = intake_keys(&jobs);
-        drop_records(shared, &mut store, Topic::Intake, keys.clone()).await;
-        keys.extend(progress_keys(&jobs));
-        drop_records(shared, &mut store, Topic::Progress, keys).await;
-    }
-}
-
-fn progress_keys(ids: &[JobId]) -> Vec<String> {
-    ids.iter().map(|id| jobs::progress_key(*id)).collect()
-}
-
-fn intake_keys(ids: &[JobId]) -> Vec<String> {
-    ids.iter().flat_map(|id| jobs::intake_keys(*id)).collect()
-}
-
-async fn drop_records(shared: &Shared, store: &mut Store, topic: Topic, keys: Vec<String>) {
-    let records: Vec<Record> =
-        keys.into_iter().map(|key| Record { key, value: bytes::Bytes::new() }).collect();
-    Counters::count(&shared.counters.appends);
-    // A job that stays recorded is dropped with the next look.
-    if let Err(error) = store.append(topic, &records, None, None).await {
-        log::info!("event=forget_failed topic={topic:?} error=\"{error}\"");
-    }
-}
--- a/crates/coriandertackd/src/fleet/metrics.rs
+++ b/crates/coriandertackd/src/fleet/metrics.rs
@@ -1,12 +1,15 @@
-//! Counters of an entry VM on the platform, as text on the metrics address.
+//! Counters and latency histograms of an entry VM on the platform, as text on the metrics address.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    fmt,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use {
-    opentelemetry::metrics::{Meter, MeterProvider},
+    opentelemetry::metrics::{Histogram, Meter, MeterProvider},
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Encoder, Registry, TextEncoder},
     tokio::net::TcpListener,
@@ -17,24 +20,71 @@
 
 use super::shared::{Counters, Shared};
 
+/// Bounds of the buckets of latencies, in seconds: 0.25 s is the tightest objective of a route, 3 s the longest wait of a
+/// caller.
+const BOUNDS_S: &[f64] = &[0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 10.0, 30.0];
+
+/// Latency histograms of a VM, with the registry from which they are served.
+pub struct Latencies {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    /// From the arrival of a submission until it was answered.
+    pub acceptance: Histogram<f64>,
+    /// One append to the store that succeeded.
+    pub append: Histogram<f64>,
+    /// From a step being ready until a start of one of its tasks was sent.
+    pub waiting: Histogram<f64>,
+}
+
+impl fmt::Debug for Latencies {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Latencies").finish_non_exhaustive()
+    }
+}
+
+impl Latencies {
+    /// Returns empty histograms.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot be registered.
+    pub fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("coriandertack")
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("coriandertack");
+        let seconds = |name: &'static str, text: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(text)
+                .with_boundaries(BOUNDS_S.to_vec())
+                .build()
+        };
+        Ok(Self {
+            acceptance: seconds("acceptance", "from a submission to its answer"),
+            append: seconds("store_append", "one append to the store"),
+            waiting: seconds("waiting", "from a step being ready to a start of its tasks"),
+            registry,
+            provider,
+        })
+    }
+}
+
+/// Records a latency that is known in milliseconds.
+pub fn record(histogram: &Histogram<f64>, ms: u64) {
+    histogram.record(ms as f64 / 1_000.0, &[]);
+}
+
 /// Serves the metrics for as long as the process runs.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let registry = Registry::new();
-    let exporter = opentelemetry_prometheus::exporter()
-        .with_registry(registry.clone())
-        .with_namespace("coriandertack")
-        .scope_info_enabled(false)
-        .without_target_info()
-        .build();
-    let exporter = match exporter {
-        Ok(exporter) => exporter,
-        Err(error) => {
-            log::error!("event=metrics_failed error=\"{error}\"");
-            return std::future::pending().await;
-        }
-    };
-    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-    observe(&provider.meter("coriandertack"), &shared);
+    observe(&shared.latencies.provider.meter("coriandertack"), &shared);
+    let registry = shared.latencies.registry.clone();
     let routes = Router::new().get("/metrics", move |_: viz::Request| {
         let registry = registry.clone();
         async move { Ok::<_, viz::Error>(render(&registry)) }
--- a/crates/coriandertackd/src/fleet/mod.rs
+++ b/crates/coriandertackd/src/fleet/mod.rs
@@ -5,9 +5,11 @@
 //! each worker ([`crew`]) and gives errands to the others ([`advice`]). docs/notes/platform.md has the design.
 
 pub mod advice;
+pub mod arrivals;
 pub mod clock;
 pub mod crew;
 pub mod follow;
+pub mod forget;
 pub mod front;
 pub mod intake;
 pub mod lead;
@@ -44,7 +46,7 @@
 /// Fails if an address cannot be bound.
 pub async fn run(settings: Settings) -> Result<()> {
     let settings = Arc::new(settings);
-    let (shared, submissions) = Shared::new(settings.clone());
+    let (shared, submissions) = Shared::new(settings.clone())?;
     let shared = Arc::new(shared);
     log::info!(
         "event=start vm={} zone={} version={} store={}",
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -19,7 +19,7 @@
     tokio::sync::{Notify, mpsc, oneshot, watch},
 };
 
-use super::{clock, lead::Arrival, settings::Settings};
+use super::{arrivals::Arrival, clock, metrics::Latencies, settings::Settings};
 
 /// Age of the last read of the store beyond which this VM does not say that something does not exist, in milliseconds.
 const FRESH_MS: u64 = 2_500;
@@ -152,12 +152,19 @@
     pub leading: watch::Sender<bool>,
     /// Numbers for the metrics.
     pub counters: Counters,
+    /// Latencies for the metrics.
+    pub latencies: Latencies,
 }
 
 impl Shared {
     /// Returns the state of a VM that has read nothing, and the queue of its intake.
-    #[must_use]
-    pub fn new(settings: Arc<Settings>) -> (Self, mpsc::UnboundedReceiver<Submission>) {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics cannot be set up.
+    pub fn new(
+        settings: Arc<Settings>,
+    ) -> anyhow::Result<(Self, mpsc::UnboundedReceiver<Submission>)> {
         let (submissions, queue) = mpsc::unbounded_channel();
         let shared = Self {
             settings,
@@ -175,8 +182,9 @@
             closing: watch::Sender::default(),
             leading: watch::Sender::default(),
             counters: Counters::default(),
+            latencies: Latencies::new()?,
         };
-        (shared, queue)
+        Ok((shared, queue))
     }
 
     /// Returns the jobs as this VM has read them. The guard is not held across an await.
