--- a/crates/coriandertack-jobs/src/sched/ends.rs
+++ b/crates/coriandertack-jobs/src/sched/ends.rs
@@ -121,6 +121,9 @@
             let Some(state) = step.tasks.get_mut(index as usize) else { continue };
             state.failures += u32::from(state.counted < attempt);
             state.counted = state.counted.max(attempt);
+            if index == task.index {
+                state.failed_on = Some(worker);
+            }
             failures = failures.max(state.failures);
         }
         self.mark(key);
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -73,6 +73,8 @@
     /// Highest attempt whose failure was counted. A worker lists an end until it is acknowledged, and so again to
     /// a successor of the leader that counted it.
     counted: u32,
+    /// Worker on which the last run failed. Another one is better, in case the worker is at fault.
+    failed_on: Option<WorkerKey>,
     checkpoint: Arc<str>,
     place: Place,
 }
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -231,7 +231,7 @@
             let best = best.min_by_key(|(_, (key, _))| {
                 let extra = charge.checked_mul(taken.get(key).copied().unwrap_or(0) + 1);
                 let left = floor.free(*key).saturating_sub(extra.unwrap_or(charge));
-                self.preference(*key, spec, left)
+                (task.failed_on == Some(*key), self.preference(*key, spec, left))
             });
             let Some((position, &(key, room))) = best else { break };
             candidates[position].1 = room - 1;
--- a/crates/coriandertack-jobs/tests/sched/orders.rs
+++ b/crates/coriandertack-jobs/tests/sched/orders.rs
@@ -166,3 +166,16 @@
     assert_eq!(world.stops, [(key, task(9, 0, 0), 1)]);
     assert!(world.places(task(1, 0, 0)).is_empty(), "its room is unknown until it is gone");
 }
+
+/// Guards against a task that uses up its attempts on one worker that fails it.
+#[test]
+fn a_failed_task_runs_elsewhere_next() {
+    let mut world = World::new(&[4, 8]);
+    world.admit(1, job(vec![step(1, 1)]));
+    world.turn();
+    let first = world.places(task(1, 0, 0))[0];
+    world.end(task(1, 0, 0), EndCause::Failed);
+    world.turn();
+    let second = world.places(task(1, 0, 0))[0];
+    assert_ne!(first, second);
+}
--- a/crates/coriandertackd/src/fleet/settings.rs
+++ b/crates/coriandertackd/src/fleet/settings.rs
@@ -76,24 +76,19 @@
     /// Address of the service for advice.
     #[serde(default, deserialize_with = "optional")]
     pub advice: Option<SocketAddr>,
-    /// Address of the machines' interface.
-    #[serde(default, deserialize_with = "optional")]
-    pub machines: Option<SocketAddr>,
 }
 
 /// Bounds that the platform states.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default)]
 pub struct Bounds {
-    /// Longest lease of a worker, in milliseconds.
-    pub lease_ms: u64,
     /// Seconds for which the state of a job that ended stays known.
     pub status_s: u64,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self { lease_ms: 10_000, status_s: 120 }
+        Self { status_s: 120 }
     }
 }
 
