--- a/crates/coriandertack/src/cli/trace.rs
+++ b/crates/coriandertack/src/cli/trace.rs
@@ -158,7 +158,7 @@
     let place = slowest.map_or("?", |line| line.field("worker"));
     format!(
         "completed {late} ms late: the longest wait for a worker was {waited} ms, the longest run {ran} ms \
-         on {place}, {again} runs were repeated, {} takeovers lay in between",
+         on {place}, {again} runs were repeated, {} takeovers since its first minute",
         count("leadership_taken")
     )
 }
