Ask for all tickets of a gang that lapse before the answer

Cause: a gang starts when all its tickets are valid at once. The room of workers whose ticket was still valid was not kept during the call either.

Change: a call for a gang names every worker whose ticket lapses before its answer, and keeps the room of all of them. Room that runs ending within the call will leave counts. Among unknown workers those with room soon come first. A call whose workers cost little (5 ms more) names more of them, since a second call costs a way there and back.

Ruled out: lanes that are too few (44 VMs, 12 heavy calls under way), workers without room at the end (most is free).

--- a/crates/coriandertack-jobs/src/sched/advise.rs
+++ b/crates/coriandertack-jobs/src/sched/advise.rs
@@ -46,6 +46,10 @@
 /// Time that a call may wait at a VM behind others, in milliseconds.
 const LANE_WAIT_MS: u64 = 60;
 
+/// Time by which workers beyond those needed may lengthen a call, in milliseconds. The way to a VM and back takes about
+/// as long, so that a second call would cost more.
+const EXTRA_MS: f64 = 5.0;
+
 /// Cost of a call above which it is heavy, in milliseconds. Heavy calls leave some lanes to the short ones.
 const HEAVY_MS: f64 = 150.0;
 
@@ -94,10 +98,22 @@
     key: WorkerKey,
     /// Whether the policy is known to allow it.
     allowed: bool,
-    /// Number of waiting tasks that fit on it.
+    /// Whether a ticket for it is still valid when the call is answered, so that the call need not name it.
+    ticketed: bool,
+    /// Number of waiting tasks that fit on it when the call is answered.
     room: u32,
 }
 
+/// Times of a call that is about to be made.
+#[derive(Clone, Copy, Debug)]
+struct Timing {
+    now: Moment,
+    /// When the answer of a call for a step's tasks should be there.
+    answered: Moment,
+    /// How many workers a call can name beyond those needed before they lengthen it noticeably.
+    extra: usize,
+}
+
 impl AdviceState {
     pub(super) fn ticket(&self, worker: WorkerKey, now: Moment) -> Option<&Ticket> {
         self.tickets.iter().find(|ticket| ticket.worker == worker && ticket.until > now)
@@ -148,12 +164,15 @@
     pub heavy: bool,
 }
 
-/// Takes candidates until the room that they should bring is enough.
-fn name_until(candidates: Vec<Named>, wanted: f64, share: f64) -> Vec<Named> {
-    let mut expected = 0.0;
+/// Takes candidates until the room that they should bring is enough, and then `extra` more.
+fn name_until(candidates: Vec<Named>, wanted: f64, share: f64, extra: usize) -> Vec<Named> {
+    let (mut expected, mut beyond) = (0.0, 0);
     let mut named = Vec::new();
     for candidate in candidates {
-        if expected >= wanted || named.len() >= MAX_NAMED {
+        if expected >= wanted {
+            beyond += 1;
+        }
+        if beyond > extra || named.len() >= MAX_NAMED {
             break;
         }
         let weight = if candidate.allowed { 1.0 } else { share };
@@ -191,7 +210,15 @@
             return Some(step.advice.retry);
         }
         let share = self.allowed.get(&route.name).copied().unwrap_or(ALLOWED_FIRST);
-        let named = self.choose_named(spec, step, &route.service, share, floor, now);
+        let tasks = (step.waiting as usize).min(MAX_NAMED);
+        let timing = Timing {
+            now,
+            answered: now.after(policy.cost_ms(tasks) as u64),
+            extra: (EXTRA_MS / policy.worker_ms.max(f64::MIN_POSITIVE)) as usize,
+        };
+        let chosen = self.choose_named(spec, step, &route.service, share, floor, timing);
+        let claims = chosen.iter().filter(|n| n.allowed).map(|n| (n.key, n.room)).collect();
+        let named: Vec<Named> = chosen.into_iter().filter(|named| !named.ticketed).collect();
         if named.is_empty() {
             self.explain(id, "no worker to ask about", now);
             return None;
@@ -214,8 +241,7 @@
             .collect();
         if let Some(step) = self.step_mut(id) {
             step.advice.calling = Some(until);
-            step.advice.claims =
-                named.iter().filter(|n| n.allowed).map(|n| (n.key, n.room)).collect();
+            step.advice.claims = claims;
         }
         self.calls.push(AdviceCall { step: id, vm: lane, workers, until, heavy });
         Some(until)
@@ -255,9 +281,11 @@
         }
     }
 
-    /// Chooses the workers that a call names: allowed ones with room first, then unknown ones.
+    /// Chooses the workers that a call names, and with them those whose tickets the answer completes.
     ///
-    /// A call for a gang that no answer could complete is not made: its tickets would lapse before the room is there.
+    /// A gang starts only when all its tickets are valid at once. A call for one therefore names all workers whose tickets
+    /// lapse before its answer; naming only what is missing now would let the others lapse meanwhile, over and over. A call
+    /// for a gang that no answer could complete is not made: its tickets would lapse before the room is there.
     fn choose_named(
         &self,
         spec: &StepSpec,
@@ -265,32 +293,31 @@
         service: &str,
         share: f64,
         floor: &Floor,
-        now: Moment,
+        timing: Timing,
     ) -> Vec<Named> {
-        let candidates = self.nameable(spec, step, service, floor, now);
-        let valid = self.ticketed_room(spec, step, floor, now);
+        let candidates = self.nameable(spec, step, service, floor, timing);
         let sum = |allowed: bool| -> u32 {
             candidates.iter().filter(|n| n.allowed == allowed).map(|n| n.room).sum()
         };
-        let (known, unknown) = (sum(true) + valid, f64::from(sum(false)) * share);
-        if spec.gang && known < step.waiting {
-            let whole = self.allowed_capacity(spec, step, now);
-            let hopeful = f64::from(known) + unknown >= f64::from(step.waiting) * SPARE_KNOWN;
+        let (known, unknown) = (sum(true), f64::from(sum(false)) * share);
+        let waiting = f64::from(step.waiting);
+        if spec.gang && known >= step.waiting {
+            return name_until(candidates, waiting * SPARE_KNOWN, share, 0);
+        }
+        if spec.gang {
+            let whole = self.allowed_capacity(spec, step, timing.now);
+            let hopeful = f64::from(known) + unknown >= waiting * SPARE_KNOWN;
             // Calls for gangs are the longest. More workers are worth one if it can suffice at once, or while those known
             // to be allowed could not hold the gang a few times over; otherwise the gang waits for them.
             let few = whole < step.waiting * ENOUGH_KNOWN;
-            if !step.advice.explores(now) || (!few && !hopeful) {
+            if !step.advice.explores(timing.now) || (!few && !hopeful) {
                 return Vec::new();
             }
             if !hopeful {
-                return self.name_by_capacity(spec, step, service, share, now);
+                return self.name_by_capacity(spec, step, service, share, timing);
             }
         }
-        let wanted = match spec.gang && known >= step.waiting {
-            true => f64::from(step.waiting.saturating_sub(valid)) * SPARE_KNOWN,
-            false => f64::from(step.waiting) * SPARE - f64::from(valid),
-        };
-        name_until(candidates, wanted, share)
+        name_until(candidates, waiting * SPARE, share, timing.extra)
     }
 
     /// Chooses unknown workers so that those allowed among them could hold a gang a few times over when empty.
@@ -300,22 +327,27 @@
         step: &Step,
         service: &str,
         share: f64,
-        now: Moment,
+        timing: Timing,
     ) -> Vec<Named> {
         let charge = spec.charge();
+        let ahead_ms = timing.answered.since(timing.now);
         let unknown = |(key, worker): (WorkerKey, &super::Worker)| {
             let known = step.advice.allows(key) || step.advice.barred.contains(&key);
-            if known || !worker.is_open(now) || !self.suits(worker, spec, service) {
+            if known || !worker.is_open(timing.now) || !self.suits(worker, spec, service) {
                 return None;
             }
             let capacity = worker.entry.as_ref()?.capacity;
             let room = charge.count_in(capacity).min(step.waiting);
-            (room > 0).then_some(Named { key, allowed: false, room })
+            let soon = charge.count_in(worker.free_soon(ahead_ms, timing.now));
+            let named = Named { key, allowed: false, ticketed: false, room };
+            (room > 0).then_some((std::cmp::Reverse(soon), named))
         };
-        let candidates: Vec<Named> = self.workers.iter().filter_map(unknown).collect();
-        let known = self.allowed_capacity(spec, step, now);
+        let mut candidates: Vec<_> = self.workers.iter().filter_map(unknown).collect();
+        candidates.sort_by_key(|(soon, _)| *soon);
+        let candidates = candidates.into_iter().map(|(_, named)| named).collect();
+        let known = self.allowed_capacity(spec, step, timing.now);
         let wanted = (step.waiting * ENOUGH_KNOWN).saturating_sub(known);
-        name_until(candidates, f64::from(wanted), share)
+        name_until(candidates, f64::from(wanted), share, 0)
     }
 
     /// Returns the workers that a call could name, the best first.
@@ -325,28 +357,34 @@
         step: &Step,
         service: &str,
         floor: &Floor,
-        now: Moment,
+        timing: Timing,
     ) -> Vec<Named> {
         let charge = spec.charge();
         let mut candidates = Vec::new();
-        for (key, free) in floor.workers() {
+        let ahead_ms = timing.answered.since(timing.now);
+        for (key, mut free) in floor.workers() {
+            let Some(worker) = self.workers.get(key) else { continue };
+            if spec.gang && step.advice.allows(key) {
+                // The room of a gang is kept, so what ends during the call counts.
+                free = free.saturating_add(worker.ending(ahead_ms, timing.now));
+            }
             let mut room = charge.count_in(free);
             if spec.spread > 0 {
                 room = room.min(spec.spread);
             }
-            if room == 0 || step.advice.barred.contains(&key) {
+            let barred = step.advice.barred.contains(&key);
+            if room == 0 || barred || !self.suits(worker, spec, service) {
                 continue;
             }
-            let Some(worker) = self.workers.get(key) else { continue };
-            if !self.suits(worker, spec, service) || step.advice.ticket(key, now).is_some() {
-                continue;
-            }
-            let allowed = step.advice.allows(key);
-            candidates.push(Named { key, allowed, room: room.min(step.waiting) });
+            // A ticket of a step without gang is used while it is valid; there is nothing to complete.
+            let until = if spec.gang { timing.answered } else { timing.now };
+            let ticketed = step.advice.ticket(key, until).is_some();
+            let allowed = ticketed || step.advice.allows(key);
+            candidates.push(Named { key, allowed, ticketed, room: room.min(step.waiting) });
         }
         candidates.sort_by_key(|named| {
             let kept = !spec.gang && self.reserved.contains(&named.key);
-            (!named.allowed, kept, std::cmp::Reverse(named.room))
+            (!named.allowed, kept, !named.ticketed, std::cmp::Reverse(named.room))
         });
         candidates
     }
@@ -362,13 +400,6 @@
         step.advice.allowed.iter().filter_map(whole).sum()
     }
 
-    /// Returns the number of tasks for which workers with valid tickets have room.
-    fn ticketed_room(&self, spec: &StepSpec, step: &Step, floor: &Floor, now: Moment) -> u32 {
-        let charge = spec.charge();
-        let room = |ticket: &Ticket| charge.count_in(floor.free(ticket.worker)).min(step.waiting);
-        step.advice.valid_tickets(now).map(room).sum()
-    }
-
     /// Takes the least loaded lane, or returns when one will be free.
     fn take_lane(
         &mut self,
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -137,10 +137,15 @@
         !(spec.fills || serves) || !self.runs.values().any(clash)
     }
 
+    /// Returns the capacity of the runs that should end within `ahead_ms` milliseconds.
+    pub(super) fn ending(&self, ahead_ms: u64, now: Moment) -> Resources {
+        let ending = self.runs.values().filter(|run| run.left_ms(now) <= ahead_ms);
+        ending.fold(Resources::ZERO, |sum, run| sum.saturating_add(run.charge))
+    }
+
     /// Returns the capacity that should be free `ahead_ms` milliseconds from now, if nothing else starts.
     pub(super) fn free_soon(&self, ahead_ms: u64, now: Moment) -> Resources {
-        let ending = self.runs.values().filter(|run| run.left_ms(now) <= ahead_ms);
-        ending.fold(self.free(), |free, run| free.saturating_add(run.charge))
+        self.free().saturating_add(self.ending(ahead_ms, now))
     }
 
     /// Returns for how long the next list can wait, in milliseconds: ends that come close together are in one list,
@@ -246,8 +251,10 @@
         let mut worker = Worker::new(Arc::clone(name), now);
         worker.absent = false;
         log::info!(
-            "event=worker_joined worker={name} service={} capacity={} born={} draining={}",
+            "event=worker_joined worker={name} service={} zone={} labels={} capacity={} born={} draining={}",
             entry.service,
+            entry.zone,
+            entry.labels.join("/"),
             entry.capacity,
             entry.born,
             entry.draining
--- a/crates/coriandertack-jobs/tests/sched/advice.rs
+++ b/crates/coriandertack-jobs/tests/sched/advice.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use coriandertack_jobs::{
+    config::{Advice, Route},
+    moment::Moment,
     report::StartRefusal,
     sched::{AdviceCall, StartOutcome},
 };
 
-use crate::support::{World, advised_route, spec, step, task};
+use crate::support::{FakeWorker, World, advised_route, entry, spec, step, task};
 
 fn lanes(world: &mut World, names: &[&str]) {
     let names: Vec<Arc<str>> = names.iter().map(|name| Arc::from(*name)).collect();
@@ -143,3 +145,83 @@
     let after = world.turn().iter().map(|call| call.workers.len()).max();
     assert!(after >= before, "{after:?} of {before:?} workers");
 }
+
+/// Runs a world whose calls take their full time, until something runs or the time is over. Returns the time that it took.
+fn run_with_slow_advice(world: &mut World, limit_ms: u64) -> u64 {
+    let begun = world.now;
+    let mut pending: Vec<(Moment, AdviceCall)> = Vec::new();
+    while world.running() == 0 && world.now.since(begun) < limit_ms {
+        let (due, later) = pending.into_iter().partition(|(at, _)| *at <= world.now);
+        pending = later;
+        let due: Vec<(Moment, AdviceCall)> = due;
+        for (_, call) in due {
+            world.sched.advised(&call, Some(&allow_all(&call)), world.now);
+        }
+        for call in world.turn() {
+            let policy = slow_advice();
+            let cost = policy.cost_ms(call.workers.len()) as u64;
+            pending.push((world.now.after(cost), call));
+        }
+    }
+    world.now.since(begun)
+}
+
+fn slow_advice() -> Advice {
+    Advice { call_ms: 600.0, worker_ms: 1.0, validity_ms: 850 }
+}
+
+/// Guards against a gang that renews some tickets while the others lapse, and so never holds all of them at once.
+#[test]
+fn a_gang_renews_all_tickets_that_lapse_before_the_answer() {
+    let mut world = World::new(&[4, 4]);
+    lanes(&mut world, &["split-1", "zadar-1"]);
+    let mut gang = step(4, 4);
+    gang.gang = true;
+    let route = Route { advice: Some(slow_advice()), ..advised_route() };
+    world.admit(1, spec(route, vec![gang]));
+    run_with_slow_advice(&mut world, 700);
+    for name in ["late-1", "late-2"] {
+        let key = world.sched.worker_seen(&Arc::from(name), Arc::new(entry(4)), world.now);
+        world.workers.insert(key, FakeWorker::default());
+        world.keys.push(key);
+    }
+    world.list_all();
+    let took = run_with_slow_advice(&mut world, 10_000);
+    assert_eq!(world.running(), 4, "nothing runs after {took} ms");
+}
+
+/// Guards against room that stands idle during the call for its tickets: what will be free by the answer counts.
+#[test]
+fn a_gang_asks_before_its_room_is_free() {
+    let mut world = World::new(&[4, 4]);
+    lanes(&mut world, &["split-1", "zadar-1"]);
+    world.admit(10, crate::support::job(vec![step(2, 3)]));
+    world.turn();
+    assert_eq!(world.running(), 2);
+    let mut gang = step(2, 4);
+    gang.gang = true;
+    let policy = Advice { validity_ms: 5_000, ..slow_advice() };
+    let route = Route { advice: Some(policy), ..advised_route() };
+    world.admit(1, spec(route, vec![gang]));
+    let first = world.turn();
+    world.sched.advised(&first[0], Some(&allow_all(&first[0])), world.now);
+    // The tickets lapse, and the runs, of 1,000 ms by their estimate, should end within the next call.
+    world.now = world.now.after(4_900);
+    for key in world.keys.clone() {
+        let worker = world.workers.get_mut(&key).unwrap();
+        worker.running.values_mut().for_each(|(_, percent)| *percent = 95);
+    }
+    world.list_all();
+    let calls = world.turn();
+    assert_eq!(calls.iter().map(|call| call.workers.len()).sum::<usize>(), 2);
+}
+
+/// Guards against a second call for want of one more allowed worker, where naming more costs next to nothing.
+#[test]
+fn a_short_call_names_more_workers_than_needed() {
+    let mut world = World::new(&[4; 30]);
+    lanes(&mut world, &["split-1"]);
+    world.admit(1, spec(advised_route(), vec![step(1, 1)]));
+    let named = world.turn()[0].workers.len();
+    assert!((6..=10).contains(&named), "{named} workers");
+}
