Drop a run that never was although its stop is repeated

Cause: a start without an answer is barred by a stop, and the run is dropped by a list that was asked for after the worker answered. Each list ordered the stop again, and each answer moved that moment past the next list's, so the run was kept for ever and its gang never started again.

Change: the first answer to an order about a run counts.

Ruled out: a worker that does not answer (the stops are answered from 6 s on), a worker that lists the run (it never does).

Measured: the test fails before and passes now.

--- a/crates/coriandertack-jobs/src/sched/orders.rs
+++ b/crates/coriandertack-jobs/src/sched/orders.rs
@@ -77,12 +77,12 @@
         let Some(run) = worker.runs.get_mut(&(task, attempt)) else { return };
         match outcome {
             StartOutcome::Started => {
-                run.confirmed = Some(now);
+                run.confirm(now);
                 run.moved = now;
                 self.began(task);
             }
             // A run of this number ended there before, or was barred. The next list tells.
-            StartOutcome::Refused(StartRefusal::Superseded) => run.confirmed = Some(now),
+            StartOutcome::Refused(StartRefusal::Superseded) => run.confirm(now),
             StartOutcome::Refused(reason) => {
                 self.counts.refused += 1;
                 log::info!(
@@ -157,7 +157,7 @@
     pub fn stop_answered(&mut self, key: WorkerKey, task: TaskId, attempt: u32, now: Moment) {
         let run = self.workers.get_mut(key).and_then(|w| w.runs.get_mut(&(task, attempt)));
         if let Some(run) = run {
-            run.confirmed = Some(now);
+            run.confirm(now);
         }
     }
 
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -37,8 +37,8 @@
 pub(super) struct Run {
     /// What it takes of the capacity.
     pub(super) charge: Resources,
-    /// When the worker answered an order about the run. A list that was asked for later shows the run or its end,
-    /// unless the run never was.
+    /// When the worker first answered an order about the run. A list that was asked for later shows the run or its
+    /// end, unless the run never was.
     pub(super) confirmed: Option<Moment>,
     /// When the last stop was ordered.
     pub(super) stopped: Option<Moment>,
@@ -58,6 +58,12 @@
         Self { charge, confirmed: None, stopped: None, percent: 0, moved: now, bound: now, traits }
     }
 
+    /// Notes that the worker answered an order about the run. The first answer counts: a stop that is repeated with each list
+    /// would otherwise always be newer than the list.
+    pub(super) fn confirm(&mut self, now: Moment) {
+        self.confirmed.get_or_insert(now);
+    }
+
     /// Returns the milliseconds until the run should end, by its progress or its estimate.
     fn left_ms(&self, now: Moment) -> u64 {
         let elapsed = now.since(self.bound);
--- a/crates/coriandertack-jobs/tests/sched/orders.rs
+++ b/crates/coriandertack-jobs/tests/sched/orders.rs
@@ -179,3 +179,29 @@
     let second = world.places(task(1, 0, 0))[0];
     assert_ne!(first, second);
 }
+
+/// Guards against a run that is kept for ever because each repeated stop counts as a newer answer than the list that shows
+/// that the run never was (vukic-hladni-grown scale-1: a gang waited 50 s for it).
+#[test]
+fn a_run_that_never_was_is_dropped_although_its_stop_is_repeated() {
+    let mut world = World::new(&[4]);
+    let key = world.keys[0];
+    world.admit(1, job(vec![step(1, 4)]));
+    world.sched.place(world.now);
+    world.sched.take_batch();
+    world.sched.start_answered(key, task(1, 0, 0), 1, StartOutcome::Unanswered, world.now);
+    for _ in 0..5 {
+        // The next list is asked for before the stop is answered, and waits a second for an end.
+        let sent = world.now;
+        let stops = world.sched.take_batch().orders;
+        world.now = world.now.after(5);
+        if !stops.is_empty() {
+            world.sched.stop_answered(key, task(1, 0, 0), 1, world.now);
+        }
+        world.now = world.now.after(1_100);
+        let listing = world.workers[&key].listing(BORN);
+        world.sched.listed(key, sent, &listing, world.now);
+    }
+    world.turn();
+    assert_eq!(world.running(), 1, "the task runs as attempt 2");
+}
