Serve waves of maintenance

Change: coriandertack-jobs::upkeep plans the open waves (who goes down next, what an answer means, when a wave is over); sched::evacuate closes a worker and empties it, within max-unavailable for tasks that last and with a checkpoint for long work; fleet::upkeep is the leader's task that lists, orders and reports; platform::machines has the calls. The report on a wave also names the machines that are done, so that a successor goes on from there. A new leader waits for the lease of the former one's turn before its first order.

Ruled out: a record of its own for the progress of a wave (the report is kept by key and fenced, and says the same); emptying more machines than may be down (it gives up room for longer).

Measured: eight tests of decisions and two with processes (cap 1 over four machines; each second answer lost, cap 2 over three): every machine had its upkeep before the report, never more down than the cap, no task ran twice.

--- a/crates/coriandertack-jobs/src/lib.rs
+++ b/crates/coriandertack-jobs/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod report;
 pub mod sched;
 pub mod spec;
+pub mod upkeep;
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -9,6 +9,7 @@
 mod advise;
 mod cancel;
 mod ends;
+mod evacuate;
 mod health;
 mod lists;
 mod orders;
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -65,7 +65,7 @@
     }
 
     /// Returns the milliseconds until the run should end, by its progress or its estimate.
-    fn left_ms(&self, now: Moment) -> u64 {
+    pub(super) fn left_ms(&self, now: Moment) -> u64 {
         let elapsed = now.since(self.bound);
         match u64::from(self.percent) {
             0 => self.traits.estimate_ms.saturating_sub(elapsed),
@@ -97,6 +97,8 @@
     lease_end: Moment,
     /// The worker's clock at a moment of ours.
     clock: Option<(u64, Moment)>,
+    /// Whether its machine is about to go down.
+    pub(super) leaving: bool,
     /// Until when the worker gets no new tasks because of its results.
     pub(super) avoided: Moment,
     /// Failed runs of different jobs since the last one that was done.
@@ -121,6 +123,7 @@
             runs: HashMap::new(),
             lease_end,
             clock: None,
+            leaving: false,
             avoided: Moment(0),
             strikes: 0,
             striker: None,
@@ -183,7 +186,7 @@
     /// Tells whether the worker takes new tasks.
     pub(super) fn is_open(&self, now: Moment) -> bool {
         let ready = self.entry.as_ref().is_some_and(|entry| !entry.draining);
-        ready && self.listed && !self.absent && self.avoided <= now
+        ready && self.listed && !self.absent && !self.leaving && self.avoided <= now
     }
 
     pub(super) fn has_label(&self, label: &str) -> bool {
--- a/crates/coriandertack-jobs/tests/sched/main.rs
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -9,3 +9,4 @@
 mod random;
 mod support;
 mod timed;
+mod upkeep;
--- a/crates/coriandertack-standins/src/platform/mod.rs
+++ b/crates/coriandertack-standins/src/platform/mod.rs
@@ -1,9 +1,11 @@
-//! Small stand-ins for the platform on which the entry VMs run: its store, its workers and its advice.
+//! Small stand-ins for the platform on which the entry VMs run: its store, its workers, its advice and its
+//! machines.
 //!
 //! They speak the platform's protocol on addresses of their own, keep everything in memory, and fail on demand
-//! ([`store::Faults`], [`worker::Faults`]). Each worker notes what it ran, so that a test can tell whether a task ran twice.
+//! ([`store::Faults`], [`worker::Faults`], [`machines::Faults`]). Each worker notes what it ran, so that a test can tell whether a task ran twice.
 
 pub mod advice;
+pub mod machines;
 pub mod store;
 pub mod worker;
 
@@ -28,6 +30,8 @@
     pub(crate) path: String,
     pub(crate) query: String,
     pub(crate) instance: Option<String>,
+    /// Token of the order, where it is a header.
+    pub(crate) token: Option<u64>,
     pub(crate) body: Bytes,
 }
 
@@ -81,11 +85,13 @@
 {
     let instance = request.headers().get("expect-instance");
     let instance = instance.and_then(|value| value.to_str().ok()).map(str::to_owned);
+    let token = request.headers().get("fencing-token");
+    let token = token.and_then(|value| value.to_str().ok()).and_then(|value| value.parse().ok());
     let path = request.uri().path().to_owned();
     let query = request.uri().query().unwrap_or_default().to_owned();
     let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await;
     let body = body.map(|body| body.to_bytes()).unwrap_or_else(|_| Bytes::new());
-    match answer(Call { path, query, instance, body }).await {
+    match answer(Call { path, query, instance, token, body }).await {
         Some((status, body)) => {
             let mut response = Response::new(Full::new(body));
             *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -144,6 +144,13 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns the newest value of a key.
+    #[must_use]
+    pub fn value(&self, topic: &str, key: &str) -> Option<Bytes> {
+        let state = lock(&self.state);
+        state.topics.get(topic)?.newest.get(key).map(|(_, value)| value.clone())
+    }
+
     /// Returns the keys of a topic.
     #[must_use]
     pub fn keys(&self, topic: &str) -> Vec<String> {
--- a/crates/coriandertack-standins/src/platform/worker.rs
+++ b/crates/coriandertack-standins/src/platform/worker.rs
@@ -145,6 +145,12 @@
         Ok(Self { address, state, tasks: vec![task, expiry] })
     }
 
+    /// Returns the worker's name.
+    #[must_use]
+    pub fn id(&self) -> String {
+        lock(&self.state).id.clone()
+    }
+
     /// Returns the worker's entry, as it writes it to the store.
     #[must_use]
     pub fn entry(&self, service: &str, cores: u32) -> String {
--- a/crates/coriandertackd/src/fleet/follow.rs
+++ b/crates/coriandertackd/src/fleet/follow.rs
@@ -142,12 +142,28 @@
         for record in records {
             if record.key == operator::CONFIG_KEY && !record.value.is_empty() {
                 configure(&shared, &record.value);
+            } else if operator::is_wave(&record.key) && !record.value.is_empty() {
+                note_wave(&shared, &record);
             }
         }
     };
     stream(&shared, Topic::Operator, || OPERATOR_WAIT_MS, || 0, apply, |_, _, _| {}).await;
 }
 
+/// Notes a wave of maintenance. One that is known stays as it is.
+fn note_wave(shared: &Shared, record: &Record) {
+    match operator::wave(&record.value, clock::now()) {
+        Ok(wave) => {
+            shared.waves.send_if_modified(|waves| {
+                let known = waves.contains_key(&wave.number);
+                waves.entry(wave.number).or_insert(wave);
+                !known
+            });
+        }
+        Err(error) => log::warn!("event=wave_unreadable key={} error=\"{error:#}\"", record.key),
+    }
+}
+
 /// Puts a configuration in force, unless a newer one is.
 fn configure(shared: &Shared, value: &[u8]) {
     let config = match operator::config(value) {
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -36,6 +36,7 @@
     arrivals::{Arrival, Arrivals},
     clock, crew, follow, forget, metrics,
     shared::{Counters, Shared},
+    upkeep,
 };
 
 /// Longest time between two records of a leader, in milliseconds.
@@ -289,6 +290,7 @@
     tasks.spawn(crew::keep(leading.clone()));
     tasks.spawn(advice::keep(leading.clone()));
     tasks.spawn(forget::run(leading.clone()));
+    tasks.spawn(upkeep::run(leading.clone()));
     serve(&leading, store, number, arrivals).await;
 }
 
--- a/crates/coriandertackd/src/fleet/mod.rs
+++ b/crates/coriandertackd/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod output;
 pub mod settings;
 pub mod shared;
+pub mod upkeep;
 
 use std::{sync::Arc, time::Duration};
 
--- a/crates/coriandertackd/src/fleet/settings.rs
+++ b/crates/coriandertackd/src/fleet/settings.rs
@@ -76,6 +76,9 @@
     /// Address of the service for advice.
     #[serde(default, deserialize_with = "optional")]
     pub advice: Option<SocketAddr>,
+    /// Address of the interface to machines.
+    #[serde(default, deserialize_with = "optional")]
+    pub machines: Option<SocketAddr>,
 }
 
 /// Bounds that the platform states.
@@ -84,11 +87,13 @@
 pub struct Bounds {
     /// Seconds for which the state of a job that ended stays known.
     pub status_s: u64,
+    /// Milliseconds for which the orders of one holder for a machine exclude those of another.
+    pub lease_ms: u64,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self { status_s: 120 }
+        Self { status_s: 120, lease_ms: 3_000 }
     }
 }
 
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -14,6 +14,7 @@
         config::Config,
         moment::Moment,
         progress::{Phase, Progress},
+        upkeep::Wave,
     },
     coriandertack_peers::errands::{Ended, Handed},
     tokio::sync::{Notify, mpsc, oneshot, watch},
@@ -130,6 +131,8 @@
     board: Mutex<Board>,
     /// Configuration in force; revision 0 before the first one.
     pub config: watch::Sender<Arc<Config>>,
+    /// Waves that operators asked for.
+    pub waves: watch::Sender<BTreeMap<u64, Wave>>,
     /// What was read of the intake.
     pub intake: watch::Sender<Reached>,
     /// What was read of the progress.
@@ -171,6 +174,7 @@
             started: clock::now(),
             board: Mutex::default(),
             config: watch::Sender::default(),
+            waves: watch::Sender::default(),
             intake: watch::Sender::default(),
             progress: watch::Sender::default(),
             submissions,
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -19,6 +19,7 @@
     coriandertack_platform::callers,
     coriandertack_standins::platform::{
         advice::Advice,
+        machines::Machines,
         store::Store,
         worker::{Noted, Worker},
     },
@@ -41,6 +42,9 @@
 /// needs it has failed.
 const LONGEST: Duration = Duration::from_secs(90);
 
+/// Time for which a machine is down for its upkeep.
+const UPKEEP: Duration = Duration::from_millis(400);
+
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 pub struct Vm {
@@ -55,9 +59,12 @@
     pub store: Store,
     pub workers: Vec<Worker>,
     pub vms: Vec<Vm>,
-    _advice: Advice,
+    pub machines: Machines,
+    advice: Advice,
     directory: PathBuf,
     next: u64,
+    /// Runs of workers that are gone.
+    retired: Vec<Noted>,
 }
 
 impl Drop for Cluster {
@@ -105,33 +112,37 @@
             store,
             workers: Vec::new(),
             vms: Vec::new(),
-            _advice: advice,
+            machines: Machines::start().await.unwrap(),
+            advice,
             directory,
             next: 1,
+            retired: Vec::new(),
         };
         cluster.configure(2, false);
         for number in 0..workers {
-            let id = format!("i-{number}");
-            let worker = Worker::start(&id, RUN_MS, 1_000 + number as u64).await.unwrap();
-            cluster.store.put("keyed.servers", &id, worker.entry("vans", 4).as_bytes());
+            let worker = cluster.start_worker(&format!("i-{number}"), 1_000 + number as u64).await;
+            cluster.machines.carry(&format!("m-{number}"), &worker.id());
             cluster.workers.push(worker);
         }
         for number in 0..vms {
-            cluster.add_vm(number);
+            cluster.add_vm(number, 0.0);
         }
         cluster.restart_all().await;
         cluster
     }
 
-    fn add_vm(&mut self, number: usize) {
+    /// Adds a VM with this share of a core, 0 for an unknown one. Its process starts with the next revival.
+    pub fn add_vm(&mut self, number: usize, cores: f64) {
         let ip = own_address();
         let callers = SocketAddr::from((ip, CALLERS_PORT));
         let text = format!(
             "[vm]\nname = \"vm-{number}\"\nzone = \"split\"\ncallers = \"{callers}\"\n\
-             ready = \"{ip}:{READY_PORT}\"\nlink = \"{ip}:{LINK_PORT}\"\n\n\
-             [platform]\nstore = \"{}\"\nadvice = \"{}\"\n",
+             ready = \"{ip}:{READY_PORT}\"\nlink = \"{ip}:{LINK_PORT}\"\ncores = {cores:.2}\n\n\
+             [platform]\nstore = \"{}\"\nadvice = \"{}\"\nmachines = \"{}\"\n\n\
+             [bounds]\nlease_ms = 300\n",
             self.store.address(),
-            self._advice.address(),
+            self.advice.address(),
+            self.machines.address(),
         );
         let settings = self.directory.join(format!("vm-{number}.toml"));
         fs::write(&settings, text).unwrap();
@@ -139,6 +150,34 @@
         self.vms.push(Vm { callers, settings, log, child: None });
     }
 
+    /// Starts a worker and writes its entry.
+    async fn start_worker(&self, id: &str, born: u64) -> Worker {
+        let worker = Worker::start(id, RUN_MS, born).await.unwrap();
+        self.store.put("keyed.servers", id, worker.entry("vans", 4).as_bytes());
+        worker
+    }
+
+    /// Carries out the upkeep of the machines that are down: the worker goes, and a new one comes.
+    pub async fn serve_upkeep(&mut self) {
+        for (machine, former) in self.machines.down() {
+            let Some(position) = self.workers.iter().position(|worker| worker.id() == former)
+            else {
+                continue;
+            };
+            self.store.put("keyed.servers", &former, b"");
+            let gone = self.workers.remove(position);
+            self.retired.extend(gone.noted());
+            drop(gone);
+            sleep(UPKEEP).await;
+            self.next += 1;
+            let born = 5_000 + self.next;
+            let id = format!("{former}-{born}");
+            let worker = self.start_worker(&id, born).await;
+            self.workers.push(worker);
+            self.machines.carry(&machine, &id);
+        }
+    }
+
     /// Starts every process that does not run, and waits until all serve.
     pub async fn restart_all(&mut self) {
         self.until("all VMs serve", async |cluster| {
@@ -426,7 +465,7 @@
 
     fn noted(&self) -> HashMap<String, Vec<Noted>> {
         let mut runs: HashMap<String, Vec<Noted>> = HashMap::new();
-        for run in self.workers.iter().flat_map(Worker::noted) {
+        for run in self.workers.iter().flat_map(Worker::noted).chain(self.retired.clone()) {
             runs.entry(run.task.clone()).or_default().push(run);
         }
         runs
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use {
-    coriandertack_standins::platform::{store, worker},
+    coriandertack_standins::platform::{machines, store, worker},
     nix::sys::signal::Signal,
     tokio::time::sleep,
 };
@@ -175,3 +175,43 @@
     cluster.completed(&jobs).await;
     cluster.audit();
 }
+
+/// Serves the upkeep of a wave over all machines until it is reported as completed.
+async fn serve_wave(cluster: &mut Cluster, machines: usize, cap: usize) {
+    let names: Vec<String> = (0..machines).map(|number| format!("\"m-{number}\"")).collect();
+    let wave =
+        format!(r#"{{"wave":3,"machines":[{}],"duration-s":30,"cap":{cap}}}"#, names.join(","));
+    cluster.store.put("keyed.op", "wave/3", wave.as_bytes());
+    let mut jobs = cluster.submit(6).await;
+    cluster
+        .until("the wave is completed", async |cluster| {
+            cluster.serve_upkeep().await;
+            let report = cluster.store.value("keyed.status", "wave/3").unwrap_or_default();
+            String::from_utf8_lossy(&report).contains("completed")
+        })
+        .await;
+    let (had, most) = cluster.machines.upkept(3);
+    assert_eq!(
+        had, machines,
+        "every machine had its upkeep before the wave was reported as completed"
+    );
+    assert!(most <= cap, "{most} machines were down at once");
+    jobs.extend(cluster.submit(6).await);
+    cluster.completed(&jobs).await;
+    cluster.audit();
+}
+
+/// Guards against a wave that is not served, that takes more machines down than it may, or that ends work in vain.
+#[tokio::test]
+async fn a_wave_of_maintenance_is_served_within_its_cap() {
+    let mut cluster = Cluster::start(2, 4).await;
+    serve_wave(&mut cluster, 4, 1).await;
+}
+
+/// Guards against a machine that is counted as served, or ordered down twice, when the answer to its order is lost.
+#[tokio::test]
+async fn a_wave_survives_lost_answers() {
+    let mut cluster = Cluster::start(2, 4).await;
+    cluster.machines.fail(machines::Faults { lost_every: 2, ..Default::default() });
+    serve_wave(&mut cluster, 3, 2).await;
+}
