Hand the lead over to a larger VM

Change: a leader looks for a VM with half as many processors again whose link has been open for 1.5 s, and releases the lead as a stop does.

Measured: a test with processes, and one of the choice.

--- a/crates/coriandertack-jobs/src/board.rs
+++ b/crates/coriandertack-jobs/src/board.rs
@@ -12,6 +12,10 @@
     spec::JobSpec,
 };
 
+/// Processors that another VM must have to lead instead of one that can lead, in percent of that one's. A change of the lead
+/// costs about a second without decisions, so a small difference is not worth it.
+const LARGER_PERCENT: u32 = 150;
+
 /// Where an entry VM can be reached by others, and what it has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Link {
@@ -151,6 +155,18 @@
         self.links.iter().filter(|(name, link)| before(name, link)).count()
     }
 
+    /// Returns a VM among those that can be reached that should lead instead of this one: it has far more processors.
+    #[must_use]
+    pub fn larger<'a>(
+        &self,
+        vm: &str,
+        reachable: impl IntoIterator<Item = &'a Arc<str>>,
+    ) -> Option<&'a Arc<str>> {
+        let of = |name: &str| self.links.get(name).map_or(0, |link| link.millicores);
+        let least = of(vm) * LARGER_PERCENT / 100;
+        reachable.into_iter().filter(|name| of(name) > least).max_by_key(|name| of(name))
+    }
+
     /// Counts the jobs of a route that have no started task and no times of their own.
     #[must_use]
     pub fn pending(&self, route: &str) -> usize {
--- a/crates/coriandertack-jobs/tests/sched/main.rs
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -2,6 +2,7 @@
 
 mod adopt;
 mod advice;
+mod board;
 mod colocation;
 mod ends;
 mod gangs;
--- a/crates/coriandertackd/src/fleet/advice.rs
+++ b/crates/coriandertackd/src/fleet/advice.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use {
-    coriandertack_jobs::{board::Link, sched::AdviceCall},
+    coriandertack_jobs::{board::Link, moment::Moment, sched::AdviceCall},
     coriandertack_peers::errands::{self, Advice, Ended, Question, ToVm},
     coriandertack_platform::advice::Adviser,
     tokio::{
@@ -50,6 +50,8 @@
 #[derive(Debug, Default)]
 pub struct Links {
     queues: HashMap<Arc<str>, mpsc::UnboundedSender<ToVm>>,
+    /// When each link was opened.
+    opened: HashMap<Arc<str>, Moment>,
 }
 
 impl Links {
@@ -68,6 +70,25 @@
         }
     }
 
+    /// Adds the link to a VM.
+    fn open(&mut self, vm: Arc<str>, queue: mpsc::UnboundedSender<ToVm>) {
+        self.opened.insert(vm.clone(), clock::now());
+        self.queues.insert(vm, queue);
+    }
+
+    /// Removes the link to a VM. Returns false if there was none.
+    fn close(&mut self, vm: &str) -> bool {
+        self.opened.remove(vm);
+        self.queues.remove(vm).is_some()
+    }
+
+    /// Returns the names of the VMs whose link was opened before a moment.
+    #[must_use]
+    pub fn opened_before(&self, moment: Moment) -> Vec<Arc<str>> {
+        let steady = self.opened.iter().filter(|(_, opened)| **opened < moment);
+        steady.map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Returns the names of the VMs with a link.
     #[must_use]
     pub fn names(&self) -> Vec<Arc<str>> {
@@ -109,7 +130,7 @@
         let (sender, queue) = mpsc::unbounded_channel();
         let answered = |call: &AdviceCall, advice: Advice| leading.advised(call, advice);
         let connected = || {
-            leading.links().queues.insert(vm.clone(), sender);
+            leading.links().open(vm.clone(), sender);
             leading.lanes_changed();
         };
         let take = |handed| leading.take(handed);
@@ -117,7 +138,7 @@
             result = errands::dial(address, queue, answered, take, connected) => result,
             _ = unlinked.wait_for(|unlinked| *unlinked) => Ok(()),
         };
-        let was_up = leading.links().queues.remove(&vm).is_some();
+        let was_up = leading.links().close(&vm);
         if was_up {
             leading.lanes_changed();
         }
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -34,7 +34,7 @@
 use super::{
     advice::{self, Links},
     arrivals::{Arrival, Arrivals},
-    clock, crew, follow, forget, metrics,
+    clock, crew, follow, forget, handover, metrics,
     shared::{Counters, Shared},
     upkeep,
 };
@@ -88,6 +88,8 @@
     pub shared: Arc<Shared>,
     /// Epoch of the leadership, which is the token of all orders.
     pub epoch: u64,
+    /// When the leadership began.
+    pub began: Moment,
     scheduler: Mutex<Scheduler>,
     links: Mutex<Links>,
     /// When the last append that succeeded began: until then, nobody else led.
@@ -275,6 +277,7 @@
     let leading = Arc::new(Leading {
         shared: shared.clone(),
         epoch,
+        began: clock::now(),
         scheduler: Mutex::new(Scheduler::new(config)),
         links: Mutex::default(),
         proof: AtomicU64::new(0),
@@ -363,6 +366,7 @@
     let mut arrivals = Arrivals::new(queue);
     let shared = &leading.shared;
     let mut beat = clock::now();
+    let mut look = beat.after(handover::LOOK_MS);
     let mut again: Option<Moment> = None;
     loop {
         let now = clock::now();
@@ -374,8 +378,12 @@
         if *leading.deposed.borrow() {
             return;
         }
-        if *shared.stopping.borrow() {
-            release(leading, &mut store, number).await;
+        let looks = clock::now() >= look;
+        if looks {
+            look = clock::now().after(handover::LOOK_MS);
+        }
+        if *shared.stopping.borrow() || (looks && handover::is_due(leading)) {
+            handover::release(leading, &mut store, number).await;
             return;
         }
         let decision = decide(leading, &mut arrivals);
@@ -525,16 +533,3 @@
     crew::send_starts(leading, batch.orders);
     leading.recorded.send_modify(|count| *count += 1);
 }
-
-/// Gives the leadership up, so that another VM takes it at once.
-async fn release(leading: &Leading, store: &mut Store, number: u64) {
-    let (key, value) = jobs::led(&Leader { epoch: leading.epoch, vm: Arc::default() });
-    let fence = Some(Fence { epoch: leading.epoch, number: number + 1 });
-    let result = store.append(Topic::Progress, &[Record { key, value }], fence, None).await;
-    match result {
-        Ok(_) => log::info!("event=leadership_released epoch={}", leading.epoch),
-        Err(error) => {
-            log::warn!("event=release_failed epoch={} error=\"{error}\"", leading.epoch);
-        }
-    }
-}
--- a/crates/coriandertackd/src/fleet/metrics.rs
+++ b/crates/coriandertackd/src/fleet/metrics.rs
@@ -103,7 +103,7 @@
 /// Registers one instrument for each counter and gauge.
 fn observe(meter: &Meter, shared: &Arc<Shared>) {
     type Read = fn(&Counters) -> &AtomicU64;
-    let counters: [(&'static str, &'static str, Read); 10] = [
+    let counters: [(&'static str, &'static str, Read); 11] = [
         ("store_appends", "appends to the store", |c| &c.appends),
         ("store_reads", "reads of the store", |c| &c.reads),
         ("store_errors", "calls to the store that failed", |c| &c.store_errors),
@@ -114,6 +114,7 @@
         ("lists", "lists of runs that workers were asked for", |c| &c.lists),
         ("starts", "starts that were sent", |c| &c.starts),
         ("takeovers", "times that this VM took the lead", |c| &c.takeovers),
+        ("handovers", "times that this VM gave up the lead to a larger one", |c| &c.handovers),
     ];
     for (name, text, read) in counters {
         let shared = shared.clone();
--- a/crates/coriandertackd/src/fleet/mod.rs
+++ b/crates/coriandertackd/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 pub mod forget;
 pub mod front;
+pub mod handover;
 pub mod intake;
 pub mod lead;
 pub mod metrics;
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -111,6 +111,8 @@
     pub starts: AtomicU64,
     /// Leaderships of this VM.
     pub takeovers: AtomicU64,
+    /// Times that this VM gave up the lead in favour of a larger one.
+    pub handovers: AtomicU64,
 }
 
 impl Counters {
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -176,6 +176,22 @@
     cluster.audit();
 }
 
+/// Guards against a small VM that keeps the lead once larger ones can take it: on ancfcc-sales-grown scale-2 one of 0.12 cores
+/// led for 12 s, and most jobs of that time were late or failed.
+#[tokio::test]
+async fn a_small_leader_hands_over_to_a_larger_vm() {
+    let mut cluster = Cluster::start(0, 4).await;
+    cluster.add_vm(0, 0.12);
+    cluster.restart_all().await;
+    let mut jobs = cluster.submit(6).await;
+    cluster.add_vm(1, 0.5);
+    cluster.restart_all().await;
+    cluster.until("the larger VM leads", async |cluster| cluster.leader().await == 1).await;
+    jobs.extend(cluster.submit(6).await);
+    cluster.completed(&jobs).await;
+    cluster.audit();
+}
+
 /// Serves the upkeep of a wave over all machines until it is reported as completed.
 async fn serve_wave(cluster: &mut Cluster, machines: usize, cap: usize) {
     let names: Vec<String> = (0..machines).map(|number| format!("\"m-{number}\"")).collect();
