Keep lanes for urgent advice, and split the campaign from the lead

For each waiting step all workers were looked at before it was found that no lane was free. A gang's call named a tenth more room than needed, and one worker with less room cost another call.

Change: a quarter of the lanes is for urgent calls alone, an urgent call also keeps room on workers that may not be allowed, lanes are looked at first, and a gang's call names half as many workers again while it keeps room on a tenth more.

Ruled out: processor time of the leader as such (0.1 of 0.5 cores), room (65% in use).

--- a/crates/coriandertack-jobs/src/sched/advise.rs
+++ b/crates/coriandertack-jobs/src/sched/advise.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashSet, sync::Arc};
 
-use super::{Scheduler, Step, WorkerKey, place::Floor};
+use super::{Scheduler, Step, URGENT_PRIORITY, WorkerKey, place::Floor};
 
 use crate::{
     config::{Advice, Route},
@@ -34,8 +34,12 @@
 /// A single one would have to be empty altogether, behind the longest task on it.
 const ENOUGH_KNOWN: u32 = 3;
 
-/// The same factor for workers that are known to be allowed, whose room is kept during the call.
-const SPARE_KNOWN: f64 = 1.1;
+/// Factor on the number of a gang's tasks for which room is kept on workers that are known to be allowed during the call.
+const SPARE_KEPT: f64 = 1.1;
+
+/// Factor on the number of a gang's tasks for which such workers are named. A worker more costs a hundredth of another
+/// call, which is due if one of them has less room than expected.
+const SPARE_KNOWN: f64 = 1.5;
 
 /// Time between two calls that learn which workers are allowed, in milliseconds.
 const EXPLORE_MS: u64 = 500;
@@ -50,8 +54,9 @@
 /// as long, so that a second call would cost more.
 const EXTRA_MS: f64 = 5.0;
 
-/// Cost of a call above which it is heavy, in milliseconds. Heavy calls leave some lanes to the short ones.
-const HEAVY_MS: f64 = 150.0;
+/// Share of the lanes that stays free for urgent calls, as a divisor. All others together would else hold every lane in a
+/// burst, and an urgent job is late after some hundred milliseconds.
+const URGENT_LANES_DIVISOR: usize = 4;
 
 /// Time after which a call without an answer is given up, beyond its cost, in milliseconds.
 const CALL_SLACK_MS: u64 = 1_000;
@@ -145,8 +150,8 @@
     pub vm: Arc<str>,
     /// When its calls so far should be answered.
     pub free: Moment,
-    /// Heavy calls under way.
-    pub heavy: u32,
+    /// Calls under way that are not urgent.
+    pub patient: u32,
 }
 
 /// A call for advice.
@@ -160,8 +165,8 @@
     pub workers: Vec<(WorkerKey, Arc<str>)>,
     /// When the answer is given up.
     pub until: Moment,
-    /// Whether the call takes long.
-    pub heavy: bool,
+    /// Whether the call is for a route of the highest priority.
+    pub urgent: bool,
 }
 
 /// Takes candidates until the room that they should bring is enough, and then `extra` more.
@@ -182,13 +187,28 @@
     named
 }
 
+/// Chooses the room that is kept during a call, so that it is still there when the tickets come. An urgent step also keeps
+/// room on workers that may turn out not to be allowed: its next chance would be late.
+fn claims(chosen: &[Named], waiting: u32, share: f64, urgent: bool) -> Vec<(WorkerKey, u32)> {
+    let mut kept = 0.0;
+    let mut claims = Vec::new();
+    for named in chosen.iter().filter(|named| named.allowed || urgent) {
+        if kept >= f64::from(waiting) * SPARE_KEPT {
+            break;
+        }
+        kept += f64::from(named.room) * if named.allowed { 1.0 } else { share };
+        claims.push((named.key, named.room));
+    }
+    claims
+}
+
 impl Scheduler {
     /// Replaces the VMs that can make calls for advice. Those that stay keep their load.
     pub fn set_lanes(&mut self, names: &[Arc<str>]) {
         self.lanes.retain(|lane| names.contains(&lane.vm));
         for name in names {
             if !self.lanes.iter().any(|lane| lane.vm == *name) {
-                self.lanes.push(Lane { vm: name.clone(), free: Moment(0), heavy: 0 });
+                self.lanes.push(Lane { vm: name.clone(), free: Moment(0), patient: 0 });
             }
         }
     }
@@ -209,6 +229,13 @@
         if step.advice.retry > now {
             return Some(step.advice.retry);
         }
+        // Which workers to name takes a look at all of them, so it is not decided for a call that cannot be made now.
+        let urgent = route.priority == URGENT_PRIORITY;
+        if let Err(free) = self.free_lane(urgent, now) {
+            self.explain(id, "no lane for advice", now);
+            return free;
+        }
+        let (_, spec, step) = self.step(id)?;
         let share = self.allowed.get(&route.name).copied().unwrap_or(ALLOWED_FIRST);
         let tasks = (step.waiting as usize).min(MAX_NAMED);
         let timing = Timing {
@@ -217,21 +244,14 @@
             extra: (EXTRA_MS / policy.worker_ms.max(f64::MIN_POSITIVE)) as usize,
         };
         let chosen = self.choose_named(spec, step, &route.service, share, floor, timing);
-        let claims = chosen.iter().filter(|n| n.allowed).map(|n| (n.key, n.room)).collect();
+        let claims = claims(&chosen, step.waiting, share, urgent);
         let named: Vec<Named> = chosen.into_iter().filter(|named| !named.ticketed).collect();
         if named.is_empty() {
             self.explain(id, "no worker to ask about", now);
             return None;
         }
         let cost = policy.cost_ms(named.len());
-        let heavy = cost > HEAVY_MS;
-        let lane = match self.take_lane(cost as u64, heavy, now) {
-            Ok(lane) => lane,
-            Err(free) => {
-                self.explain(id, "no lane for advice", now);
-                return free;
-            }
-        };
+        let lane = self.take_lane(cost as u64, urgent, now)?;
         let until = now.after(cost as u64 + CALL_SLACK_MS + LANE_WAIT_MS);
         log::debug!("event=advice_asked step={id} vm={lane} workers={}", named.len());
         self.counts.advice += 1;
@@ -243,7 +263,7 @@
             step.advice.calling = Some(until);
             step.advice.claims = claims;
         }
-        self.calls.push(AdviceCall { step: id, vm: lane, workers, until, heavy });
+        self.calls.push(AdviceCall { step: id, vm: lane, workers, until, urgent });
         Some(until)
     }
 
@@ -268,13 +288,13 @@
         }
         log::info!(
             "event=step_waits step={id} reason=\"{reason}\" waiting={} gang={} tickets={} \
-             allowed={} barred={} heavy={}",
+             allowed={} barred={} calls={}",
             step.waiting,
             spec.gang,
             step.advice.valid_tickets(now).count(),
             step.advice.allowed.len(),
             step.advice.barred.len(),
-            self.lanes.iter().map(|lane| lane.heavy).sum::<u32>(),
+            self.lanes.iter().map(|lane| lane.patient).sum::<u32>(),
         );
         if let Some(step) = self.step_mut(id) {
             step.explained = now;
@@ -306,7 +326,7 @@
         }
         if spec.gang {
             let whole = self.allowed_capacity(spec, step, timing.now);
-            let hopeful = f64::from(known) + unknown >= waiting * SPARE_KNOWN;
+            let hopeful = f64::from(known) + unknown >= waiting * SPARE_KEPT;
             // Calls for gangs are the longest. More workers are worth one if it can suffice at once, or while those known
             // to be allowed could not hold the gang a few times over; otherwise the gang waits for them.
             let few = whole < step.waiting * ENOUGH_KNOWN;
@@ -400,27 +420,27 @@
         step.advice.allowed.iter().filter_map(whole).sum()
     }
 
-    /// Takes the least loaded lane, or returns when one will be free.
-    fn take_lane(
-        &mut self,
-        cost_ms: u64,
-        heavy: bool,
-        now: Moment,
-    ) -> Result<Arc<str>, Option<Moment>> {
-        // Short calls wait behind no heavy one in at least a quarter of the lanes.
-        let most = (self.lanes.len() * 3 / 4).max(1) as u32;
-        if heavy && self.lanes.iter().map(|lane| lane.heavy).sum::<u32>() >= most {
+    /// Returns the position of the least loaded lane, or when one will be free.
+    fn free_lane(&self, urgent: bool, now: Moment) -> Result<usize, Option<Moment>> {
+        let most = (self.lanes.len() - self.lanes.len() / URGENT_LANES_DIVISOR).max(1) as u32;
+        if !urgent && self.lanes.iter().map(|lane| lane.patient).sum::<u32>() >= most {
             return Err(Some(now.after(LANE_WAIT_MS)));
         }
-        let Some(lane) = self.lanes.iter_mut().min_by_key(|lane| lane.free) else {
-            return Err(None);
-        };
+        let least = self.lanes.iter().enumerate().min_by_key(|(_, lane)| lane.free);
+        let Some((position, lane)) = least else { return Err(None) };
         if lane.free > now.after(LANE_WAIT_MS) {
             return Err(Some(lane.free));
         }
+        Ok(position)
+    }
+
+    /// Takes the least loaded lane for a call of this cost.
+    fn take_lane(&mut self, cost_ms: u64, urgent: bool, now: Moment) -> Option<Arc<str>> {
+        let position = self.free_lane(urgent, now).ok()?;
+        let lane = self.lanes.get_mut(position)?;
         lane.free = lane.free.max(now).after(cost_ms);
-        lane.heavy += u32::from(heavy);
-        Ok(lane.vm.clone())
+        lane.patient += u32::from(!urgent);
+        Some(lane.vm.clone())
     }
 
     /// Notes the answer to a call. `eligible` holds worker and ticket of those allowed; nothing if the call failed.
@@ -431,7 +451,7 @@
         now: Moment,
     ) {
         if let Some(lane) = self.lanes.iter_mut().find(|lane| lane.vm == call.vm) {
-            lane.heavy = lane.heavy.saturating_sub(u32::from(call.heavy));
+            lane.patient = lane.patient.saturating_sub(u32::from(!call.urgent));
             if eligible.is_none() {
                 lane.free = lane.free.max(now.after(FAILED_MS));
             }
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -34,7 +34,7 @@
 use super::{
     advice::{self, Links},
     arrivals::{Arrival, Arrivals},
-    clock, crew, follow, forget, handover, metrics,
+    campaign, clock, crew, follow, forget, handover, metrics,
     shared::{Counters, Shared},
     upkeep,
 };
@@ -42,17 +42,6 @@
 /// Longest time between two records of a leader, in milliseconds.
 const BEAT_MS: u64 = 200;
 
-/// Silence of the progress stream after which a VM tries to lead, in milliseconds. A slow store brings a record every
-/// 500 ms.
-const SILENCE_MS: u64 = 800;
-
-/// Silence after which a VM tries to lead whose link to the leader has ended, in milliseconds. A killed process closes
-/// its connections at once.
-const UNLINKED_SILENCE_MS: u64 = 350;
-
-/// Time by which VMs of the next rank wait longer, in milliseconds, so that one append suffices.
-const RANK_MS: u64 = 60;
-
 /// Least pause between two batches of the leader, in milliseconds. A call to the store is priced, and a start
 /// waits for the batch that records it.
 const BATCH_MS: u64 = 10;
@@ -64,9 +53,6 @@
 /// Pause after an append that failed, in milliseconds.
 const RETRY_MS: u64 = 50;
 
-/// Bound of the random first numbers of a leader's appends. Two candidates share one by chance once in 2^40 times.
-const FIRST_NUMBERS: u64 = 1 << 40;
-
 /// Longest time that the leader waits to read its own record after the takeover, in milliseconds.
 const CATCH_UP_MS: u64 = 3_000;
 
@@ -168,17 +154,16 @@
 pub async fn run(shared: Arc<Shared>) {
     let mut store = Store::new(shared.settings.platform.store);
     loop {
-        vacancy(&shared).await;
+        campaign::vacancy(&shared).await;
         let Some(entries) = crew::load(&shared).await else {
             sleep(Duration::from_millis(RETRY_MS)).await;
             continue;
         };
         // Another VM may have taken the lead while the entries were read.
-        let (epoch, at) = vacancy(&shared).await;
-        // The store answers a repeated number as it did first. Two candidates with the same epoch must therefore start
-        // from different numbers, or both would believe that they lead.
-        let number = rand::random_range(0..FIRST_NUMBERS);
-        let Some((first, began)) = campaign(&shared, &mut store, epoch, number, at).await else {
+        let (epoch, at) = campaign::vacancy(&shared).await;
+        let number = campaign::first_number();
+        let won = campaign::run(&shared, &mut store, epoch, number, at).await;
+        let Some((first, began)) = won else {
             sleep(Duration::from_millis(RETRY_MS)).await;
             continue;
         };
@@ -193,72 +178,6 @@
     }
 }
 
-/// Waits until nobody seems to lead. Returns the next epoch and the end of the progress stream.
-async fn vacancy(shared: &Shared) -> (u64, u64) {
-    let mut progress = shared.progress.subscribe();
-    let mut config = shared.config.subscribe();
-    loop {
-        let reached = *progress.borrow_and_update();
-        let stopping = *shared.stopping.borrow();
-        if reached.loaded && shared.intake.borrow().loaded && !stopping {
-            let (leader, rank) = {
-                let board = shared.board();
-                let own = &*shared.settings.vm.name;
-                (board.leader.clone(), board.rank(own))
-            };
-            let released = leader.as_ref().is_none_or(|leader| leader.vm.is_empty());
-            let own = leader.as_ref().is_some_and(|l| *l.vm == *shared.settings.vm.name);
-            // A record of this VM's own former process binds nobody.
-            let silence = match shared.lost_leader() {
-                _ if released || own => 0,
-                true if reached.quiet.since(shared.started) > UNLINKED_SILENCE_MS => {
-                    UNLINKED_SILENCE_MS
-                }
-                true => SILENCE_MS / 2,
-                false => SILENCE_MS,
-            };
-            let silence = silence + RANK_MS * rank as u64;
-            let configured = config.borrow_and_update().revision > 0;
-            if configured && reached.quiet >= reached.moved.after(silence) {
-                return (leader.map_or(0, |leader| leader.epoch) + 1, reached.next);
-            }
-        }
-        tokio::select! {
-            _ = progress.changed() => {}
-            _ = config.changed() => {}
-        }
-    }
-}
-
-/// Tries to append the record of a new leader. Returns its offset and when the append began.
-async fn campaign(
-    shared: &Shared,
-    store: &mut Store,
-    epoch: u64,
-    number: u64,
-    at: u64,
-) -> Option<(u64, Moment)> {
-    let vm = Arc::from(&*shared.settings.vm.name);
-    let (key, value) = jobs::led(&Leader { epoch, vm });
-    let records = [Record { key, value }];
-    let fence = Some(Fence { epoch, number });
-    loop {
-        let began = clock::now();
-        Counters::count(&shared.counters.appends);
-        match store.append(Topic::Progress, &records, fence, Some(at)).await {
-            Ok(appended) => return Some((appended.first, began)),
-            Err(AppendError::Unknown) => {}
-            Err(error) => {
-                log::info!("event=campaign_lost epoch={epoch} error=\"{error}\"");
-                return None;
-            }
-        }
-        // A repeated append gets its first answer, so its outcome becomes known.
-        Counters::count(&shared.counters.store_errors);
-        sleep(Duration::from_millis(RETRY_MS)).await;
-    }
-}
-
 /// Leads until a higher epoch is seen or the VM stops.
 async fn lead(
     shared: &Arc<Shared>,
--- a/crates/coriandertackd/src/fleet/mod.rs
+++ b/crates/coriandertackd/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod advice;
 pub mod arrivals;
+pub mod campaign;
 pub mod clock;
 pub mod crew;
 pub mod follow;
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -70,6 +70,8 @@
     queue: Option<mpsc::UnboundedSender<Handed>>,
     waiting: BTreeMap<u64, Moment>,
     last: u64,
+    /// When a link last ended.
+    ended: Moment,
 }
 
 /// Use of the link to the leader for one record, until it is dropped.
@@ -218,13 +220,22 @@
 
     /// Notes that a link to a leader has ended.
     pub fn note_link_end(&self) {
+        let mut link = self.leader_link.lock().unwrap_or_else(PoisonError::into_inner);
+        link.ended = clock::now();
+        drop(link);
         self.hurry.notify_one();
     }
 
+    /// Returns since when no leader has a link to this VM, or nothing while one has.
+    pub fn unlinked_since(&self) -> Option<Moment> {
+        let link = self.leader_link.lock().unwrap_or_else(PoisonError::into_inner);
+        let open = link.queue.as_ref().is_some_and(|queue| !queue.is_closed());
+        (!open).then_some(link.ended)
+    }
+
     /// Tells whether no leader has a link to this VM.
     pub fn lost_leader(&self) -> bool {
-        let link = self.leader_link.lock().unwrap_or_else(PoisonError::into_inner);
-        link.queue.as_ref().is_none_or(mpsc::UnboundedSender::is_closed)
+        self.unlinked_since().is_some()
     }
 
     /// Returns the link to the leader, unless it is closed or a record waits for its answer since `stalled_ms`.
