Drop a job's submission with the record of its end

Cause: a VM that starts reads every key of the store, and all VMs that start together share 80 MB/s.

Change: the batch that records an end drops what was submitted, and what was cancelled if that is the end. A final state is shown without its submission. Progress alone still shows nothing before its end, since it may be read first.

Ruled out: the first page (4 ms), the reading of pages one after the other (the other VMs have the same pause).

--- a/crates/coriandertack-jobs/src/board.rs
+++ b/crates/coriandertack-jobs/src/board.rs
@@ -73,7 +73,9 @@
     Led(Leader),
     /// An entry VM announced the address of its link.
     Announced(Arc<str>, Link),
-    /// The records of a job were dropped.
+    /// The submission or the cancellation of a job was dropped, because the job has ended.
+    Dismissed(JobId),
+    /// The progress of a job was dropped, and with it all that is known.
     Dropped(JobId),
     /// The record could not be read. It names nothing to act on.
     Unreadable,
@@ -122,6 +124,10 @@
                 self.links.insert(vm, link);
                 return;
             }
+            Note::Dismissed(id) => {
+                self.dismiss(id);
+                return;
+            }
             Note::Dropped(id) => {
                 self.jobs.remove(&id);
                 return;
@@ -136,12 +142,24 @@
         }
     }
 
+    /// Forgets what was submitted, and keeps the final state.
+    fn dismiss(&mut self, id: JobId) {
+        let Some(posting) = self.jobs.get_mut(&id) else { return };
+        if posting.progress.as_ref().is_some_and(|progress| progress.phase.is_final()) {
+            posting.spec = None;
+        } else {
+            self.jobs.remove(&id);
+        }
+    }
+
     /// Returns the state of a submitted job.
     #[must_use]
     pub fn phase(&self, id: JobId) -> Option<Phase> {
         let posting = self.jobs.get(&id)?;
-        posting.spec.as_ref()?;
-        Some(posting.phase())
+        let phase = posting.phase();
+        // The submission of a job that has ended is dropped. Progress alone says nothing else: it may have been read first.
+        let ended = posting.progress.is_some() && phase.is_final();
+        (ended || posting.spec.is_some()).then_some(phase)
     }
 
     /// Returns how many VMs should lead rather than this one: those with more processors, and then by name. Leading
--- a/crates/coriandertack-jobs/src/sched/advise.rs
+++ b/crates/coriandertack-jobs/src/sched/advise.rs
@@ -222,7 +222,7 @@
         floor: &Floor,
         now: Moment,
     ) -> Option<Moment> {
-        let (_, spec, step) = self.step(id)?;
+        let (.., step) = self.step(id)?;
         if let Some(until) = step.advice.calling.filter(|&until| until > now) {
             return Some(until);
         }
--- a/crates/coriandertack-jobs/tests/sched/board.rs
+++ b/crates/coriandertack-jobs/tests/sched/board.rs
@@ -4,9 +4,13 @@
 
 use coriandertack_jobs::{
     board::{Board, Link, Note},
+    ids::JobId,
     moment::Moment,
+    progress::{Phase, Progress},
 };
 
+use crate::support::{job, step};
+
 fn board(vms: &[(&str, u32)]) -> Board {
     let mut board = Board::default();
     for (name, millicores) in vms {
@@ -27,3 +31,35 @@
     assert_eq!(board.larger("small", &names(&["small", "like"])), None);
     assert_eq!(board.larger("large", &near), None);
 }
+
+fn progressed(phase: Phase) -> Note {
+    Note::Progressed(JobId(7), Arc::new(Progress { phase, ..Progress::default() }))
+}
+
+/// Guards against a job that is unknown once its submission was dropped, and against one that is shown from its
+/// progress before its submission was read.
+#[test]
+fn an_ended_job_is_known_without_its_submission() {
+    let mut board = Board::default();
+    board.apply(progressed(Phase::Running), Moment(1));
+    assert_eq!(board.phase(JobId(7)), None);
+    board.apply(Note::Submitted(JobId(7), Arc::new(job(vec![step(1, 1)]))), Moment(2));
+    assert_eq!(board.phase(JobId(7)), Some(Phase::Running));
+    board.apply(progressed(Phase::Completed), Moment(3));
+    board.apply(Note::Dismissed(JobId(7)), Moment(3));
+    assert_eq!(board.phase(JobId(7)), Some(Phase::Completed));
+    assert!(board.jobs[&JobId(7)].spec.is_none());
+    assert_eq!(board.expired(Moment(4), 10), [JobId(7)]);
+    board.apply(Note::Dropped(JobId(7)), Moment(5));
+    assert_eq!(board.phase(JobId(7)), None);
+}
+
+/// Guards against a cancellation of a job that nobody submitted, and that is kept for ever.
+#[test]
+fn a_dismissed_request_without_a_job_is_forgotten() {
+    let mut board = Board::default();
+    board.apply(Note::Cancelled(JobId(8)), Moment(1));
+    assert_eq!(board.phase(JobId(8)), None);
+    board.apply(Note::Dismissed(JobId(8)), Moment(2));
+    assert!(board.jobs.is_empty());
+}
--- a/crates/coriandertack-log/src/jobs.rs
+++ b/crates/coriandertack-log/src/jobs.rs
@@ -77,9 +77,9 @@
     key.starts_with(LINK)
 }
 
-/// Returns the keys of the intake that a forgotten job has.
+/// Returns the keys under which a job was submitted and cancelled.
 #[must_use]
-pub fn intake_keys(id: JobId) -> [String; 2] {
+pub fn request_keys(id: JobId) -> [String; 2] {
     [format!("{SUBMITTED}{id}"), format!("{CANCELLED}{id}")]
 }
 
@@ -110,8 +110,8 @@
             let link = Link { address: wire.address.parse()?, millicores: wire.millicores };
             Ok(Note::Announced(name.into(), link))
         }
-        SUBMITTED | PROGRESSED if value.is_empty() => Ok(Note::Dropped(name.parse()?)),
-        CANCELLED if value.is_empty() => Ok(Note::Dropped(name.parse()?)),
+        PROGRESSED if value.is_empty() => Ok(Note::Dropped(name.parse()?)),
+        SUBMITTED | CANCELLED if value.is_empty() => Ok(Note::Dismissed(name.parse()?)),
         SUBMITTED => {
             let spec = spec_in(proto::Spec::decode(value)?)?;
             Ok(Note::Submitted(name.parse()?, Arc::new(spec)))
--- a/crates/coriandertackd/src/fleet/campaign.rs
+++ b/crates/coriandertackd/src/fleet/campaign.rs
@@ -75,12 +75,7 @@
 ///
 /// All VMs lose the link to the leader at the same moment, often when the silence has lasted long already. The wait counts
 /// from there as well, or all would try at once.
-fn vacant_at(
-    shared: &Shared,
-    leader: Option<&Leader>,
-    reached: &Reached,
-    wait_ms: u64,
-) -> Moment {
+fn vacant_at(shared: &Shared, leader: Option<&Leader>, reached: &Reached, wait_ms: u64) -> Moment {
     let released = leader.is_none_or(|leader| leader.vm.is_empty());
     let own = leader.is_some_and(|leader| *leader.vm == *shared.settings.vm.name);
     // A record of this VM's own former process binds nobody.
--- a/crates/coriandertackd/src/fleet/forget.rs
+++ b/crates/coriandertackd/src/fleet/forget.rs
@@ -38,7 +38,7 @@
             continue;
         }
         // A submission is in the one stream or the other, depending on who appended it.
-        let mut keys = intake_keys(&jobs);
+        let mut keys = request_keys(&jobs);
         drop_records(shared, &mut store, Topic::Intake, keys.clone()).await;
         keys.extend(progress_keys(&jobs));
         drop_records(shared, &mut store, Topic::Progress, keys).await;
@@ -49,8 +49,8 @@
     ids.iter().map(|id| jobs::progress_key(*id)).collect()
 }
 
-fn intake_keys(ids: &[JobId]) -> Vec<String> {
-    ids.iter().flat_map(|id| jobs::intake_keys(*id)).collect()
+fn request_keys(ids: &[JobId]) -> Vec<String> {
+    ids.iter().flat_map(|id| jobs::request_keys(*id)).collect()
 }
 
 async fn drop_records(shared: &Shared, store: &mut Store, topic: Topic, keys: Vec<String>) {
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -14,6 +14,7 @@
 };
 
 use {
+    bytes::Bytes,
     coriandertack_jobs::{
         board::{Leader, Note},
         ids::JobId,
@@ -363,7 +364,7 @@
             scheduler.admit_posting(id, &posting, now, wall);
         }
         Note::Cancelled(id) => scheduler.cancel(id, now),
-        Note::Dropped(id) => scheduler.forget(id),
+        Note::Dismissed(id) | Note::Dropped(id) => scheduler.forget(id),
         Note::Progressed(..) | Note::Led(_) | Note::Announced(..) | Note::Unreadable => {}
     }
 }
@@ -390,10 +391,18 @@
 ) -> Option<Moment> {
     let started = clock::now();
     let shared = &leading.shared;
-    records.extend(batch.records.iter().map(|(id, progress)| {
+    for (id, progress) in &batch.records {
         let (key, value) = jobs::progressed(*id, progress);
-        Record { key, value }
-    }));
+        records.push(Record { key, value });
+        if progress.phase.is_final() {
+            // A VM that starts reads every key. What was submitted is most of the bytes, and is needed no more.
+            let [submission, cancellation] = jobs::request_keys(*id);
+            records.push(Record { key: submission, value: Bytes::new() });
+            if progress.phase == Phase::Cancelled {
+                records.push(Record { key: cancellation, value: Bytes::new() });
+            }
+        }
+    }
     if records.is_empty() {
         let vm = Arc::from(&*shared.settings.vm.name);
         let (key, value) = jobs::led(&Leader { epoch: leading.epoch, vm });
