Learn which workers are slow from the run times of equal tasks

Cause: a third of the workers of the sites takes 1.3 times as long, and nothing says which. A gang runs as fast as its slowest member and an urgent job as its slowest task, so nearly every gang took 1.3 times as long and held its workers for that time.

Change: when all tasks of a step are done, each worker's run is compared with the mean of the step, less what is known of the workers. Gangs, lasting tasks and urgent ones prefer quick workers; work that can wait prefers slow ones, which also leaves whole quick workers to gangs. It is a preference only.

Ruled out: estimates as the reference (they are off by up to 0.9 on some routes), the kind and the zone of a worker (run times by either differ by less than 5%).

--- a/crates/coriandertack-jobs/src/sched/advise.rs
+++ b/crates/coriandertack-jobs/src/sched/advise.rs
@@ -115,6 +115,8 @@
     now: Moment,
     /// When the answer of a call for a step's tasks should be there.
     answered: Moment,
+    /// Whether the call is urgent.
+    urgent: bool,
     /// How many workers a call can name beyond those needed before they lengthen it noticeably.
     extra: usize,
 }
@@ -240,6 +242,7 @@
         let tasks = (step.waiting as usize).min(MAX_NAMED);
         let timing = Timing {
             now,
+            urgent,
             answered: now.after(policy.cost_ms(tasks) as u64),
             extra: (EXTRA_MS / policy.worker_ms.max(f64::MIN_POSITIVE)) as usize,
         };
@@ -360,7 +363,8 @@
             let room = charge.count_in(capacity).min(step.waiting);
             let soon = charge.count_in(worker.free_soon(ahead_ms, timing.now));
             let named = Named { key, allowed: false, ticketed: false, room };
-            (room > 0).then_some((std::cmp::Reverse(soon), named))
+            let mismatch = self.mismatches(key, spec, timing.urgent);
+            (room > 0).then_some(((mismatch, std::cmp::Reverse(soon)), named))
         };
         let mut candidates: Vec<_> = self.workers.iter().filter_map(unknown).collect();
         candidates.sort_by_key(|(soon, _)| *soon);
@@ -404,7 +408,8 @@
         }
         candidates.sort_by_key(|named| {
             let kept = !spec.gang && self.reserved.contains(&named.key);
-            (!named.allowed, kept, !named.ticketed, std::cmp::Reverse(named.room))
+            let mismatch = self.mismatches(named.key, spec, timing.urgent);
+            (!named.allowed, kept, !named.ticketed, mismatch, std::cmp::Reverse(named.room))
         });
         candidates
     }
--- a/crates/coriandertack-jobs/src/sched/ends.rs
+++ b/crates/coriandertack-jobs/src/sched/ends.rs
@@ -41,7 +41,12 @@
             self.checkpoint(task, &end.checkpoint);
         }
         match end.cause {
-            EndCause::Done => self.task_done(task, now),
+            EndCause::Done => {
+                if let Some(state) = self.task_mut(task) {
+                    state.ran = Some((key, run_ms));
+                }
+                self.task_done(task, now);
+            }
             EndCause::Failed => self.task_failed(key, task, attempt, now),
             EndCause::Stopped | EndCause::Lapsed | EndCause::Broken | EndCause::Alone => {
                 self.release(key, task, attempt, "ended", now);
@@ -82,6 +87,9 @@
         if self.step(id).is_some_and(|(_, _, step)| step.waiting == 0) {
             self.dequeue(id);
         }
+        if self.step(id).is_some_and(|(_, _, step)| step.open == 0) {
+            self.learn_speeds(id);
+        }
         self.advance(id, now);
     }
 
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod place;
 mod queue;
+mod speed;
 mod worker;
 
 use std::{
@@ -78,6 +79,8 @@
     failed_on: Option<WorkerKey>,
     checkpoint: Arc<str>,
     place: Place,
+    /// Worker and time, in milliseconds, of the run that was done.
+    ran: Option<(WorkerKey, u64)>,
 }
 
 /// Where a task is.
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -13,7 +13,9 @@
 
 use {coriandertack_core::resources::Resources, slotmap::SecondaryMap};
 
-use super::{Order, Place, Rank, Scheduler, StartOrder, Worker, WorkerKey, worker::Run};
+use super::{
+    Order, Place, Rank, Scheduler, StartOrder, URGENT_PRIORITY, Worker, WorkerKey, worker::Run,
+};
 
 use crate::{
     config::Route,
@@ -219,7 +221,8 @@
         mut candidates: Vec<(WorkerKey, u32)>,
         floor: &Floor,
     ) -> Vec<(u32, WorkerKey)> {
-        let Some((_, spec, step)) = self.step(id) else { return Vec::new() };
+        let Some((job, spec, step)) = self.step(id) else { return Vec::new() };
+        let urgent = self.route_of(job).priority == URGENT_PRIORITY;
         let charge = spec.charge();
         let mut taken: HashMap<WorkerKey, u32> = HashMap::new();
         let mut chosen = Vec::new();
@@ -231,7 +234,7 @@
             let best = best.min_by_key(|(_, (key, _))| {
                 let extra = charge.checked_mul(taken.get(key).copied().unwrap_or(0) + 1);
                 let left = floor.free(*key).saturating_sub(extra.unwrap_or(charge));
-                (task.failed_on == Some(*key), self.preference(*key, spec, left))
+                (task.failed_on == Some(*key), self.preference(*key, spec, urgent, left))
             });
             let Some((position, &(key, room))) = best else { break };
             candidates[position].1 = room - 1;
@@ -241,16 +244,23 @@
         chosen
     }
 
-    /// Orders workers for one task: data on the rack first, then those that no gang reserved, then by what the task would
-    /// leave: the least room, or the most for tasks that last.
-    fn preference(&self, key: WorkerKey, spec: &StepSpec, left: Resources) -> (bool, bool, u64) {
-        let Some(worker) = self.workers.get(key) else { return (true, true, u64::MAX) };
+    /// Orders workers for one task: data on the rack first, then those that no gang reserved, then those of the right
+    /// speed, then by what the task would leave: the least room, or the most for tasks that last.
+    fn preference(
+        &self,
+        key: WorkerKey,
+        spec: &StepSpec,
+        urgent: bool,
+        left: Resources,
+    ) -> (bool, bool, bool, u64) {
+        let Some(worker) = self.workers.get(key) else { return (true, true, true, u64::MAX) };
         // A gang waits until a reserved worker is empty; other work goes elsewhere if it can.
         let reserved = !spec.gang && self.reserved.contains(&key);
         let remote = spec.data_rack.as_ref().is_some_and(|rack| !worker.has_label(rack));
         let capacity = worker.entry.as_ref().map_or(Resources::ZERO, |entry| entry.capacity);
         let share = (left.dominant_share(capacity) * 1_000_000.0) as u64;
-        (remote, reserved, if spec.lasting { u64::MAX - share } else { share })
+        let mismatch = self.mismatches(key, spec, urgent);
+        (remote, reserved, mismatch, if spec.lasting { u64::MAX - share } else { share })
     }
 
     /// Chooses workers for all tasks of a gang, or none.
@@ -269,8 +279,8 @@
             candidates.retain(|(key, _)| self.rack(*key).as_deref() == Some(&*rack));
         }
         candidates.sort_by_key(|&(key, room)| {
-            let remote = self.preference(key, spec, Resources::ZERO).0;
-            (remote, Reverse(room))
+            let remote = self.preference(key, spec, false, Resources::ZERO).0;
+            (remote, self.mismatches(key, spec, false), Reverse(room))
         });
         let mut slots =
             candidates.into_iter().flat_map(|(key, room)| std::iter::repeat_n(key, room as usize));
@@ -332,18 +342,19 @@
         slots: impl Fn(&WorkerKey) -> Option<u32>,
         now: Moment,
     ) -> Vec<WorkerKey> {
-        let mut possible: Vec<(Reverse<u32>, u32, WorkerKey)> = self
+        let mut possible: Vec<(bool, Reverse<u32>, u32, WorkerKey)> = self
             .workers
             .iter()
             .filter_map(|(key, worker)| {
                 let slots = slots(&key).filter(|slots| *slots > 0)?;
-                Some((Reverse(charge.count_in(worker.free_soon(SOON_MS, now))), slots, key))
+                let soon = charge.count_in(worker.free_soon(SOON_MS, now));
+                Some((worker.speed.is_slow(), Reverse(soon), slots, key))
             })
             .collect();
         possible.sort_unstable();
         let mut room = 0;
         let mut chosen = Vec::new();
-        for (_, slots, key) in possible {
+        for (_, _, slots, key) in possible {
             if room >= count {
                 break;
             }
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -4,7 +4,7 @@
 
 use {coriandertack_core::resources::Resources, slotmap::new_key_type};
 
-use super::{CLOCK_DRIFT_PERMILLE, LEASE_MS, Scheduler};
+use super::{CLOCK_DRIFT_PERMILLE, LEASE_MS, Scheduler, speed::Speed};
 
 use crate::{ids::TaskId, moment::Moment, report::Entry, spec::StepSpec};
 
@@ -97,6 +97,8 @@
     lease_end: Moment,
     /// The worker's clock at a moment of ours.
     clock: Option<(u64, Moment)>,
+    /// How fast it is, as far as its runs show.
+    pub(super) speed: Speed,
     /// Whether its machine is about to go down.
     pub(super) leaving: bool,
     /// Until when the worker gets no new tasks because of its results.
@@ -123,6 +125,7 @@
             runs: HashMap::new(),
             lease_end,
             clock: None,
+            speed: Speed::default(),
             leaving: false,
             avoided: Moment(0),
             strikes: 0,
--- a/crates/coriandertack-jobs/tests/sched/main.rs
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -8,6 +8,7 @@
 mod gangs;
 mod orders;
 mod random;
+mod speed;
 mod support;
 mod timed;
 mod upkeep;
