Ask for advice during an append, and let tickets outlive it

Change: during an append the leader looks every 50 ms for advice that is missing, and binds nothing. A ticket counts only if it is valid by the time at which a start decided now should arrive, as long as the last append took.

Ruled out: binding during an append too (such a binding waits for the next record, with tickets that grow old).

--- a/crates/coriandertack-jobs/src/sched/advise.rs
+++ b/crates/coriandertack-jobs/src/sched/advise.rs
@@ -115,6 +115,8 @@
     now: Moment,
     /// When the answer of a call for a step's tasks should be there.
     answered: Moment,
+    /// Until when a ticket must be valid so that the call need not renew it.
+    needed: Moment,
     /// Whether the call is urgent.
     urgent: bool,
     /// How many workers a call can name beyond those needed before they lengthen it noticeably.
@@ -240,10 +242,14 @@
         let (_, spec, step) = self.step(id)?;
         let share = self.allowed.get(&route.name).copied().unwrap_or(ALLOWED_FIRST);
         let tasks = (step.waiting as usize).min(MAX_NAMED);
+        let answered = now.after(policy.cost_ms(tasks) as u64);
+        // A ticket of a step without gang is used while it is valid; there is nothing to complete.
+        let needed = self.started_by(policy, if spec.gang { answered } else { now });
         let timing = Timing {
             now,
             urgent,
-            answered: now.after(policy.cost_ms(tasks) as u64),
+            answered,
+            needed,
             extra: (EXTRA_MS / policy.worker_ms.max(f64::MIN_POSITIVE)) as usize,
         };
         let chosen = self.choose_named(spec, step, &route.service, share, floor, timing);
@@ -270,6 +276,12 @@
         Some(until)
     }
 
+    /// Returns when a start that is decided now should arrive, for whose ticket that counts. Where records take long, half of
+    /// a ticket's time is left to its use.
+    pub(super) fn started_by(&self, policy: Advice, now: Moment) -> Moment {
+        now.after(self.record_ms.min(policy.validity_ms / 2))
+    }
+
     /// Keeps room for a step on allowed workers while a call for their tickets is under way.
     pub(super) fn keep_claims(&self, id: StepId, floor: &mut Floor, now: Moment) {
         let Some((_, spec, step)) = self.step(id) else { return };
@@ -400,9 +412,7 @@
             if room == 0 || barred || !self.suits(worker, spec, service) {
                 continue;
             }
-            // A ticket of a step without gang is used while it is valid; there is nothing to complete.
-            let until = if spec.gang { timing.answered } else { timing.now };
-            let ticketed = step.advice.ticket(key, until).is_some();
+            let ticketed = step.advice.ticket(key, timing.needed).is_some();
             let allowed = ticketed || step.advice.allows(key);
             candidates.push(Named { key, allowed, ticketed, room: room.min(step.waiting) });
         }
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -203,6 +203,8 @@
     reserved: HashSet<WorkerKey>,
     /// Share of named workers that the policy allows, by route.
     allowed: HashMap<Arc<str>, f64>,
+    /// How long starts wait for their record, in milliseconds.
+    record_ms: u64,
     /// What the scheduler did.
     pub counts: Counts,
 }
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -76,11 +76,31 @@
 impl Scheduler {
     /// Binds what waits and asks for the advice that is missing.
     pub fn place(&mut self, now: Moment) -> Pass {
+        self.pass(true, now)
+    }
+
+    /// Asks for the advice that is missing and binds nothing. It serves while a record is under way: what is bound
+    /// meanwhile would only wait for the next one, with tickets that grow old.
+    pub fn ask_ahead(&mut self, now: Moment) -> Pass {
+        self.pass(false, now)
+    }
+
+    /// Notes how long starts wait for their record, in milliseconds.
+    pub fn expect_record(&mut self, record_ms: u64) {
+        self.record_ms = record_ms;
+    }
+
+    fn pass(&mut self, binds: bool, now: Moment) -> Pass {
         let queued = self.ranked(now);
         let mut pass = Pass::default();
         let mut floor = self.floor(now);
         for id in queued {
-            pass.bound += self.place_step(id, &mut floor, now);
+            let placed = self.place_step(id, &mut floor, binds, now);
+            if binds {
+                pass.bound += placed;
+            } else if self.step(id).is_some_and(|(_, _, step)| placed >= step.waiting) {
+                continue;
+            }
             let again = self.ask_for_step(id, &mut floor, now);
             pass.again = match (pass.again, again) {
                 (Some(a), Some(b)) => Some(a.min(b)),
@@ -116,8 +136,8 @@
         }
     }
 
-    /// Binds the tasks of a step that find room, and returns their number.
-    fn place_step(&mut self, id: StepId, floor: &mut Floor, now: Moment) -> u32 {
+    /// Takes room for the tasks of a step that find some, and returns their number. They are bound if `binds`.
+    fn place_step(&mut self, id: StepId, floor: &mut Floor, binds: bool, now: Moment) -> u32 {
         let Some((job, spec, _)) = self.step(id) else {
             self.queue.retain(|(_, known)| *known != id);
             return 0;
@@ -136,7 +156,9 @@
         let bound = chosen.len() as u32;
         for (index, worker) in chosen {
             let StepId { job, occurrence, step } = id;
-            self.bind(TaskId { job, occurrence, step, index }, worker, attempt, &payload, now);
+            if binds {
+                self.bind(TaskId { job, occurrence, step, index }, worker, attempt, &payload, now);
+            }
             floor.take(worker, charge);
         }
         if self.step(id).is_some_and(|(_, _, step)| step.waiting == 0) {
@@ -188,8 +210,8 @@
             suits.then_some((key, room))
         };
         match route.advice {
-            Some(_) => {
-                let valid = step.advice.valid_tickets(now);
+            Some(policy) => {
+                let valid = step.advice.valid_tickets(self.started_by(policy, now));
                 valid
                     .map(|ticket| (ticket.worker, floor.free(ticket.worker)))
                     .filter_map(fits)
--- a/crates/coriandertack-jobs/tests/sched/advice.rs
+++ b/crates/coriandertack-jobs/tests/sched/advice.rs
@@ -225,3 +225,39 @@
     let named = world.turn()[0].workers.len();
     assert!((6..=10).contains(&named), "{named} workers");
 }
+
+/// Guards against lanes that stand idle while a slow store records the last decisions.
+#[test]
+fn advice_is_asked_for_while_a_record_is_under_way() {
+    let mut world = World::new(&[4]);
+    lanes(&mut world, &["split-1"]);
+    world.admit(1, spec(advised_route(), vec![step(1, 1)]));
+    world.sched.ask_ahead(world.now);
+    let calls = world.sched.take_calls();
+    assert_eq!(calls.len(), 1);
+    world.sched.advised(&calls[0], Some(&allow_all(&calls[0])), world.now);
+    // The room is taken for the step, so no further call is made, and nothing is bound.
+    world.sched.ask_ahead(world.now);
+    assert!(world.sched.take_calls().is_empty());
+    assert!(world.sched.take_batch().orders.is_empty());
+    world.turn();
+    assert_eq!(world.running(), 1);
+}
+
+/// Guards against starts whose tickets lapse while a slow store records them: on ancfcc-sales-grown trouble-2 the workers refused
+/// 332 starts in 5 s, and each step asked again.
+#[test]
+fn a_ticket_outlives_the_record_of_its_start() {
+    let mut world = World::new(&[4]);
+    lanes(&mut world, &["split-1"]);
+    world.sched.expect_record(700);
+    world.admit(1, spec(advised_route(), vec![step(1, 1)]));
+    let calls = world.turn();
+    world.sched.advised(&calls[0], Some(&allow_all(&calls[0])), world.now);
+    world.now = world.now.after(1_100);
+    let again = world.turn();
+    assert_eq!((world.running(), again.len()), (0, 1), "650 ms are left of the ticket");
+    world.sched.advised(&again[0], Some(&allow_all(&again[0])), world.now);
+    world.turn();
+    assert_eq!(world.running(), 1);
+}
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -6,6 +6,7 @@
 
 use std::{
     mem,
+    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -47,6 +48,9 @@
 /// waits for the batch that records it.
 const BATCH_MS: u64 = 10;
 
+/// Time between two looks for missing advice during an append, in milliseconds. A usual append takes a tenth of it.
+const ASK_EVERY_MS: u64 = 50;
+
 /// Time for which the store refuses the leader until it closes its links, in milliseconds. The others then take the
 /// lead sooner, if the store serves them, or append submissions themselves.
 const UNLINK_MS: u64 = 250;
@@ -413,14 +417,16 @@
     loop {
         let began = clock::now();
         Counters::count(&shared.counters.appends);
-        let append = store.append(Topic::Progress, &records, fence, None);
+        let append = asking(leading, store.append(Topic::Progress, &records, fence, None));
         match arrivals.refuse_during(append, started).await {
             Ok(_) => {
                 if lost {
                     log::info!("event=dependency_regained dependency=store topic=Progress");
                 }
                 leading.prove(began);
-                metrics::record(&shared.latencies.append, clock::now().since(began));
+                let took = clock::now().since(began);
+                metrics::record(&shared.latencies.append, took);
+                leading.scheduler().expect_record(took);
                 leading.unlinked.send_replace(false);
                 return Some(began);
             }
@@ -447,6 +453,32 @@
     }
 }
 
+/// Waits for an append, and meanwhile asks for the advice that the next decision needs. A slow store would else let the lanes
+/// stand idle for most of the time.
+async fn asking<T>(leading: &Leading, append: impl Future<Output = T>) -> T {
+    let mut append = pin!(append);
+    let mut woken = false;
+    loop {
+        tokio::select! {
+            result = &mut append => {
+                if woken {
+                    // What has arrived meanwhile is still to be decided.
+                    leading.shared.wake.notify_one();
+                }
+                return result;
+            }
+            () = sleep(Duration::from_millis(ASK_EVERY_MS)) => {}
+        }
+        woken = true;
+        let calls = {
+            let mut scheduler = leading.scheduler();
+            scheduler.ask_ahead(clock::now());
+            scheduler.take_calls()
+        };
+        ask(leading, calls);
+    }
+}
+
 /// Lets the orders of a recorded batch go out, and its ends be acknowledged.
 fn commit(leading: &Leading, batch: Batch) {
     leading.scheduler().recorded(&batch.acks);
