Serve late urgent jobs before work that can wait

Cause: a job that could no longer be in time came after all others.

Change: a step is pressing, overdue, patient, late or worthless, in this order. Urgent steps that are late come before steps that can wait for 3 s; other late ones come last, as before, and those that earn nothing after them.

--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -14,7 +14,8 @@
 use {coriandertack_core::resources::Resources, slotmap::SecondaryMap};
 
 use super::{
-    Order, Place, Rank, Scheduler, StartOrder, URGENT_PRIORITY, Worker, WorkerKey, worker::Run,
+    Order, Place, Rank, Scheduler, StartOrder, URGENT_PRIORITY, Worker, WorkerKey, queue::Urgency,
+    worker::Run,
 };
 
 use crate::{
@@ -111,17 +112,10 @@
         pass
     }
 
-    /// Returns the queue in the order of this moment: steps that can no longer be done in time come after all others,
-    /// since what is left of their worth is small.
+    /// Returns the queue in the order of this moment.
     fn ranked(&self, now: Moment) -> Vec<StepId> {
-        let mut queued: Vec<(bool, Rank, StepId)> = self
-            .queue
-            .iter()
-            .map(|&(rank, id)| {
-                let left = self.step(id).map_or(0, |(_, spec, _)| spec.estimate_ms);
-                (now.after(left) > rank.due, rank, id)
-            })
-            .collect();
+        let ranked = self.queue.iter().map(|&(rank, id)| (self.urgency(id, now), rank, id));
+        let mut queued: Vec<(Urgency, Rank, StepId)> = ranked.collect();
         queued.sort_unstable();
         queued.into_iter().map(|(_, _, id)| id).collect()
     }
--- a/crates/coriandertack-jobs/src/sched/queue.rs
+++ b/crates/coriandertack-jobs/src/sched/queue.rs
@@ -1,14 +1,33 @@
 //! The queue of steps with waiting tasks.
 
-use super::{JobKey, Scheduler};
+use super::{JobKey, Scheduler, URGENT_PRIORITY};
 
 use crate::{ids::StepId, moment::Moment, progress::Phase};
 
-/// Order of a step in the queue: lower ranks are served first.
-///
-/// The priority of the route comes first. Within it, work that can still meet its objective is served by its
-/// deadline; work that has missed it even for reduced credit comes last, since serving it first would only make
-/// others miss theirs.
+/// Time to spare from which on a step lets late ones go first, in milliseconds. It covers the calls for advice and the room
+/// that a step may have to wait for.
+const AMPLE_MS: u64 = 3_000;
+
+/// Objectives after which a job earns nothing any more (RULES, Credit).
+const WORTHLESS_AFTER: u64 = 3;
+
+/// How pressing a step is. The first is served first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Urgency {
+    /// It can be done in time, if it does not wait long.
+    Pressing,
+    /// It is urgent and late, and the job still earns a part.
+    Overdue,
+    /// It can be done in time, and can wait for some seconds.
+    Patient,
+    /// It is late, and the job still earns a part.
+    Late,
+    /// The job earns nothing any more.
+    Worthless,
+}
+
+/// Order of a step in the queue: lower ranks are served first. The priority of the route comes first, and then the moment
+/// by which the job should be done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     /// Priority of the route.
@@ -18,6 +37,26 @@
 }
 
 impl Scheduler {
+    /// Returns how pressing a step is.
+    ///
+    /// Urgent work that is late comes before work that can wait, which loses nothing by it: urgent jobs are small. Other late
+    /// work comes last. A large gang that earns a fifth would take the room of one that earns all.
+    pub(super) fn urgency(&self, id: StepId, now: Moment) -> Urgency {
+        let Some((job, spec, _)) = self.step(id) else { return Urgency::Worthless };
+        let done = now.after(spec.estimate_ms);
+        let urgent = self.route_of(job).priority == URGENT_PRIORITY;
+        if done <= job.due {
+            let pressing = urgent || done.after(AMPLE_MS) > job.due;
+            return if pressing { Urgency::Pressing } else { Urgency::Patient };
+        }
+        let last = job.due.after(job.spec.objective_ms() * (WORTHLESS_AFTER - 1));
+        match (done > last, urgent) {
+            (true, _) => Urgency::Worthless,
+            (false, true) => Urgency::Overdue,
+            (false, false) => Urgency::Late,
+        }
+    }
+
     /// Puts the ready steps of an occurrence in the queue.
     pub(super) fn enqueue_ready(&mut self, key: JobKey, number: u32, now: Moment) {
         let Some(job) = self.jobs.get(key) else { return };
--- a/crates/coriandertack-jobs/tests/sched/main.rs
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -7,6 +7,7 @@
 mod ends;
 mod gangs;
 mod orders;
+mod queue;
 mod random;
 mod speed;
 mod support;
