Bound what a caller's connection may cost

Cause: the library has one time limit for a head and for an idle connection, so a head that never ends was closed after the idle time of 15 s, and at the cap of 3,000 connections new ones were refused while idle ones stayed open.

Change: each connection notes its reads and its requests. A head has the configuration's time for heads from its first byte, an idle connection the time for idle ones, a body as long; at the cap the connection that has been idle for longest is closed. The cap is a setting.

Ruled out: the library's limit alone (it starts anew with the connection's idle time).

--- a/crates/coriandertackd/src/fleet/front.rs
+++ b/crates/coriandertackd/src/fleet/front.rs
@@ -17,23 +17,22 @@
         server::conn::http1::Builder,
         service::service_fn,
     },
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper_util::rt::TokioIo,
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{Semaphore, watch},
+        sync::watch,
         task::JoinSet,
         time::{sleep, timeout},
     },
 };
 
 use super::{
-    clock, intake, metrics,
+    clock,
+    connections::{Activity, Connections, Watched},
+    intake, metrics,
     shared::{Counters, Shared, Stored},
 };
 
-/// Most connections of callers. Of the 4,100 descriptors, 200 are for files; workers, the store and links keep a place.
-const MAX_CONNECTIONS: usize = 3_000;
-
 /// Seconds after which a refused caller may come back.
 const RETRY_AFTER_S: u32 = 1;
 
@@ -47,21 +46,21 @@
 
 /// Serves callers until connections are to be closed, and then until requests in flight are answered.
 pub async fn callers(shared: Arc<Shared>, listener: TcpListener) {
-    let room = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let open = Arc::new(Connections::new(shared.settings.vm.connections));
     let mut closing = shared.closing.subscribe();
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let Ok(permit) = room.clone().try_acquire_owned() else {
-                        log::warn!("event=connection_refused reason=too_many");
+                    let Some((key, activity)) = open.add() else {
+                        log::warn!("event=connection_refused reason=all_busy");
                         continue;
                     };
-                    let shared = shared.clone();
+                    let (shared, open) = (shared.clone(), open.clone());
                     connections.spawn(async move {
-                        connection(shared, stream).await;
-                        drop(permit);
+                        connection(shared, stream, &activity).await;
+                        open.remove(key);
                     });
                 }
                 Err(error) => {
@@ -83,22 +82,23 @@
 }
 
 /// Serves one connection. It is closed after the request in flight when the VM stops.
-async fn connection(shared: Arc<Shared>, stream: TcpStream) {
+async fn connection(shared: Arc<Shared>, stream: TcpStream, activity: &Arc<Activity>) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("event=nodelay_failed error=\"{error}\"");
     }
     let limits = shared.config.borrow().limits;
     let service = service_fn(|request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(answer(&shared, request).await) }
+        let (shared, activity) = (shared.clone(), activity.clone());
+        async move {
+            activity.begin();
+            let reply = answer(&shared, request).await;
+            activity.end();
+            Ok::<_, Infallible>(reply)
+        }
     });
-    // An idle connection waits for a head, so the longer of both times bounds it.
-    let head_time = Duration::from_millis(limits.head_ms.max(limits.idle_ms));
     let serving = Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(head_time)
         .max_buf_size(limits.head_bytes.max(8 * 1_024))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Watched::new(stream, activity.clone())), service);
     let mut serving = std::pin::pin!(serving);
     let mut closing = shared.closing.subscribe();
     let ended = tokio::select! {
@@ -107,6 +107,10 @@
             serving.as_mut().graceful_shutdown();
             serving.await
         }
+        reason = activity.expired(limits) => {
+            log::debug!("event=connection_closed reason={reason}");
+            return;
+        }
     };
     if let Err(error) = ended {
         log::debug!("event=connection_ended error=\"{error}\"");
@@ -130,10 +134,14 @@
     };
     match *request.method() {
         Method::POST => {
-            let body = Limited::new(request.into_body(), config.limits.body_bytes).collect().await;
-            match body {
-                Ok(body) => submit(shared, &route, id, &body.to_bytes()).await,
-                Err(error) => {
+            let body = Limited::new(request.into_body(), config.limits.body_bytes).collect();
+            match timeout(Duration::from_millis(config.limits.idle_ms), body).await {
+                Ok(Ok(body)) => submit(shared, &route, id, &body.to_bytes()).await,
+                Err(_) => {
+                    log::info!("event=body_unfinished job={id}");
+                    text(StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time")
+                }
+                Ok(Err(error)) => {
                     log::info!("event=body_unreadable job={id} error=\"{error}\"");
                     text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long or broken")
                 }
--- a/crates/coriandertackd/src/fleet/mod.rs
+++ b/crates/coriandertackd/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod arrivals;
 pub mod campaign;
 pub mod clock;
+pub mod connections;
 pub mod crew;
 pub mod follow;
 pub mod forget;
--- a/crates/coriandertackd/src/fleet/settings.rs
+++ b/crates/coriandertackd/src/fleet/settings.rs
@@ -63,6 +63,9 @@
     /// Share of a core that the VM has; 0 if unknown.
     #[serde(default)]
     pub cores: f64,
+    /// Most connections of callers.
+    #[serde(default = "connections")]
+    pub connections: usize,
     /// Address of the metrics, if they are served.
     #[serde(default, deserialize_with = "optional")]
     pub metrics: Option<SocketAddr>,
@@ -112,6 +115,12 @@
     }
 }
 
+/// Most connections of callers by default. Of the 4,100 descriptors of a VM (SYSTEM, Machines), 200 are for files; workers, the
+/// store and links keep a place.
+const fn connections() -> usize {
+    3_000
+}
+
 fn optional<'de, D: Deserializer<'de>>(input: D) -> Result<Option<SocketAddr>, D::Error> {
     let text = String::deserialize(input)?;
     if text.is_empty() {
