Serve what the leader decided as metrics

Cause: rejected starts by reason, ends by cause, calls for advice, the time of a decision and of a takeover, and lost log lines were not on the metrics address, so a failure could be explained from the logs alone.

Change: the scheduler's counts are added up for the process and served, with histograms of decisions, advice and takeovers.

Measured: a test with a process reads them after a run with a faulty worker.

--- a/crates/coriandertackd/src/fleet/advice.rs
+++ b/crates/coriandertackd/src/fleet/advice.rs
@@ -14,7 +14,7 @@
     },
 };
 
-use super::{clock, lead::Leading, shared::Shared};
+use super::{clock, lead::Leading, metrics, shared::Shared};
 
 /// Pause before another VM is dialled again, in milliseconds.
 const REDIAL_MS: u64 = 250;
@@ -23,12 +23,16 @@
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let adviser = shared.settings.platform.advice.map(Adviser::new);
     let adviser = Arc::new(Mutex::new(adviser));
+    let asking = shared.clone();
     let ask = move |question: Question| {
-        let adviser = adviser.clone();
+        let (adviser, state) = (adviser.clone(), asking.clone());
         async move {
             let limit = Duration::from_millis(u64::from(question.limit_ms));
             let mut adviser = adviser.lock().await;
-            adviser.as_mut()?.ask(question.step, &question.workers, limit).await
+            let asked = clock::now();
+            let advice = adviser.as_mut()?.ask(question.step, &question.workers, limit).await;
+            metrics::record(&state.latencies.advice, clock::now().since(asked));
+            advice
         }
     };
     loop {
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -214,6 +214,7 @@
     let mut tasks = JoinSet::new();
     crew::apply_entries(&leading, entries, true);
     adopt(&leading, notes);
+    metrics::record(&shared.latencies.takeover, clock::now().since(began));
     tasks.spawn(crew::keep(leading.clone()));
     tasks.spawn(advice::keep(leading.clone()));
     tasks.spawn(forget::run(leading.clone()));
@@ -351,6 +352,8 @@
     }
     let timed = scheduler.open_timed(now, wall);
     let pass = scheduler.place(now);
+    metrics::record(&leading.shared.latencies.decision, clock::now().since(now));
+    leading.shared.note_counts(&scheduler.take_counts());
     let timed = timed.map(|due| now.after(due.0.saturating_sub(wall.0)));
     let again = match (pass.again, timed) {
         (Some(a), Some(b)) => Some(a.min(b)),
--- a/crates/coriandertackd/src/fleet/metrics.rs
+++ b/crates/coriandertackd/src/fleet/metrics.rs
@@ -9,7 +9,14 @@
 };
 
 use {
-    opentelemetry::metrics::{Histogram, Meter, MeterProvider},
+    coriandertack_jobs::{
+        report::{EndCause, StartRefusal},
+        sched::Counts,
+    },
+    opentelemetry::{
+        KeyValue,
+        metrics::{AsyncInstrument, Histogram, Meter, MeterProvider},
+    },
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Encoder, Registry, TextEncoder},
     tokio::net::TcpListener,
@@ -18,7 +25,10 @@
 
 use crate::http;
 
-use super::shared::{Counters, Shared};
+use super::{
+    output,
+    shared::{Counters, Shared},
+};
 
 /// Bounds of the buckets of latencies, in seconds: 0.25 s is the tightest objective of a route, 3 s the longest wait of a
 /// caller.
@@ -34,6 +44,12 @@
     pub append: Histogram<f64>,
     /// From a step being ready until a start of one of its tasks was sent.
     pub waiting: Histogram<f64>,
+    /// One decision on all that waits.
+    pub decision: Histogram<f64>,
+    /// One call for advice that this VM made.
+    pub advice: Histogram<f64>,
+    /// From the append that took the lead until the first decision.
+    pub takeover: Histogram<f64>,
 }
 
 impl fmt::Debug for Latencies {
@@ -70,6 +86,9 @@
             acceptance: seconds("acceptance", "from a submission to its answer"),
             append: seconds("store_append", "one append to the store"),
             waiting: seconds("waiting", "from a step being ready to a start of its tasks"),
+            decision: seconds("decision", "one decision on all that waits"),
+            advice: seconds("advice", "one call for advice"),
+            takeover: seconds("takeover", "from taking the lead to the first decision"),
             registry,
             provider,
         })
@@ -100,6 +119,21 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
+/// Registers a counter that is read as one value for each set of labels.
+fn counter(
+    meter: &Meter,
+    name: &'static str,
+    text: &'static str,
+    read: impl Fn() -> Vec<(u64, Vec<KeyValue>)> + Send + Sync + 'static,
+) {
+    let observe = move |out: &dyn AsyncInstrument<u64>| {
+        for (value, labels) in read() {
+            out.observe(value, &labels);
+        }
+    };
+    meter.u64_observable_counter(name).with_description(text).with_callback(observe).build();
+}
+
 /// Registers one instrument for each counter and gauge.
 fn observe(meter: &Meter, shared: &Arc<Shared>) {
     type Read = fn(&Counters) -> &AtomicU64;
@@ -126,6 +160,32 @@
             })
             .build();
     }
+    type Sum = fn(&Counts) -> u64;
+    let decided: [(&'static str, &'static str, Sum); 5] = [
+        ("tasks_bound", "tasks that were bound to a worker", |c| c.bound),
+        ("runs_lost", "runs that were lost with their worker", |c| c.lost),
+        ("runs_stalled", "runs that were stopped because they stood still", |c| c.stalled),
+        ("advice_calls", "calls for advice that were decided", |c| c.advice),
+        ("workers_quarantined", "times that a worker was taken out of use", |c| c.quarantined),
+    ];
+    for (name, text, sum) in decided {
+        let shared = shared.clone();
+        let read = move || vec![(sum(&shared.decided()), Vec::new())];
+        counter(meter, name, text, read);
+    }
+    let ends = shared.clone();
+    counter(meter, "runs_ended", "ends of runs, by cause", move || {
+        let cause = |cause: &EndCause| vec![KeyValue::new("cause", cause.to_string())];
+        ends.decided().ends.into_iter().zip(EndCause::ALL.iter().map(cause)).collect()
+    });
+    let refused = shared.clone();
+    counter(meter, "starts_refused", "starts that workers refused, by reason", move || {
+        let reason = |reason: &StartRefusal| vec![KeyValue::new("reason", reason.to_string())];
+        refused.decided().refused.into_iter().zip(StartRefusal::ALL.iter().map(reason)).collect()
+    });
+    counter(meter, "log_lines_lost", "log lines that found no room", || {
+        vec![(output::lost_lines(), Vec::new())]
+    });
     type Look = fn(&Shared) -> u64;
     let gauges: [(&'static str, &'static str, Look); 3] = [
         ("leading", "1 if this VM leads", |s| u64::from(*s.leading.borrow())),
--- a/crates/coriandertackd/src/fleet/output.rs
+++ b/crates/coriandertackd/src/fleet/output.rs
@@ -5,7 +5,10 @@
 
 use std::{
     io::{self, Write},
-    sync::{Arc, Condvar, Mutex, PoisonError},
+    sync::{
+        Arc, Condvar, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -23,6 +26,14 @@
 /// Most bytes of one write: what POSIX guarantees to be written to a pipe at once.
 const PIECE_BYTES: usize = 4_096;
 
+/// Lines that found no room since the process started. The logger is one for the process, and so is this.
+static LOST_LINES: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the number of lines that found no room since the process started.
+pub fn lost_lines() -> u64 {
+    LOST_LINES.load(Ordering::Relaxed)
+}
+
 #[derive(Default)]
 struct Buffer {
     bytes: Vec<u8>,
@@ -43,6 +54,7 @@
         let mut buffer = self.0.buffer.lock().unwrap_or_else(PoisonError::into_inner);
         if buffer.bytes.len() + bytes.len() > MAX_BYTES {
             buffer.lost += 1;
+            LOST_LINES.fetch_add(1, Ordering::Relaxed);
             return Ok(bytes.len());
         }
         if buffer.lost > 0 {
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -14,6 +14,7 @@
         config::Config,
         moment::Moment,
         progress::{Phase, Progress},
+        sched::Counts,
         upkeep::Wave,
     },
     coriandertack_peers::errands::{Ended, Handed},
@@ -159,6 +160,8 @@
     pub leading: watch::Sender<bool>,
     /// Numbers for the metrics.
     pub counters: Counters,
+    /// What this VM decided while it led.
+    decided: Mutex<Counts>,
     /// Latencies for the metrics.
     pub latencies: Latencies,
 }
@@ -190,6 +193,7 @@
             closing: watch::Sender::default(),
             leading: watch::Sender::default(),
             counters: Counters::default(),
+            decided: Mutex::default(),
             latencies: Latencies::new()?,
         };
         Ok((shared, queue))
@@ -200,6 +204,16 @@
         self.board.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds to what this VM decided.
+    pub fn note_counts(&self, counts: &Counts) {
+        self.decided.lock().unwrap_or_else(PoisonError::into_inner).add(counts);
+    }
+
+    /// Returns what this VM decided while it led.
+    pub fn decided(&self) -> Counts {
+        *self.decided.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes a new link to a leader. The newest one counts.
     pub fn set_leader_link(&self, queue: mpsc::UnboundedSender<Handed>) {
         let mut link = self.leader_link.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -87,10 +87,14 @@
 /// are taken by other tests.
 static VMS: AtomicU8 = AtomicU8::new(1);
 
+/// Most connections of callers at a VM.
+pub const CONNECTIONS: usize = 40;
+
 /// Ports of a VM.
 const CALLERS_PORT: u16 = 21_001;
 const READY_PORT: u16 = 21_002;
 const LINK_PORT: u16 = 21_003;
+const METRICS_PORT: u16 = 21_004;
 
 fn own_address() -> Ipv4Addr {
     let process = (std::process::id() % 250) as u8 + 1;
@@ -137,7 +141,8 @@
         let callers = SocketAddr::from((ip, CALLERS_PORT));
         let text = format!(
             "[vm]\nname = \"vm-{number}\"\nzone = \"split\"\ncallers = \"{callers}\"\n\
-             ready = \"{ip}:{READY_PORT}\"\nlink = \"{ip}:{LINK_PORT}\"\ncores = {cores:.2}\n\n\
+             ready = \"{ip}:{READY_PORT}\"\nlink = \"{ip}:{LINK_PORT}\"\ncores = {cores:.2}\nconnections = {CONNECTIONS}\n\
+             metrics = \"{ip}:{METRICS_PORT}\"\n\n\
              [platform]\nstore = \"{}\"\nadvice = \"{}\"\nmachines = \"{}\"\n\n\
              [bounds]\nlease_ms = 300\n",
             self.store.address(),
@@ -274,23 +279,20 @@
         assert!(timeout(LONGEST, wait).await.is_ok(), "{what}");
     }
 
-    /// Sends a request and returns status and body, or nothing without an answer.
+    /// Opens a connection to a VM.
+    pub async fn connect(&self, vm: usize) -> TcpStream {
+        TcpStream::connect(self.vms[vm].callers).await.unwrap()
+    }
+
+    /// Sends a request to a VM and returns status and body, or nothing without an answer.
     async fn call(&self, vm: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
-        let work = async {
-            let mut stream = TcpStream::connect(self.vms[vm].callers).await.ok()?;
-            let request = format!(
-                "{method} {path} HTTP/1.1\r\nhost: vans.example\r\nconnection: close\r\n\
-                 content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
-                body.len()
-            );
-            stream.write_all(request.as_bytes()).await.ok()?;
-            let mut answer = String::new();
-            stream.read_to_string(&mut answer).await.ok()?;
-            let status = answer.split(' ').nth(1)?.parse().ok()?;
-            let body = answer.split_once("\r\n\r\n").map(|(_, body)| body.to_owned());
-            Some((status, body.unwrap_or_default()))
-        };
-        timeout(Duration::from_secs(5), work).await.ok().flatten()
+        call(self.vms[vm].callers, method, path, body).await
+    }
+
+    /// Returns the metrics of a VM.
+    pub async fn metrics(&self, vm: usize) -> Option<String> {
+        let address = SocketAddr::new(self.vms[vm].callers.ip(), METRICS_PORT);
+        call(address, "GET", "/metrics", "").await.map(|(_, text)| text)
     }
 
     pub async fn post(&self, vm: usize, job: &str, body: &str) -> Option<u16> {
@@ -495,3 +497,21 @@
         }
     }
 }
+
+async fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    let work = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nhost: vans.example\r\nconnection: close\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).await.ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.ok()?;
+        let status = answer.split(' ').nth(1)?.parse().ok()?;
+        let body = answer.split_once("\r\n\r\n").map(|(_, body)| body.to_owned());
+        Some((status, body.unwrap_or_default()))
+    };
+    timeout(Duration::from_secs(5), work).await.ok().flatten()
+}
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -11,10 +11,14 @@
 use {
     coriandertack_standins::platform::{machines, store, worker},
     nix::sys::signal::Signal,
-    tokio::time::sleep,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::{Instant, sleep, timeout},
+    },
 };
 
-use self::cluster::Cluster;
+use self::cluster::{CONNECTIONS, Cluster};
 
 /// Guards against a path that is broken anywhere between a caller and a worker.
 #[tokio::test]
@@ -231,3 +235,82 @@
     cluster.machines.fail(machines::Faults { lost_every: 2, ..Default::default() });
     serve_wave(&mut cluster, 3, 2).await;
 }
+
+/// Waits until the peer closes a connection, for at most `limit`.
+async fn closes(stream: &mut TcpStream, limit: Duration) -> bool {
+    let mut bytes = [0; 64];
+    let read = async {
+        loop {
+            match stream.read(&mut bytes).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    };
+    timeout(limit, read).await.is_ok()
+}
+
+/// Guards against connections that hold a VM's descriptors with heads that never end, also when bytes go on coming: 1,500 of
+/// them were open after 40 s.
+#[tokio::test]
+async fn unfinished_heads_are_closed() {
+    let cluster = Cluster::start(1, 1).await;
+    let mut silent = cluster.connect(0).await;
+    silent.write_all(b"POST /plans/").await.unwrap();
+    let mut slow = cluster.connect(0).await;
+    let began = Instant::now();
+    let trickle = async {
+        while slow.write_all(b"x").await.is_ok() && began.elapsed() < Duration::from_secs(20) {
+            sleep(Duration::from_millis(200)).await;
+        }
+    };
+    // The configuration says 3 s; the wait is looked at within as long again.
+    let limit = Duration::from_secs(7);
+    let (closed, ()) = tokio::join!(closes(&mut silent, limit), trickle);
+    assert!(closed, "the silent connection is closed");
+    assert!(began.elapsed() < limit, "the slow connection is closed");
+}
+
+/// Guards against new callers who find no connection because idle ones hold them all.
+#[tokio::test]
+async fn the_oldest_idle_connection_makes_room() {
+    let cluster = Cluster::start(1, 1).await;
+    let mut idle = Vec::new();
+    for _ in 0..CONNECTIONS {
+        idle.push(cluster.connect(0).await);
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(cluster.pending(0, "/plans/").await, Some(200));
+    assert!(closes(&mut idle[0], Duration::from_secs(2)).await, "the oldest one is closed");
+    let last = idle.last_mut().unwrap();
+    assert!(!closes(last, Duration::from_millis(300)).await, "the newest one stays");
+}
+
+/// Guards against metrics that are missing when someone looks for a cause.
+#[tokio::test]
+async fn the_leader_counts_what_it_decided() {
+    let mut cluster = Cluster::start(1, 2).await;
+    cluster.workers[0].fail(worker::Faults { failing: true, ..Default::default() });
+    let jobs = cluster.submit(6).await;
+    cluster.completed(&jobs).await;
+    let text = cluster.metrics(0).await.expect("the metrics are served");
+    let value = |name: &str| {
+        let line =
+            text.lines().find(|line| line.starts_with(name)).unwrap_or_else(|| panic!("{name}"));
+        line.rsplit(' ').next().unwrap().parse::<f64>().unwrap()
+    };
+    assert!(value("coriandertack_tasks_bound_total") >= 18.0, "three tasks a job");
+    assert!(value("coriandertack_runs_ended_total{cause=\"done\"}") >= 15.0);
+    assert!(value("coriandertack_runs_ended_total{cause=\"failed\"}") >= 1.0);
+    for name in [
+        "coriandertack_starts_refused_total{reason=\"ticket\"}",
+        "coriandertack_advice_calls_total",
+        "coriandertack_log_lines_lost_total",
+        "coriandertack_handovers_total",
+        "coriandertack_decision_seconds_count",
+        "coriandertack_advice_seconds_count",
+        "coriandertack_takeover_seconds_count",
+    ] {
+        value(name);
+    }
+}
