--- a/crates/coriandertack-jobs/src/sched/advise.rs
+++ b/crates/coriandertack-jobs/src/sched/advise.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashSet, sync::Arc};
 
-use super::{Scheduler, Step, URGENT_PRIORITY, WorkerKey, place::Floor};
+use super::{Scheduler, Step, URGENT_PRIORITY, WorkerKey, lanes::LANE_WAIT_MS, place::Floor};
 
 use crate::{
     config::{Advice, Route},
@@ -47,17 +47,10 @@
 /// Time by which a ticket is taken to lapse earlier, in milliseconds: the start must arrive before.
 const TICKET_MARGIN_MS: u64 = 250;
 
-/// Time that a call may wait at a VM behind others, in milliseconds.
-const LANE_WAIT_MS: u64 = 60;
-
 /// Time by which workers beyond those needed may lengthen a call, in milliseconds. The way to a VM and back takes about
 /// as long, so that a second call would cost more.
 const EXTRA_MS: f64 = 5.0;
 
-/// Share of the lanes that stays free for urgent calls, as a divisor. All others together would else hold every lane in a
-/// burst, and an urgent job is late after some hundred milliseconds.
-const URGENT_LANES_DIVISOR: usize = 4;
-
 /// Time after which a call without an answer is given up, beyond its cost, in milliseconds.
 const CALL_SLACK_MS: u64 = 1_000;
 
@@ -149,17 +142,6 @@
     }
 }
 
-/// A VM through which the leader can ask for advice.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Lane {
-    /// Name of the VM.
-    pub vm: Arc<str>,
-    /// When its calls so far should be answered.
-    pub free: Moment,
-    /// Calls under way that are not urgent.
-    pub patient: u32,
-}
-
 /// A call for advice.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AdviceCall {
@@ -209,16 +191,6 @@
 }
 
 impl Scheduler {
-    /// Replaces the VMs that can make calls for advice. Those that stay keep their load.
-    pub fn set_lanes(&mut self, names: &[Arc<str>]) {
-        self.lanes.retain(|lane| names.contains(&lane.vm));
-        for name in names {
-            if !self.lanes.iter().any(|lane| lane.vm == *name) {
-                self.lanes.push(Lane { vm: name.clone(), free: Moment(0), patient: 0 });
-            }
-        }
-    }
-
     /// Asks for advice on a step if a call can bring room for waiting tasks. Returns when to try again.
     pub(super) fn ask_advice(
         &mut self,
@@ -312,7 +284,7 @@
             step.advice.valid_tickets(now).count(),
             step.advice.allowed.len(),
             step.advice.barred.len(),
-            self.lanes.iter().map(|lane| lane.patient).sum::<u32>(),
+            self.patient_calls(),
         );
         if let Some(step) = self.step_mut(id) {
             step.explained = now;
@@ -442,29 +414,6 @@
         step.advice.allowed.iter().filter_map(whole).sum()
     }
 
-    /// Returns the position of the least loaded lane, or when one will be free.
-    fn free_lane(&self, urgent: bool, now: Moment) -> Result<usize, Option<Moment>> {
-        let most = (self.lanes.len() - self.lanes.len() / URGENT_LANES_DIVISOR).max(1) as u32;
-        if !urgent && self.lanes.iter().map(|lane| lane.patient).sum::<u32>() >= most {
-            return Err(Some(now.after(LANE_WAIT_MS)));
-        }
-        let least = self.lanes.iter().enumerate().min_by_key(|(_, lane)| lane.free);
-        let Some((position, lane)) = least else { return Err(None) };
-        if lane.free > now.after(LANE_WAIT_MS) {
-            return Err(Some(lane.free));
-        }
-        Ok(position)
-    }
-
-    /// Takes the least loaded lane for a call of this cost.
-    fn take_lane(&mut self, cost_ms: u64, urgent: bool, now: Moment) -> Option<Arc<str>> {
-        let position = self.free_lane(urgent, now).ok()?;
-        let lane = self.lanes.get_mut(position)?;
-        lane.free = lane.free.max(now).after(cost_ms);
-        lane.patient += u32::from(!urgent);
-        Some(lane.vm.clone())
-    }
-
     /// Notes the answer to a call. `eligible` holds worker and ticket of those allowed; nothing if the call failed.
     pub fn advised(
         &mut self,
@@ -472,12 +421,7 @@
         eligible: Option<&[(Arc<str>, Arc<str>)]>,
         now: Moment,
     ) {
-        if let Some(lane) = self.lanes.iter_mut().find(|lane| lane.vm == call.vm) {
-            lane.patient = lane.patient.saturating_sub(u32::from(!call.urgent));
-            if eligible.is_none() {
-                lane.free = lane.free.max(now.after(FAILED_MS));
-            }
-        }
+        self.release_lane(call, eligible.is_none().then_some(FAILED_MS), now);
         let route = self.step(call.step).map(|(job, ..)| self.route_of(job));
         let validity_ms = route.as_ref().and_then(|r| r.advice).map_or(0, |a| a.validity_ms);
         let Some(step) = self.step_mut(call.step) else { return };
