--- a/crates/coriandertackd/src/fleet/mod.rs
+++ b/crates/coriandertackd/src/fleet/mod.rs
@@ -71,7 +71,11 @@
     tasks.spawn(advice::serve(shared.clone(), link));
     tasks.spawn(front::ready(shared.clone(), ready));
     if let Some(address) = settings.vm.metrics {
-        tasks.spawn(metrics::serve(shared.clone(), bind(address).await?));
+        match bind(address).await {
+            Ok(listener) => drop(tasks.spawn(metrics::serve(shared.clone(), listener))),
+            // A port that is taken is no reason not to serve callers.
+            Err(error) => log::warn!("event=metrics_unavailable error=\"{error:#}\""),
+        }
     }
     let front = tokio::spawn(front::callers(shared.clone(), callers));
     let mut reload = signal(SignalKind::hangup()).context("cannot handle SIGHUP")?;
