--- a/crates/coriandertack-core/src/validity.rs
+++ b/crates/coriandertack-core/src/validity.rs
@@ -39,7 +39,7 @@
 pub struct Began {
     /// The steady clock.
     pub at: Instant,
-    /// Time since the boot for which the VM was suspended.
+    /// Reading of the clock that runs only while the VM is suspended, counted from the boot.
     pub asleep: Duration,
 }
 
@@ -78,6 +78,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Validity {
     until: Instant,
+    /// Reading of the clock of suspensions to which `until` refers. It is a point in time, as `until` is; the difference
+    /// to a later reading is taken off.
     asleep: Duration,
 }
 
--- a/crates/coriandertack-jobs/src/lib.rs
+++ b/crates/coriandertack-jobs/src/lib.rs
@@ -1,14 +1,14 @@
 //! Jobs of several steps, and the decisions that place their tasks on workers.
 //!
 //! One entry VM at a time leads: it holds the fence of the progress records and owns a [`sched::Scheduler`].
-//! Every entry VM follows the records on a [`board::Board`], from which it answers callers and from which the next
+//! Every entry VM follows the records in a [`replica::Replica`], from which it answers callers and from which the next
 //! leader starts. The package has no message encoding and no I/O; see docs/notes/platform.md.
 
-pub mod board;
 pub mod config;
 pub mod ids;
 pub mod moment;
 pub mod progress;
+pub mod replica;
 pub mod report;
 pub mod sched;
 pub mod spec;
--- a/crates/coriandertack-jobs/src/board.rs
+++ b/crates/coriandertack-jobs/src/replica.rs
@@ -36,7 +36,7 @@
 
 /// What is known of a job.
 #[derive(Clone, Debug, Default)]
-pub struct Posting {
+pub struct JobView {
     /// What was submitted, once it was read.
     pub spec: Option<Arc<JobSpec>>,
     /// Progress, once it was read.
@@ -47,7 +47,7 @@
     pub ended: Option<Moment>,
 }
 
-impl Posting {
+impl JobView {
     /// Returns the state that callers see.
     #[must_use]
     pub fn phase(&self) -> Phase {
@@ -83,16 +83,16 @@
 
 /// What this VM knows of all jobs.
 #[derive(Debug, Default)]
-pub struct Board {
+pub struct Replica {
     /// Jobs.
-    pub jobs: HashMap<JobId, Posting>,
+    pub jobs: HashMap<JobId, JobView>,
     /// Newest leader.
     pub leader: Option<Leader>,
     /// Links of the entry VMs.
     pub links: HashMap<Arc<str>, Link>,
 }
 
-impl Board {
+impl Replica {
     /// Applies a record.
     pub fn apply(&mut self, note: Note, now: Moment) {
         let job = match note {
@@ -106,11 +106,11 @@
                 id
             }
             Note::Progressed(id, progress) => {
-                let posting = self.jobs.entry(id).or_default();
+                let view = self.jobs.entry(id).or_default();
                 // A final state is final: the leader tells of it before this VM has read the records before it.
-                let ended = posting.progress.as_ref().is_some_and(|known| known.phase.is_final());
+                let ended = view.progress.as_ref().is_some_and(|known| known.phase.is_final());
                 if !ended {
-                    posting.progress = Some(progress);
+                    view.progress = Some(progress);
                 }
                 id
             }
@@ -134,19 +134,19 @@
             }
             Note::Unreadable => return,
         };
-        if let Some(posting) = self.jobs.get_mut(&job)
-            && posting.ended.is_none()
-            && posting.phase().is_final()
+        if let Some(view) = self.jobs.get_mut(&job)
+            && view.ended.is_none()
+            && view.phase().is_final()
         {
-            posting.ended = Some(now);
+            view.ended = Some(now);
         }
     }
 
     /// Forgets what was submitted, and keeps the final state.
     fn dismiss(&mut self, id: JobId) {
-        let Some(posting) = self.jobs.get_mut(&id) else { return };
-        if posting.progress.as_ref().is_some_and(|progress| progress.phase.is_final()) {
-            posting.spec = None;
+        let Some(view) = self.jobs.get_mut(&id) else { return };
+        if view.progress.as_ref().is_some_and(|progress| progress.phase.is_final()) {
+            view.spec = None;
         } else {
             self.jobs.remove(&id);
         }
@@ -155,11 +155,11 @@
     /// Returns the state of a submitted job.
     #[must_use]
     pub fn phase(&self, id: JobId) -> Option<Phase> {
-        let posting = self.jobs.get(&id)?;
-        let phase = posting.phase();
+        let view = self.jobs.get(&id)?;
+        let phase = view.phase();
         // The submission of a job that has ended is dropped. Progress alone says nothing else: it may have been read first.
-        let ended = posting.progress.is_some() && phase.is_final();
-        (ended || posting.spec.is_some()).then_some(phase)
+        let ended = view.progress.is_some() && phase.is_final();
+        (ended || view.spec.is_some()).then_some(phase)
     }
 
     /// Returns how many VMs should lead rather than this one: those with more processors, and then by name. Leading
@@ -190,8 +190,8 @@
     pub fn pending(&self, route: &str) -> usize {
         self.jobs
             .values()
-            .filter(|posting| posting.phase() == Phase::Queued)
-            .filter_map(|posting| posting.spec.as_ref())
+            .filter(|view| view.phase() == Phase::Queued)
+            .filter_map(|view| view.spec.as_ref())
             .filter(|spec| &*spec.route.name == route)
             .count()
     }
@@ -199,7 +199,7 @@
     /// Returns the jobs that ended before `before`, `most` of them at the most.
     #[must_use]
     pub fn expired(&self, before: Moment, most: usize) -> Vec<JobId> {
-        let ended = |posting: &Posting| posting.ended.is_some_and(|at| at < before);
+        let ended = |view: &JobView| view.ended.is_some_and(|at| at < before);
         self.jobs.iter().filter(|(_, p)| ended(p)).map(|(id, _)| *id).take(most).collect()
     }
 }
--- a/crates/coriandertack-jobs/src/sched/advise.rs
+++ b/crates/coriandertack-jobs/src/sched/advise.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashSet, sync::Arc};
 
-use super::{Scheduler, Step, URGENT_PRIORITY, WorkerKey, lanes::LANE_WAIT_MS, place::Floor};
+use super::{Scheduler, Step, URGENT_PRIORITY, WorkerKey, lanes::LANE_WAIT_MS, place::Headroom};
 
 use crate::{
     config::{Advice, Route},
@@ -197,7 +197,7 @@
         id: StepId,
         route: &Arc<Route>,
         policy: Advice,
-        floor: &Floor,
+        headroom: &Headroom,
         now: Moment,
     ) -> Option<Moment> {
         let (.., step) = self.step(id)?;
@@ -222,12 +222,12 @@
         let timing = Timing {
             now,
             urgent,
-            avoided: self.spoiled(id, &route.service, now),
+            avoided: self.excluded(id, &route.service, now),
             answered,
             needed,
             extra: (EXTRA_MS / policy.worker_ms.max(f64::MIN_POSITIVE)) as usize,
         };
-        let chosen = self.choose_named(spec, step, &route.service, share, floor, &timing);
+        let chosen = self.choose_named(spec, step, &route.service, share, headroom, &timing);
         let claims = claims(&chosen, step.waiting, share, urgent);
         let named: Vec<Named> = chosen.into_iter().filter(|named| !named.ticketed).collect();
         if named.is_empty() {
@@ -258,14 +258,14 @@
     }
 
     /// Keeps room for a step on allowed workers while a call for their tickets is under way.
-    pub(super) fn keep_claims(&self, id: StepId, floor: &mut Floor, now: Moment) {
+    pub(super) fn keep_claims(&self, id: StepId, headroom: &mut Headroom, now: Moment) {
         let Some((_, spec, step)) = self.step(id) else { return };
         if step.advice.calling.is_none_or(|until| until <= now) {
             return;
         }
         for &(key, room) in &step.advice.claims {
             if let Some(amount) = spec.charge().checked_mul(room) {
-                floor.take(key, amount);
+                headroom.take(key, amount);
             }
         }
     }
@@ -284,7 +284,7 @@
             step.advice.valid_tickets(now).count(),
             step.advice.allowed.len(),
             step.advice.barred.len(),
-            self.patient_calls(),
+            self.regular_calls(),
         );
         if let Some(step) = self.step_mut(id) {
             step.explained = now;
@@ -302,10 +302,10 @@
         step: &Step,
         service: &str,
         share: f64,
-        floor: &Floor,
+        headroom: &Headroom,
         timing: &Timing,
     ) -> Vec<Named> {
-        let candidates = self.nameable(spec, step, service, floor, timing);
+        let candidates = self.nameable(spec, step, service, headroom, timing);
         let sum = |allowed: bool| -> u32 {
             candidates.iter().filter(|n| n.allowed == allowed).map(|n| n.room).sum()
         };
@@ -371,13 +371,13 @@
         spec: &StepSpec,
         step: &Step,
         service: &str,
-        floor: &Floor,
+        headroom: &Headroom,
         timing: &Timing,
     ) -> Vec<Named> {
         let charge = spec.charge();
         let mut candidates = Vec::new();
         let ahead_ms = timing.answered.since(timing.now);
-        for (key, mut free) in floor.workers() {
+        for (key, mut free) in headroom.workers() {
             let Some(worker) = self.workers.get(key) else { continue };
             if spec.gang && step.advice.allows(key) {
                 // The room of a gang is kept, so what ends during the call counts.
--- a/crates/coriandertack-jobs/src/sched/ends.rs
+++ b/crates/coriandertack-jobs/src/sched/ends.rs
@@ -13,7 +13,7 @@
 
 /// How long the tasks of a step stay away from a worker on which one of them failed, in milliseconds. Attempts are few, and
 /// workers that fail what they run do so for some seconds (the sites' sheets: 4 to 8 s).
-const SPOILED_MS: u64 = 5_000;
+const EXCLUDED_MS: u64 = 5_000;
 
 impl Scheduler {
     /// Notes the end of a run that a worker listed.
@@ -34,8 +34,8 @@
             end.number
         );
         match end.cause {
-            EndCause::Done => self.praise(key),
-            EndCause::Failed => self.strike(key, task.job, now),
+            EndCause::Done => self.note_done(key),
+            EndCause::Failed => self.note_failed(key, task.job, now),
             EndCause::Stopped | EndCause::Lapsed | EndCause::Broken | EndCause::Alone => {}
         }
         if self.task(task).is_none_or(|known| known.place == Place::Done) {
@@ -135,8 +135,8 @@
             state.counted = state.counted.max(attempt);
             failures = failures.max(state.failures);
         }
-        step.spoiled.retain(|(_, until)| *until > now);
-        step.spoiled.push((worker, now.after(SPOILED_MS)));
+        step.excluded.retain(|(_, until)| *until > now);
+        step.excluded.push((worker, now.after(EXCLUDED_MS)));
         self.mark(key);
         log::info!(
             "event=run_failed task={task} attempt={attempt} failures={failures} allowed={allowed}"
--- a/crates/coriandertack-jobs/src/sched/health.rs
+++ b/crates/coriandertack-jobs/src/sched/health.rs
@@ -8,7 +8,7 @@
 use crate::{ids::JobId, moment::Moment};
 
 /// Failed runs of different jobs in a row after which a worker is taken out of use.
-const STRIKES: u32 = 2;
+const FAILURES: u32 = 2;
 
 /// How long a worker is first out of use, in milliseconds. The shortest sheet of troubles has workers fail for 4 s.
 const FIRST_MS: u64 = 2_000;
@@ -21,23 +21,23 @@
 
 impl Scheduler {
     /// Notes that a run was done on a worker.
-    pub(super) fn praise(&mut self, key: WorkerKey) {
+    pub(super) fn note_done(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.strikes = 0;
-            worker.striker = None;
+            worker.failures = 0;
+            worker.failed_job = None;
             worker.relapses = 0;
         }
     }
 
     /// Notes that a run failed or stood still on a worker.
-    pub(super) fn strike(&mut self, key: WorkerKey, job: JobId, now: Moment) {
+    pub(super) fn note_failed(&mut self, key: WorkerKey, job: JobId, now: Moment) {
         let Some(worker) = self.workers.get_mut(key) else { return };
-        if worker.striker == Some(job) {
+        if worker.failed_job == Some(job) {
             return;
         }
-        worker.striker = Some(job);
-        worker.strikes += 1;
-        if worker.strikes < STRIKES {
+        worker.failed_job = Some(job);
+        worker.failures += 1;
+        if worker.failures < FAILURES {
             return;
         }
         let Some(service) = worker.entry.as_ref().map(|entry| entry.service.clone()) else {
@@ -52,7 +52,7 @@
         worker.avoided = worker.avoided.max(now.after(term));
         worker.relapses += 1;
         // One more failure after the return is enough.
-        worker.strikes = STRIKES - 1;
+        worker.failures = FAILURES - 1;
         self.counts.quarantined += 1;
         log::info!(
             "event=worker_quarantined worker={} term_ms={term} relapses={}",
--- a/crates/coriandertack-jobs/src/sched/lanes.rs
+++ b/crates/coriandertack-jobs/src/sched/lanes.rs
@@ -21,7 +21,7 @@
     /// When its calls so far should be answered.
     pub free: Moment,
     /// Calls under way that are not urgent.
-    pub patient: u32,
+    pub regular: u32,
 }
 
 impl Scheduler {
@@ -30,7 +30,7 @@
         self.lanes.retain(|lane| names.contains(&lane.vm));
         for name in names {
             if !self.lanes.iter().any(|lane| lane.vm == *name) {
-                self.lanes.push(Lane { vm: name.clone(), free: Moment(0), patient: 0 });
+                self.lanes.push(Lane { vm: name.clone(), free: Moment(0), regular: 0 });
             }
         }
     }
@@ -38,7 +38,7 @@
     /// Returns the position of the least loaded lane, or when one will be free.
     pub(super) fn free_lane(&self, urgent: bool, now: Moment) -> Result<usize, Option<Moment>> {
         let most = (self.lanes.len() - self.lanes.len() / URGENT_LANES_DIVISOR).max(1) as u32;
-        if !urgent && self.patient_calls() >= most {
+        if !urgent && self.regular_calls() >= most {
             return Err(Some(now.after(LANE_WAIT_MS)));
         }
         let least = self.lanes.iter().enumerate().min_by_key(|(_, lane)| lane.free);
@@ -59,19 +59,19 @@
         let position = self.free_lane(urgent, now).ok()?;
         let lane = self.lanes.get_mut(position)?;
         lane.free = lane.free.max(now).after(cost_ms);
-        lane.patient += u32::from(!urgent);
+        lane.regular += u32::from(!urgent);
         Some(lane.vm.clone())
     }
 
     /// Returns the number of calls under way that are not urgent.
-    pub(super) fn patient_calls(&self) -> u32 {
-        self.lanes.iter().map(|lane| lane.patient).sum()
+    pub(super) fn regular_calls(&self) -> u32 {
+        self.lanes.iter().map(|lane| lane.regular).sum()
     }
 
     /// Notes that a call has ended. After a failure the lane pauses for `pause_ms`.
     pub(super) fn release_lane(&mut self, call: &AdviceCall, pause_ms: Option<u64>, now: Moment) {
         if let Some(lane) = self.lanes.iter_mut().find(|lane| lane.vm == call.vm) {
-            lane.patient = lane.patient.saturating_sub(u32::from(!call.urgent));
+            lane.regular = lane.regular.saturating_sub(u32::from(!call.urgent));
             if let Some(pause_ms) = pause_ms {
                 lane.free = lane.free.max(now.after(pause_ms));
             }
--- a/crates/coriandertack-jobs/src/sched/lists.rs
+++ b/crates/coriandertack-jobs/src/sched/lists.rs
@@ -98,7 +98,7 @@
             return;
         }
         self.counts.stalled += 1;
-        self.strike(key, task.job, now);
+        self.note_failed(key, task.job, now);
         self.stop_run(key, task, attempt, "stalled", now);
     }
 
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -32,11 +32,11 @@
 };
 
 use crate::{
-    board::Posting,
     config::{Config, Route},
     ids::{JobId, StepId, TaskId},
     moment::{Moment, WallTime},
     progress::{Phase, Progress, TaskProgress},
+    replica::JobView,
     spec::{JobSpec, StepSpec},
 };
 
@@ -111,7 +111,7 @@
     /// Workers that a waiting gang keeps reserved.
     reserved: Vec<WorkerKey>,
     /// Workers on which a task failed, and until when others are used instead.
-    spoiled: Vec<(WorkerKey, Moment)>,
+    excluded: Vec<(WorkerKey, Moment)>,
     /// When the step became ready.
     ready: Moment,
     /// When it was last logged why the step waits.
@@ -275,12 +275,12 @@
         }
     }
 
-    /// Takes over a job from the board, with the progress that a former leader recorded. The submission can be read after
+    /// Takes over a job from the replica, with the progress that a former leader recorded. The submission can be read after
     /// the progress; until then there is nothing to take over.
-    pub fn admit_posting(&mut self, id: JobId, posting: &Posting, now: Moment, wall: WallTime) {
-        if let Some(spec) = posting.spec.clone() {
-            let progress = posting.progress.as_deref();
-            self.admit(id, spec, progress, posting.cancelled, now, wall);
+    pub fn admit_view(&mut self, id: JobId, view: &JobView, now: Moment, wall: WallTime) {
+        if let Some(spec) = view.spec.clone() {
+            let progress = view.progress.as_deref();
+            self.admit(id, spec, progress, view.cancelled, now, wall);
         }
     }
 
@@ -472,7 +472,7 @@
             queued: None,
             advice: AdviceState::default(),
             reserved: Vec::new(),
-            spoiled: Vec::new(),
+            excluded: Vec::new(),
             ready: now,
             explained: now,
         }
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -3,7 +3,7 @@
 //! Steps are served in the order of the queue. A task goes to the worker that it leaves the least room on, so that
 //! room for large tasks stays together; tasks that last are spread. A gang is bound as a whole or not at all. Room that a
 //! step waits for, because a call for its tickets is under way or because its gang is not whole yet, is taken off the
-//! floor for the steps behind it.
+//! headroom for the steps behind it.
 
 use std::{
     cmp::Reverse,
@@ -45,12 +45,12 @@
 
 /// Room of the open workers during one pass, as the steps that are still to come may use it.
 #[derive(Debug, Default)]
-pub(super) struct Floor {
+pub(super) struct Headroom {
     free: SecondaryMap<WorkerKey, Resources>,
     reserved: HashSet<WorkerKey>,
 }
 
-impl Floor {
+impl Headroom {
     /// Returns what a worker has left.
     pub(super) fn free(&self, key: WorkerKey) -> Resources {
         self.free.get(key).copied().unwrap_or(Resources::ZERO)
@@ -94,21 +94,21 @@
     fn pass(&mut self, binds: bool, now: Moment) -> Pass {
         let queued = self.ranked(now);
         let mut pass = Pass::default();
-        let mut floor = self.floor(now);
+        let mut headroom = self.headroom(now);
         for id in queued {
-            let placed = self.place_step(id, &mut floor, binds, now);
+            let placed = self.place_step(id, &mut headroom, binds, now);
             if binds {
                 pass.bound += placed;
             } else if self.step(id).is_some_and(|(_, _, step)| placed >= step.waiting) {
                 continue;
             }
-            let again = self.ask_for_step(id, &mut floor, now);
+            let again = self.ask_for_step(id, &mut headroom, now);
             pass.again = match (pass.again, again) {
                 (Some(a), Some(b)) => Some(a.min(b)),
                 (a, b) => a.or(b),
             };
         }
-        self.reserved = floor.reserved;
+        self.reserved = headroom.reserved;
         pass
     }
 
@@ -121,30 +121,30 @@
     }
 
     /// Returns the room of the open workers.
-    fn floor(&self, now: Moment) -> Floor {
+    fn headroom(&self, now: Moment) -> Headroom {
         let open = self.workers.iter().filter(|(_, worker)| worker.is_open(now));
         let free = open.map(|(key, worker)| (key, worker.free()));
-        Floor {
+        Headroom {
             free: free.filter(|(_, free)| *free != Resources::ZERO).collect(),
-            ..Floor::default()
+            ..Headroom::default()
         }
     }
 
     /// Takes room for the tasks of a step that find some, and returns their number. They are bound if `binds`.
-    fn place_step(&mut self, id: StepId, floor: &mut Floor, binds: bool, now: Moment) -> u32 {
+    fn place_step(&mut self, id: StepId, headroom: &mut Headroom, binds: bool, now: Moment) -> u32 {
         let Some((job, spec, _)) = self.step(id) else {
             self.queue.retain(|(_, known)| *known != id);
             return 0;
         };
         let route = self.route_of(job);
         let (gang, charge, payload) = (spec.gang, spec.charge(), job.spec.payload.clone());
-        let candidates = self.candidates(id, &route, floor, now);
+        let candidates = self.candidates(id, &route, headroom, now);
         if candidates.is_empty() {
             return 0;
         }
         let chosen = match gang {
             true => self.choose_gang(id, candidates),
-            false => self.choose_each(id, candidates, floor),
+            false => self.choose_each(id, candidates, headroom),
         };
         let attempt = gang.then(|| self.next_attempt(id));
         let bound = chosen.len() as u32;
@@ -153,7 +153,7 @@
             if binds {
                 self.bind(TaskId { job, occurrence, step, index }, worker, attempt, &payload, now);
             }
-            floor.take(worker, charge);
+            headroom.take(worker, charge);
         }
         if self.step(id).is_some_and(|(_, _, step)| step.waiting == 0) {
             self.dequeue(id);
@@ -162,15 +162,16 @@
     }
 
     /// Asks for the advice that a step still needs, and keeps the room that it waits for.
-    fn ask_for_step(&mut self, id: StepId, floor: &mut Floor, now: Moment) -> Option<Moment> {
+    fn ask_for_step(&mut self, id: StepId, headroom: &mut Headroom, now: Moment) -> Option<Moment> {
         let (job, spec, step) = self.step(id)?;
         step.queued?;
         let route = self.route_of(job);
         let (gang, waiting_ms) = (spec.gang, now.since(step.ready));
-        let again = route.advice.and_then(|policy| self.ask_advice(id, &route, policy, floor, now));
-        self.keep_claims(id, floor, now);
+        let again =
+            route.advice.and_then(|policy| self.ask_advice(id, &route, policy, headroom, now));
+        self.keep_claims(id, headroom, now);
         if gang && waiting_ms > RESERVE_AFTER_MS {
-            self.reserve(id, &route, floor, now);
+            self.reserve(id, &route, headroom, now);
         }
         again
     }
@@ -188,13 +189,13 @@
         &self,
         id: StepId,
         route: &Route,
-        floor: &Floor,
+        headroom: &Headroom,
         now: Moment,
     ) -> Vec<(WorkerKey, u32)> {
         let Some((_, spec, step)) = self.step(id) else { return Vec::new() };
         let charge = spec.charge();
         let spread = self.spread(id);
-        let spoiled = self.spoiled(id, &route.service, now);
+        let excluded = self.excluded(id, &route.service, now);
         let fits = |(key, free): (WorkerKey, Resources)| {
             let mut room = charge.count_in(free);
             if spec.spread > 0 {
@@ -202,31 +203,31 @@
                 room = room.min(spec.spread.saturating_sub(there));
             }
             let suits = room > 0 && self.suits(self.workers.get(key)?, spec, &route.service);
-            (suits && !spoiled.contains(&key)).then_some((key, room))
+            (suits && !excluded.contains(&key)).then_some((key, room))
         };
         match route.advice {
             Some(policy) => {
                 let valid = step.advice.valid_tickets(self.started_by(policy, now));
                 valid
-                    .map(|ticket| (ticket.worker, floor.free(ticket.worker)))
+                    .map(|ticket| (ticket.worker, headroom.free(ticket.worker)))
                     .filter_map(fits)
                     .collect()
             }
-            None => floor.workers().filter_map(fits).collect(),
+            None => headroom.workers().filter_map(fits).collect(),
         }
     }
 
     /// Returns the workers that a step avoids because its tasks failed there, as long as there are others.
-    pub(super) fn spoiled(&self, id: StepId, service: &str, now: Moment) -> Vec<WorkerKey> {
+    pub(super) fn excluded(&self, id: StepId, service: &str, now: Moment) -> Vec<WorkerKey> {
         let Some((_, spec, step)) = self.step(id) else { return Vec::new() };
-        let fresh = step.spoiled.iter().filter(|(_, until)| *until > now);
-        let spoiled: Vec<WorkerKey> = fresh.map(|(key, _)| *key).collect();
+        let fresh = step.excluded.iter().filter(|(_, until)| *until > now);
+        let excluded: Vec<WorkerKey> = fresh.map(|(key, _)| *key).collect();
         let other = |(key, worker): (WorkerKey, &Worker)| {
             let capacity = worker.entry.as_ref().map_or(Resources::ZERO, |entry| entry.capacity);
-            let fits = spec.charge().count_in(capacity) > 0 && !spoiled.contains(&key);
+            let fits = spec.charge().count_in(capacity) > 0 && !excluded.contains(&key);
             fits && worker.is_open(now) && self.suits(worker, spec, service)
         };
-        if spoiled.is_empty() || self.workers.iter().any(other) { spoiled } else { Vec::new() }
+        if excluded.is_empty() || self.workers.iter().any(other) { excluded } else { Vec::new() }
     }
 
     /// Counts the runs of a step that limits them on each worker.
@@ -249,7 +250,7 @@
         &self,
         id: StepId,
         mut candidates: Vec<(WorkerKey, u32)>,
-        floor: &Floor,
+        headroom: &Headroom,
     ) -> Vec<(u32, WorkerKey)> {
         let Some((job, spec, step)) = self.step(id) else { return Vec::new() };
         let urgent = self.route_of(job).priority == URGENT_PRIORITY;
@@ -263,7 +264,7 @@
             let best = candidates.iter().enumerate().filter(|(_, (_, room))| *room > 0);
             let best = best.min_by_key(|(_, (key, _))| {
                 let extra = charge.checked_mul(taken.get(key).copied().unwrap_or(0) + 1);
-                let left = floor.free(*key).saturating_sub(extra.unwrap_or(charge));
+                let left = headroom.free(*key).saturating_sub(extra.unwrap_or(charge));
                 self.preference(*key, spec, urgent, left)
             });
             let Some((position, &(key, room))) = best else { break };
@@ -339,14 +340,14 @@
     }
 
     /// Reserves workers for a waiting gang. The choice is kept until the gang starts, so that they do become empty.
-    fn reserve(&mut self, id: StepId, route: &Route, floor: &mut Floor, now: Moment) {
+    fn reserve(&mut self, id: StepId, route: &Route, headroom: &mut Headroom, now: Moment) {
         let Some((_, spec, step)) = self.step(id) else { return };
         let charge = spec.charge();
         let most = self.workers.len() / RESERVE_DIVISOR;
         let slots = |key: &WorkerKey| {
             let worker = self.workers.get(*key)?;
             let allowed = route.advice.is_none() || step.advice.allows(*key);
-            let usable = allowed && !floor.reserved.contains(key) && worker.is_open(now);
+            let usable = allowed && !headroom.reserved.contains(key) && worker.is_open(now);
             let whole = worker.entry.as_ref().map_or(Resources::ZERO, |entry| entry.capacity);
             (usable && self.suits(worker, spec, &route.service)).then(|| charge.count_in(whole))
         };
@@ -355,10 +356,10 @@
             true => step.reserved.clone(),
             false => self.choose_reserved(charge, step.waiting, slots, now),
         };
-        if chosen.is_empty() || floor.reserved.len() + chosen.len() > most {
+        if chosen.is_empty() || headroom.reserved.len() + chosen.len() > most {
             return;
         }
-        chosen.iter().for_each(|key| floor.reserve(*key));
+        chosen.iter().for_each(|key| headroom.reserve(*key));
         if let Some(step) = self.step_mut(id) {
             step.reserved = chosen;
         }
--- a/crates/coriandertack-jobs/src/sched/queue.rs
+++ b/crates/coriandertack-jobs/src/sched/queue.rs
@@ -9,21 +9,21 @@
 const AMPLE_MS: u64 = 3_000;
 
 /// Objectives after which a job earns nothing any more (RULES, Credit).
-const WORTHLESS_AFTER: u64 = 3;
+const EXPIRED_AFTER: u64 = 3;
 
-/// How pressing a step is. The first is served first.
+/// How urgent a step is now. The first is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Urgency {
     /// It can be done in time, if it does not wait long.
-    Pressing,
+    Critical,
     /// It is urgent and late, and the job still earns a part.
     Overdue,
     /// It can be done in time, and can wait for some seconds.
-    Patient,
+    Slack,
     /// It is late, and the job still earns a part.
     Late,
     /// The job earns nothing any more.
-    Worthless,
+    Expired,
 }
 
 /// Order of a step in the queue: lower ranks are served first. The priority of the route comes first, and then the moment
@@ -37,21 +37,21 @@
 }
 
 impl Scheduler {
-    /// Returns how pressing a step is.
+    /// Returns how urgent a step is now.
     ///
     /// Urgent work that is late comes before work that can wait, which loses nothing by it: urgent jobs are small. Other late
     /// work comes last. A large gang that earns a fifth would take the room of one that earns all.
     pub(super) fn urgency(&self, id: StepId, now: Moment) -> Urgency {
-        let Some((job, spec, _)) = self.step(id) else { return Urgency::Worthless };
+        let Some((job, spec, _)) = self.step(id) else { return Urgency::Expired };
         let done = now.after(spec.estimate_ms);
         let urgent = self.route_of(job).priority == URGENT_PRIORITY;
         if done <= job.due {
-            let pressing = urgent || done.after(AMPLE_MS) > job.due;
-            return if pressing { Urgency::Pressing } else { Urgency::Patient };
+            let critical = urgent || done.after(AMPLE_MS) > job.due;
+            return if critical { Urgency::Critical } else { Urgency::Slack };
         }
-        let last = job.due.after(job.spec.objective_ms() * (WORTHLESS_AFTER - 1));
+        let last = job.due.after(job.spec.objective_ms() * (EXPIRED_AFTER - 1));
         match (done > last, urgent) {
-            (true, _) => Urgency::Worthless,
+            (true, _) => Urgency::Expired,
             (false, true) => Urgency::Overdue,
             (false, false) => Urgency::Late,
         }
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -104,9 +104,9 @@
     /// Until when the worker gets no new tasks because of its results.
     pub(super) avoided: Moment,
     /// Failed runs of different jobs since the last one that was done.
-    pub(super) strikes: u32,
+    pub(super) failures: u32,
     /// Job whose run failed last.
-    pub(super) striker: Option<crate::ids::JobId>,
+    pub(super) failed_job: Option<crate::ids::JobId>,
     /// Times the worker was taken out of use in a row.
     pub(super) relapses: u32,
 }
@@ -128,8 +128,8 @@
             speed: Speed::default(),
             leaving: false,
             avoided: Moment(0),
-            strikes: 0,
-            striker: None,
+            failures: 0,
+            failed_job: None,
             relapses: 0,
         }
     }
--- a/crates/coriandertack-jobs/tests/sched/adopt.rs
+++ b/crates/coriandertack-jobs/tests/sched/adopt.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use coriandertack_jobs::{
-    board::Posting,
     config::Config,
     ids::JobId,
     moment::{Moment, WallTime},
+    replica::JobView,
     report::{EndCause, Listing},
     sched::{Order, Scheduler, WorkerKey},
     spec::JobSpec,
@@ -106,16 +106,16 @@
     world.admit(1, spec.clone());
     world.turn();
     let progress = world.records.get(&JobId(1)).cloned().map(Arc::new);
-    let mut posting = Posting { progress, ..Posting::default() };
+    let mut view = JobView { progress, ..JobView::default() };
     let mut next = Scheduler::new(Arc::new(Config::default()));
     for number in 0..world.keys.len() {
         let name = Arc::from(format!("w{number}"));
         next.worker_seen(&name, Arc::new(entry(4)), world.now);
     }
-    next.admit_posting(JobId(1), &posting, world.now, WallTime(0));
+    next.admit_view(JobId(1), &view, world.now, WallTime(0));
     assert_eq!(next.open_jobs(), 0);
-    posting.spec = Some(Arc::new(spec));
-    next.admit_posting(JobId(1), &posting, world.now, WallTime(0));
+    view.spec = Some(Arc::new(spec));
+    next.admit_view(JobId(1), &view, world.now, WallTime(0));
     assert_eq!(next.open_jobs(), 1);
     assert_eq!(starts(&mut next, world.now), 0, "the run is adopted, not started again");
 }
--- a/crates/coriandertack-jobs/tests/sched/main.rs
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -2,13 +2,13 @@
 
 mod adopt;
 mod advice;
-mod board;
 mod colocation;
 mod ends;
 mod gangs;
 mod orders;
 mod queue;
 mod random;
+mod replica;
 mod speed;
 mod support;
 mod timed;
--- a/crates/coriandertack-jobs/tests/sched/queue.rs
+++ b/crates/coriandertack-jobs/tests/sched/queue.rs
@@ -64,6 +64,6 @@
 
 /// Guards against work that earns nothing any more and holds up work that does.
 #[test]
-fn worthless_work_comes_last() {
+fn expired_work_comes_last() {
     assert_eq!(first_of(&[(9_000, 0), (2_500, 1)]), 1);
 }
--- /dev/null
+++ b/crates/coriandertack-jobs/tests/sched/replica.rs
@@ -0,0 +1,65 @@
+//! What one VM has read, and which VM should lead.
+
+use std::sync::Arc;
+
+use coriandertack_jobs::{
+    ids::JobId,
+    moment::Moment,
+    progress::{Phase, Progress},
+    replica::{Link, Note, Replica},
+};
+
+use crate::support::{job, step};
+
+fn replica(vms: &[(&str, u32)]) -> Replica {
+    let mut replica = Replica::default();
+    for (name, millicores) in vms {
+        let link = Link { address: "127.0.0.1:1".parse().unwrap(), millicores: *millicores };
+        replica.apply(Note::Announced(Arc::from(*name), link), Moment(1));
+    }
+    replica
+}
+
+/// Guards against a lead that stays with a VM too small for it, and against one that moves for a small difference or to a VM
+/// that cannot be reached.
+#[test]
+fn only_a_far_larger_vm_that_can_be_reached_takes_over() {
+    let replica = replica(&[("small", 120), ("like", 150), ("large", 500), ("far", 1_000)]);
+    let names = |names: &[&str]| names.iter().map(|name| Arc::from(*name)).collect::<Vec<_>>();
+    let near = names(&["small", "like", "large"]);
+    assert_eq!(replica.larger("small", &near).map(|name| &**name), Some("large"));
+    assert_eq!(replica.larger("small", &names(&["small", "like"])), None);
+    assert_eq!(replica.larger("large", &near), None);
+}
+
+fn progressed(phase: Phase) -> Note {
+    Note::Progressed(JobId(7), Arc::new(Progress { phase, ..Progress::default() }))
+}
+
+/// Guards against a job that is unknown once its submission was dropped, and against one that is shown from its
+/// progress before its submission was read.
+#[test]
+fn an_ended_job_is_known_without_its_submission() {
+    let mut replica = Replica::default();
+    replica.apply(progressed(Phase::Running), Moment(1));
+    assert_eq!(replica.phase(JobId(7)), None);
+    replica.apply(Note::Submitted(JobId(7), Arc::new(job(vec![step(1, 1)]))), Moment(2));
+    assert_eq!(replica.phase(JobId(7)), Some(Phase::Running));
+    replica.apply(progressed(Phase::Completed), Moment(3));
+    replica.apply(Note::Dismissed(JobId(7)), Moment(3));
+    assert_eq!(replica.phase(JobId(7)), Some(Phase::Completed));
+    assert!(replica.jobs[&JobId(7)].spec.is_none());
+    assert_eq!(replica.expired(Moment(4), 10), [JobId(7)]);
+    replica.apply(Note::Dropped(JobId(7)), Moment(5));
+    assert_eq!(replica.phase(JobId(7)), None);
+}
+
+/// Guards against a cancellation of a job that nobody submitted, and that is kept for ever.
+#[test]
+fn a_dismissed_request_without_a_job_is_forgotten() {
+    let mut replica = Replica::default();
+    replica.apply(Note::Cancelled(JobId(8)), Moment(1));
+    assert_eq!(replica.phase(JobId(8)), None);
+    replica.apply(Note::Dismissed(JobId(8)), Moment(2));
+    assert!(replica.jobs.is_empty());
+}
--- a/crates/coriandertack-log/src/jobs.rs
+++ b/crates/coriandertack-log/src/jobs.rs
@@ -4,7 +4,7 @@
 //! and a cancellation come from any VM, progress from the leader alone.
 //!
 //! ```
-//! use coriandertack_jobs::{board::Note, ids::JobId};
+//! use coriandertack_jobs::{replica::Note, ids::JobId};
 //! use coriandertack_log::jobs;
 //!
 //! let (key, value) = jobs::cancelled(JobId(7));
@@ -18,11 +18,11 @@
     bytes::Bytes,
     coriandertack_core::resources::Resources,
     coriandertack_jobs::{
-        board::{Leader, Link, Note},
         config::{Advice, Route},
         ids::JobId,
         moment::WallTime,
         progress::{Phase, Progress, TaskProgress},
+        replica::{Leader, Link, Note},
         spec::{JobSpec, Repeat, StepSpec},
     },
     prost::Message,
--- a/crates/coriandertack-operators/src/lib.rs
+++ b/crates/coriandertack-operators/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 mod changes;
 mod explain;
+mod export;
 pub mod health;
 mod jobs;
 mod live;
@@ -27,6 +28,7 @@
 pub use self::{
     access::Operator,
     api::{Admit, Api, Submit},
+    export::Export,
     metrics::Metrics,
     routes::routes,
 };
--- a/crates/coriandertack-operators/src/metrics.rs
+++ b/crates/coriandertack-operators/src/metrics.rs
@@ -14,12 +14,12 @@
     },
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+        metrics::{Counter, Gauge, Histogram},
     },
-    opentelemetry_sdk::metrics::SdkMeterProvider,
-    prometheus::{Encoder, Registry, TextEncoder},
 };
 
+use crate::export::Export;
+
 /// Bounds of the buckets for waiting times and appends, in seconds; 0.05 is the bound of the design.
 const WAIT_BOUNDS_S: &[f64] =
     &[0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0];
@@ -30,9 +30,7 @@
 
 /// Instruments of an entry VM.
 pub struct Metrics {
-    registry: Registry,
-    // The instruments work for as long as their provider lives.
-    _provider: SdkMeterProvider,
+    export: Export,
     waiting: Histogram<f64>,
     decision: Histogram<f64>,
     append: Histogram<f64>,
@@ -61,15 +59,8 @@
     ///
     /// Fails if the exporter cannot be registered.
     pub fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .with_namespace("coriandertack")
-            .scope_info_enabled(false)
-            .without_target_info()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("coriandertack");
+        let export = Export::new()?;
+        let meter = export.meter();
         let count = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
@@ -77,9 +68,9 @@
             meter.u64_gauge(name).with_description(text).build()
         };
         Ok(Self {
-            waiting: seconds(&meter, "waiting", "from acceptance to start sent", WAIT_BOUNDS_S),
-            decision: seconds(&meter, "decision", "one placement decision", DECISION_BOUNDS_S),
-            append: seconds(&meter, "log_append", "one append to the log", WAIT_BOUNDS_S),
+            waiting: export.seconds("waiting", "from acceptance to start sent", WAIT_BOUNDS_S),
+            decision: export.seconds("decision", "one placement decision", DECISION_BOUNDS_S),
+            append: export.seconds("log_append", "one append to the log", WAIT_BOUNDS_S),
             grants: count("grants", "capacity granted to tasks"),
             requests: count("requests", "answers of the resource API, by code"),
             calls: count("calls", "answers to callers, by code"),
@@ -90,8 +81,7 @@
             offset: gauge("log_offset", "last offset applied"),
             ready: gauge("ready", "1 if this VM takes work"),
             frames: gauge("link_bytes", "bytes of frames on the links that this VM opened"),
-            registry,
-            _provider: provider,
+            export,
         })
     }
 
@@ -155,9 +145,7 @@
     ///
     /// Fails if the metrics cannot be encoded.
     pub fn text(&self) -> anyhow::Result<String> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(String::from_utf8(text)?)
+        self.export.text()
     }
 }
 
@@ -181,13 +169,3 @@
 fn code_label(code: Code) -> KeyValue {
     KeyValue::new("code", i64::from(code.number()))
 }
-
-fn seconds(
-    meter: &Meter,
-    name: &'static str,
-    text: &'static str,
-    bounds: &[f64],
-) -> Histogram<f64> {
-    let histogram = meter.f64_histogram(name).with_unit("s").with_description(text);
-    histogram.with_boundaries(bounds.to_vec()).build()
-}
--- a/crates/coriandertack-peers/src/errands.rs
+++ b/crates/coriandertack-peers/src/leader.rs
@@ -26,8 +26,10 @@
 };
 
 use crate::{
-    errands_proto::{self, Eligible, Errand, Frame, Outcome, Report, Submission, frame::Body},
     frames::{self, Frames},
+    leader_proto::{
+        self, AdviceRequest, Beat, Eligible, Frame, Outcome, Report, Submission, frame::Body,
+    },
 };
 
 /// Longest wait for a connection, in milliseconds; several times the round trip between regions.
@@ -36,9 +38,6 @@
 /// Time between two beats of the leader, in milliseconds.
 const BEAT_MS: u64 = 1_000;
 
-/// Number of a beat, which no call or record has.
-const BEAT_ID: u64 = 0;
-
 /// Silence after which a connection counts as lost, in milliseconds. An open connection can go silent for good.
 const SILENT_MS: u64 = 2_500;
 
@@ -143,14 +142,14 @@
         tokio::select! {
             _ = beat.tick() => {
                 ensure!(Instant::now() < silent_at, "the peer is silent");
-                send(connection, Body::Outcome(Outcome { id: BEAT_ID, refused: false })).await?;
+                send(connection, Body::Beat(Beat {})).await?;
             }
             next = queue.recv() => match next {
                 Some(ToVm::Ask(call, limit_ms)) => {
                     last += 1;
-                    let errand = errand(last, &call, limit_ms);
+                    let request = request(last, &call, limit_ms);
                     pending.insert(last, call);
-                    send(connection, Body::Errand(errand)).await?;
+                    send(connection, Body::Request(request)).await?;
                 }
                 Some(ToVm::Ended(ended)) => send(connection, Body::Ended(wire_ended(&ended))).await?,
                 None => return Ok(()),
@@ -163,6 +162,9 @@
                 }
             }
             body = receive(connection) => match body? {
+                Body::Beat(_) => {
+                    silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
+                }
                 Body::Report(report) => {
                     silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
                     if let Some(call) = pending.remove(&report.id) {
@@ -174,7 +176,7 @@
                     take(Handed { key, value, outcome });
                     handed.push(async move { (id, taken.await) });
                 }
-                Body::Errand(_) | Body::Outcome(_) | Body::Ended(_) => {
+                Body::Request(_) | Body::Outcome(_) | Body::Ended(_) => {
                     bail!("a frame that only a leader sends");
                 }
             }
@@ -182,13 +184,13 @@
     }
 }
 
-fn wire_ended(ended: &Ended) -> errands_proto::Ended {
+fn wire_ended(ended: &Ended) -> leader_proto::Ended {
     let ids = |jobs: &[JobId]| jobs.iter().map(|job| job.0).collect();
-    errands_proto::Ended { completed: ids(&ended.completed), failed: ids(&ended.failed) }
+    leader_proto::Ended { completed: ids(&ended.completed), failed: ids(&ended.failed) }
 }
 
-fn errand(id: u64, call: &AdviceCall, limit_ms: u32) -> Errand {
-    Errand {
+fn request(id: u64, call: &AdviceCall, limit_ms: u32) -> AdviceRequest {
+    AdviceRequest {
         id,
         job: call.step.job.0,
         occurrence: call.step.occurrence,
@@ -239,7 +241,7 @@
         linked(sender);
         tokio::spawn(async move {
             if let Err(error) = follow(stream, ask, finished, records).await {
-                log::debug!("event=errands_ended peer={peer} error=\"{error:#}\"");
+                log::debug!("event=leader_link_ended peer={peer} error=\"{error:#}\"");
             }
             ended();
         });
@@ -264,14 +266,13 @@
     loop {
         tokio::select! {
             body = timeout_at(silent_at, receive(&mut connection)) => match body.context("the leader is silent")?? {
-                Body::Errand(errand) => {
-                    let (id, call) = (errand.id, ask(question(errand)));
+                Body::Request(request) => {
+                    let (id, call) = (request.id, ask(question(request)));
                     calls.push_back(async move { report(id, call.await) });
                 }
-                Body::Outcome(Outcome { id: BEAT_ID, .. }) => {
+                Body::Beat(beat) => {
                     silent_at = Instant::now() + Duration::from_millis(SILENT_MS);
-                    let beat = Report { id: BEAT_ID, ..Report::default() };
-                    send(&mut connection, Body::Report(beat)).await?;
+                    send(&mut connection, Body::Beat(beat)).await?;
                 }
                 Body::Outcome(Outcome { id, refused }) => {
                     if let Some(outcome) = pending.remove(&id) {
@@ -300,10 +301,11 @@
     }
 }
 
-fn question(errand: Errand) -> Question {
-    let step = StepId { job: JobId(errand.job), occurrence: errand.occurrence, step: errand.step };
-    let workers = errand.workers.into_iter().map(Arc::from).collect();
-    Question { step, workers, limit_ms: errand.limit_ms }
+fn question(request: AdviceRequest) -> Question {
+    let step =
+        StepId { job: JobId(request.job), occurrence: request.occurrence, step: request.step };
+    let workers = request.workers.into_iter().map(Arc::from).collect();
+    Question { step, workers, limit_ms: request.limit_ms }
 }
 
 fn report(id: u64, advice: Advice) -> Report {
--- a/crates/coriandertack-peers/src/lib.rs
+++ b/crates/coriandertack-peers/src/lib.rs
@@ -6,8 +6,8 @@
 
 pub mod codec;
 pub mod dial;
-pub mod errands;
 pub mod handshake;
+pub mod leader;
 pub mod serve;
 
 mod frames;
@@ -18,10 +18,10 @@
     include!("generated/peers.rs");
 }
 
-/// Messages generated from `proto/errands.proto`; a test holds them to that file.
+/// Messages generated from `proto/leader.proto`; a test holds them to that file.
 #[allow(missing_docs, clippy::all)]
-mod errands_proto {
-    include!("generated/errands.rs");
+mod leader_proto {
+    include!("generated/leader.rs");
 }
 
 pub use self::handshake::SharedKey;
--- a/crates/coriandertack-peers/tests/generated.rs
+++ b/crates/coriandertack-peers/tests/generated.rs
@@ -24,5 +24,5 @@
 
 #[test]
 fn generated_code_of_errands_is_current() {
-    assert_current("errands", "coriandertack.errands");
+    assert_current("leader", "coriandertack.leader");
 }
--- a/crates/coriandertackd/src/fleet/advice.rs
+++ b/crates/coriandertackd/src/fleet/advice.rs
@@ -3,8 +3,8 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use {
-    coriandertack_jobs::{board::Link, moment::Moment, sched::AdviceCall},
-    coriandertack_peers::errands::{self, Advice, Ended, Question, ToVm},
+    coriandertack_jobs::{moment::Moment, replica::Link, sched::AdviceCall},
+    coriandertack_peers::leader::{self, Advice, Ended, Question, ToVm},
     coriandertack_platform::advice::Adviser,
     tokio::{
         net::TcpListener,
@@ -19,7 +19,7 @@
 /// Pause before another VM is dialled again, in milliseconds.
 const REDIAL_MS: u64 = 250;
 
-/// Serves the errands of the leader: one call at a time, as the service answers them.
+/// Makes the calls for advice that the leader asks for: one at a time, as the service answers them.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let adviser = shared.settings.platform.advice.map(Adviser::new);
     let adviser = Arc::new(Mutex::new(adviser));
@@ -42,7 +42,7 @@
         let ended = move || state.note_link_end();
         let state = shared.clone();
         let finished = move |ended| state.note_ended(ended);
-        let serving = errands::serve(&listener, ask.clone(), linked, finished, ended);
+        let serving = leader::serve(&listener, ask.clone(), linked, finished, ended);
         if let Err(error) = serving.await {
             log::warn!("event=link_not_accepted error=\"{error:#}\"");
             sleep(Duration::from_millis(REDIAL_MS)).await;
@@ -105,7 +105,7 @@
     let mut tasks: HashMap<Arc<str>, SocketAddr> = HashMap::new();
     let mut links = JoinSet::new();
     loop {
-        let known = leading.shared.board().links.clone();
+        let known = leading.shared.replica().links.clone();
         for (vm, Link { address, .. }) in known {
             if tasks.get(&vm) != Some(&address) {
                 tasks.insert(vm.clone(), address);
@@ -120,7 +120,7 @@
 }
 
 fn is_at(leading: &Leading, vm: &str, address: SocketAddr) -> bool {
-    leading.shared.board().links.get(vm).is_some_and(|link| link.address == address)
+    leading.shared.replica().links.get(vm).is_some_and(|link| link.address == address)
 }
 
 /// Keeps the link to one VM, for as long as the VM is announced at this address.
@@ -139,7 +139,7 @@
         };
         let take = |handed| leading.take(handed);
         let result = tokio::select! {
-            result = errands::dial(address, queue, answered, take, connected) => result,
+            result = leader::dial(address, queue, answered, take, connected) => result,
             _ = unlinked.wait_for(|unlinked| *unlinked) => Ok(()),
         };
         let was_up = leading.links().close(&vm);
--- a/crates/coriandertackd/src/fleet/arrivals.rs
+++ b/crates/coriandertackd/src/fleet/arrivals.rs
@@ -3,8 +3,8 @@
 use std::{mem, pin::pin, time::Duration};
 
 use {
-    coriandertack_jobs::{board::Note, moment::Moment},
-    coriandertack_peers::errands::{Handed, Taken},
+    coriandertack_jobs::{moment::Moment, replica::Note},
+    coriandertack_peers::leader::{Handed, Taken},
     tokio::{sync::mpsc, time::sleep},
 };
 
--- a/crates/coriandertackd/src/fleet/campaign.rs
+++ b/crates/coriandertackd/src/fleet/campaign.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use {
-    coriandertack_jobs::{board::Leader, moment::Moment},
+    coriandertack_jobs::{moment::Moment, replica::Leader},
     coriandertack_log::jobs,
     coriandertack_platform::store::{AppendError, Fence, Record, Store, Topic},
     tokio::time::sleep,
@@ -53,11 +53,11 @@
         let stopping = *shared.stopping.borrow();
         if reached.loaded && shared.intake.borrow().loaded && !stopping {
             let (leader, wait) = {
-                let board = shared.board();
+                let replica = shared.replica();
                 let own = &*shared.settings.vm.name;
-                let small = board.larger(own, board.links.keys()).is_some();
-                let wait = RANK_MS * board.rank(own) as u64 + if small { SMALL_MS } else { 0 };
-                (board.leader.clone(), wait)
+                let small = replica.larger(own, replica.links.keys()).is_some();
+                let wait = RANK_MS * replica.rank(own) as u64 + if small { SMALL_MS } else { 0 };
+                (replica.leader.clone(), wait)
             };
             let configured = config.borrow_and_update().revision > 0;
             if configured && reached.quiet >= vacant_at(shared, leader.as_ref(), &reached, wait) {
--- a/crates/coriandertackd/src/fleet/follow.rs
+++ b/crates/coriandertackd/src/fleet/follow.rs
@@ -6,7 +6,7 @@
 };
 
 use {
-    coriandertack_jobs::{board::Note, moment::Moment},
+    coriandertack_jobs::{moment::Moment, replica::Note},
     coriandertack_log::jobs,
     coriandertack_platform::{
         operator,
@@ -195,10 +195,10 @@
     stream(&shared, Topic::Intake, || INTAKE_WAIT_MS, pace, apply, reached).await;
 }
 
-/// Puts records of the intake on the board, and hands them to the leader's loop if this VM leads.
+/// Applies records of the intake to the replica, and hands them to the leader's loop if this VM leads.
 pub fn apply_intake(shared: &Shared, records: Vec<Record>) {
     let now = clock::now();
-    let mut board = shared.board();
+    let mut replica = shared.replica();
     let listener = shared.listener.lock().unwrap_or_else(PoisonError::into_inner);
     for record in records {
         let note = jobs::note(&record.key, &record.value);
@@ -207,7 +207,7 @@
         {
             shared.wake.notify_one();
         }
-        board.apply(note, now);
+        replica.apply(note, now);
     }
 }
 
@@ -215,16 +215,16 @@
 pub async fn progress(shared: Arc<Shared>) {
     let apply = |records: Vec<Record>, _| {
         let now = clock::now();
-        let mut board = shared.board();
+        let mut replica = shared.replica();
         for record in records {
             match jobs::note(&record.key, &record.value) {
                 Note::Led(leader) => {
-                    if board.leader.as_ref().is_none_or(|known| known.epoch < leader.epoch) {
+                    if replica.leader.as_ref().is_none_or(|known| known.epoch < leader.epoch) {
                         log::info!("event=leader_seen vm={} epoch={}", leader.vm, leader.epoch);
                     }
-                    board.apply(Note::Led(leader), now);
+                    replica.apply(Note::Led(leader), now);
                 }
-                note => board.apply(note, now),
+                note => replica.apply(note, now),
             }
         }
     };
--- a/crates/coriandertackd/src/fleet/forget.rs
+++ b/crates/coriandertackd/src/fleet/forget.rs
@@ -33,7 +33,7 @@
     loop {
         sleep(Duration::from_millis(FORGET_EVERY_MS)).await;
         let before = Moment(clock::now().0.saturating_sub(kept));
-        let jobs = shared.board().expired(before, MOST_FORGOTTEN);
+        let jobs = shared.replica().expired(before, MOST_FORGOTTEN);
         if jobs.is_empty() {
             continue;
         }
--- a/crates/coriandertackd/src/fleet/front.rs
+++ b/crates/coriandertackd/src/fleet/front.rs
@@ -155,7 +155,7 @@
 
 /// Makes a job durable, and answers what is certain about it.
 async fn submit(shared: &Shared, route: &Arc<Route>, id: JobId, body: &Bytes) -> Reply {
-    let known = shared.board().phase(id).is_some();
+    let known = shared.replica().phase(id).is_some();
     if known {
         return text(StatusCode::OK, "known");
     }
@@ -195,7 +195,7 @@
 
 async fn cancel(shared: &Shared, id: JobId) -> Reply {
     let asked = clock::now();
-    let mut phase = shared.board().phase(id);
+    let mut phase = shared.replica().phase(id);
     if phase.is_none() {
         // Another VM may have accepted the job a moment ago.
         let newer = async {
@@ -206,7 +206,7 @@
             }
         };
         let fresh = timeout(Duration::from_millis(LOOK_AGAIN_MS), newer).await.is_ok();
-        phase = shared.board().phase(id);
+        phase = shared.replica().phase(id);
         if phase.is_none() && !fresh {
             return unavailable("the records are out of date");
         }
@@ -228,7 +228,7 @@
 }
 
 fn state(shared: &Shared, id: JobId) -> Reply {
-    match shared.board().phase(id) {
+    match shared.replica().phase(id) {
         Some(phase) => json(callers::state(phase).to_owned()),
         None if shared.is_fresh() => text(StatusCode::GONE, "no such job"),
         None => unavailable("the records are out of date"),
@@ -239,7 +239,7 @@
     if !shared.is_fresh() {
         return unavailable("the records are out of date");
     }
-    json(callers::pending(shared.board().pending(&route.name)))
+    json(callers::pending(shared.replica().pending(&route.name)))
 }
 
 fn json(body: String) -> Reply {
--- a/crates/coriandertackd/src/fleet/handover.rs
+++ b/crates/coriandertackd/src/fleet/handover.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, atomic::Ordering};
 
 use {
-    coriandertack_jobs::{board::Leader, moment::Moment},
+    coriandertack_jobs::{moment::Moment, replica::Leader},
     coriandertack_log::jobs,
     coriandertack_platform::store::{Fence, Record, Store, Topic},
 };
@@ -34,8 +34,8 @@
         return false;
     }
     let steady = leading.links().opened_before(Moment(now.0.saturating_sub(STEADY_MS)));
-    let board = shared.board();
-    let Some(larger) = board.larger(&shared.settings.vm.name, &steady) else { return false };
+    let replica = shared.replica();
+    let Some(larger) = replica.larger(&shared.settings.vm.name, &steady) else { return false };
     log::info!("event=lead_handed_over epoch={} larger={larger}", leading.epoch);
     shared.counters.handovers.fetch_add(1, Ordering::Relaxed);
     true
--- a/crates/coriandertackd/src/fleet/intake.rs
+++ b/crates/coriandertackd/src/fleet/intake.rs
@@ -8,9 +8,9 @@
 
 use {
     bytes::Bytes,
-    coriandertack_jobs::{board::Link, moment::Moment},
+    coriandertack_jobs::{moment::Moment, replica::Link},
     coriandertack_log::jobs,
-    coriandertack_peers::errands::{Handed, Taken},
+    coriandertack_peers::leader::{Handed, Taken},
     coriandertack_platform::store::{AppendError, Record, Store, Topic},
     tokio::{
         sync::{mpsc, oneshot},
--- a/crates/coriandertackd/src/fleet/lead.rs
+++ b/crates/coriandertackd/src/fleet/lead.rs
@@ -17,14 +17,14 @@
 use {
     bytes::Bytes,
     coriandertack_jobs::{
-        board::{Leader, Note},
         ids::JobId,
         moment::{Moment, WallTime},
         progress::Phase,
+        replica::{Leader, Note},
         sched::{AdviceCall, Batch, LEADERSHIP_MS, RENEWAL_MS, Scheduler},
     },
     coriandertack_log::jobs,
-    coriandertack_peers::errands::{Advice, Ended, Handed, Taken},
+    coriandertack_peers::leader::{Advice, Ended, Handed, Taken},
     coriandertack_platform::store::{AppendError, Fence, ReadError, Record, Store, Topic},
     tokio::{
         sync::{mpsc, oneshot, watch},
@@ -36,9 +36,9 @@
 use super::{
     advice::{self, Links},
     arrivals::{Arrival, Arrivals},
-    campaign, clock, crew, follow, forget, handover, metrics,
+    campaign, clock, follow, forget, handover, metrics,
     shared::{Counters, Shared},
-    upkeep,
+    upkeep, workers,
 };
 
 /// Longest time between two records of a leader, in milliseconds.
@@ -92,7 +92,7 @@
     /// Counts the batches that were recorded.
     pub recorded: watch::Sender<u64>,
     /// Queues of the workers' orders.
-    pub crew: Mutex<crew::Queues>,
+    pub queues: Mutex<workers::Queues>,
 }
 
 impl Leading {
@@ -160,7 +160,7 @@
     let mut store = Store::new(shared.settings.platform.store);
     loop {
         campaign::vacancy(&shared).await;
-        let Some(entries) = crew::load(&shared).await else {
+        let Some(entries) = workers::load(&shared).await else {
             sleep(Duration::from_millis(RETRY_MS)).await;
             continue;
         };
@@ -208,14 +208,14 @@
         deposed: watch::Sender::default(),
         unlinked: watch::Sender::default(),
         recorded: watch::Sender::default(),
-        crew: Mutex::default(),
+        queues: Mutex::default(),
     });
     leading.prove(began);
     let mut tasks = JoinSet::new();
-    crew::apply_entries(&leading, entries, true);
+    workers::apply_entries(&leading, entries, true);
     adopt(&leading, notes);
     metrics::record(&shared.latencies.takeover, clock::now().since(began));
-    tasks.spawn(crew::keep(leading.clone()));
+    tasks.spawn(workers::keep(leading.clone()));
     tasks.spawn(advice::keep(leading.clone()));
     tasks.spawn(forget::run(leading.clone()));
     tasks.spawn(upkeep::run(leading.clone()));
@@ -263,15 +263,15 @@
     false
 }
 
-/// Takes over all jobs on the board, and listens for later ones.
+/// Takes over all jobs of the replica, and listens for later ones.
 fn adopt(leading: &Leading, notes: mpsc::UnboundedSender<Arrival>) {
     let shared = &leading.shared;
     let (now, wall) = (clock::now(), clock::wall());
-    let board = shared.board();
+    let replica = shared.replica();
     *shared.listener.lock().unwrap_or_else(PoisonError::into_inner) = Some(notes);
     let mut scheduler = leading.scheduler();
-    for (&id, posting) in &board.jobs {
-        scheduler.admit_posting(id, posting, now, wall);
+    for (&id, view) in &replica.jobs {
+        scheduler.admit_view(id, view, now, wall);
     }
     log::info!(
         "event=takeover epoch={} jobs={} workers={}",
@@ -314,7 +314,7 @@
         let decision = decide(leading, &mut arrivals);
         again = decision.again;
         ask(leading, decision.calls);
-        crew::send_stops(leading, &decision.batch);
+        workers::send_stops(leading, &decision.batch);
         let (records, waiting): (Vec<_>, Vec<_>) = decision.handed.into_iter().unzip();
         let now = clock::now();
         if decision.batch.is_empty() && records.is_empty() && now.since(beat) < BEAT_MS {
@@ -366,9 +366,9 @@
 fn apply(leading: &Leading, scheduler: &mut Scheduler, note: Note, now: Moment, wall: WallTime) {
     match note {
         Note::Submitted(id, spec) => {
-            let mut posting = leading.shared.board().jobs.get(&id).cloned().unwrap_or_default();
-            posting.spec.get_or_insert(spec);
-            scheduler.admit_posting(id, &posting, now, wall);
+            let mut view = leading.shared.replica().jobs.get(&id).cloned().unwrap_or_default();
+            view.spec.get_or_insert(spec);
+            scheduler.admit_view(id, &view, now, wall);
         }
         Note::Cancelled(id) => scheduler.cancel(id, now),
         Note::Dismissed(id) | Note::Dropped(id) => scheduler.forget(id),
@@ -493,6 +493,6 @@
     if ended != Ended::default() {
         leading.links().announce(&Arc::new(ended));
     }
-    crew::send_starts(leading, batch.orders);
+    workers::send_starts(leading, batch.orders);
     leading.recorded.send_modify(|count| *count += 1);
 }
--- a/crates/coriandertackd/src/fleet/metrics.rs
+++ b/crates/coriandertackd/src/fleet/metrics.rs
@@ -1,11 +1,8 @@
 //! Counters and latency histograms of an entry VM on the platform, as text on the metrics address.
 
-use std::{
-    fmt,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
 };
 
 use {
@@ -13,12 +10,11 @@
         report::{EndCause, StartRefusal},
         sched::Counts,
     },
+    coriandertack_operators::Export,
     opentelemetry::{
         KeyValue,
-        metrics::{AsyncInstrument, Histogram, Meter, MeterProvider},
+        metrics::{AsyncInstrument, Histogram, Meter},
     },
-    opentelemetry_sdk::metrics::SdkMeterProvider,
-    prometheus::{Encoder, Registry, TextEncoder},
     tokio::net::TcpListener,
     viz::Router,
 };
@@ -34,10 +30,10 @@
 /// caller.
 const BOUNDS_S: &[f64] = &[0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 10.0, 30.0];
 
-/// Latency histograms of a VM, with the registry from which they are served.
+/// Latency histograms of a VM, with the export by which they are served.
+#[derive(Debug)]
 pub struct Latencies {
-    registry: Registry,
-    provider: SdkMeterProvider,
+    export: Export,
     /// From the arrival of a submission until it was answered.
     pub acceptance: Histogram<f64>,
     /// One append to the store that succeeded.
@@ -52,12 +48,6 @@
     pub takeover: Histogram<f64>,
 }
 
-impl fmt::Debug for Latencies {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Latencies").finish_non_exhaustive()
-    }
-}
-
 impl Latencies {
     /// Returns empty histograms.
     ///
@@ -65,23 +55,8 @@
     ///
     /// Fails if the exporter cannot be registered.
     pub fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .with_namespace("coriandertack")
-            .scope_info_enabled(false)
-            .without_target_info()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("coriandertack");
-        let seconds = |name: &'static str, text: &'static str| {
-            meter
-                .f64_histogram(name)
-                .with_unit("s")
-                .with_description(text)
-                .with_boundaries(BOUNDS_S.to_vec())
-                .build()
-        };
+        let export = Export::new()?;
+        let seconds = |name, text| export.seconds(name, text, BOUNDS_S);
         Ok(Self {
             acceptance: seconds("acceptance", "from a submission to its answer"),
             append: seconds("store_append", "one append to the store"),
@@ -89,8 +64,7 @@
             decision: seconds("decision", "one decision on all that waits"),
             advice: seconds("advice", "one call for advice"),
             takeover: seconds("takeover", "from taking the lead to the first decision"),
-            registry,
-            provider,
+            export,
         })
     }
 }
@@ -102,21 +76,19 @@
 
 /// Serves the metrics for as long as the process runs.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    observe(&shared.latencies.provider.meter("coriandertack"), &shared);
-    let registry = shared.latencies.registry.clone();
+    observe(&shared.latencies.export.meter(), &shared);
     let routes = Router::new().get("/metrics", move |_: viz::Request| {
-        let registry = registry.clone();
-        async move { Ok::<_, viz::Error>(render(&registry)) }
+        let shared = shared.clone();
+        async move { Ok::<_, viz::Error>(render(&shared.latencies.export)) }
     });
     http::serve(listener, routes, std::future::pending()).await;
 }
 
-fn render(registry: &Registry) -> String {
-    let mut text = Vec::new();
-    if let Err(error) = TextEncoder::new().encode(&registry.gather(), &mut text) {
-        log::warn!("event=metrics_unreadable error=\"{error}\"");
-    }
-    String::from_utf8_lossy(&text).into_owned()
+fn render(export: &Export) -> String {
+    export.text().unwrap_or_else(|error| {
+        log::warn!("event=metrics_unreadable error=\"{error:#}\"");
+        String::new()
+    })
 }
 
 /// Registers a counter that is read as one value for each set of labels.
@@ -190,7 +162,7 @@
     let gauges: [(&'static str, &'static str, Look); 3] = [
         ("leading", "1 if this VM leads", |s| u64::from(*s.leading.borrow())),
         ("config_revision", "revision in force", |s| s.config.borrow().revision),
-        ("jobs_known", "jobs on the board", |s| s.board().jobs.len() as u64),
+        ("jobs_known", "jobs that this VM has read of", |s| s.replica().jobs.len() as u64),
     ];
     for (name, text, look) in gauges {
         let shared = shared.clone();
--- a/crates/coriandertackd/src/fleet/mod.rs
+++ b/crates/coriandertackd/src/fleet/mod.rs
@@ -2,14 +2,13 @@
 //!
 //! Each VM takes callers' requests ([`front`]), writes submissions to the store ([`intake`]) and follows the records
 //! of all jobs ([`follow`]). One of them leads ([`lead`]): it holds the fence of the progress records, keeps a task for
-//! each worker ([`crew`]) and gives errands to the others ([`advice`]). docs/notes/platform.md has the design.
+//! each worker ([`workers`]) and has the others ask for advice ([`advice`]). docs/notes/platform.md has the design.
 
 pub mod advice;
 pub mod arrivals;
 pub mod campaign;
 pub mod clock;
 pub mod connections;
-pub mod crew;
 pub mod follow;
 pub mod forget;
 pub mod front;
@@ -21,6 +20,7 @@
 pub mod settings;
 pub mod shared;
 pub mod upkeep;
+pub mod workers;
 
 use std::{sync::Arc, time::Duration};
 
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -10,14 +10,14 @@
 
 use {
     coriandertack_jobs::{
-        board::{Board, Note},
         config::Config,
         moment::Moment,
         progress::{Phase, Progress},
+        replica::{Note, Replica},
         sched::Counts,
         upkeep::Wave,
     },
-    coriandertack_peers::errands::{Ended, Handed},
+    coriandertack_peers::leader::{Ended, Handed},
     tokio::sync::{Notify, mpsc, oneshot, watch},
 };
 
@@ -133,7 +133,7 @@
     /// When the process started.
     pub started: Moment,
     /// Jobs as this VM has read them.
-    board: Mutex<Board>,
+    replica: Mutex<Replica>,
     /// Configuration in force; revision 0 before the first one.
     pub config: watch::Sender<Arc<Config>>,
     /// Waves that operators asked for.
@@ -179,7 +179,7 @@
         let shared = Self {
             settings,
             started: clock::now(),
-            board: Mutex::default(),
+            replica: Mutex::default(),
             config: watch::Sender::default(),
             waves: watch::Sender::default(),
             intake: watch::Sender::default(),
@@ -200,8 +200,8 @@
     }
 
     /// Returns the jobs as this VM has read them. The guard is not held across an await.
-    pub fn board(&self) -> MutexGuard<'_, Board> {
-        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    pub fn replica(&self) -> MutexGuard<'_, Replica> {
+        self.replica.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Adds to what this VM decided.
@@ -225,10 +225,10 @@
         let now = clock::now();
         let completed = ended.completed.into_iter().map(|id| (id, Phase::Completed));
         let failed = ended.failed.into_iter().map(|id| (id, Phase::Failed));
-        let mut board = self.board();
+        let mut replica = self.replica();
         for (id, phase) in completed.chain(failed) {
             let progress = Arc::new(Progress { phase, ..Progress::default() });
-            board.apply(Note::Progressed(id, progress), now);
+            replica.apply(Note::Progressed(id, progress), now);
         }
     }
 
--- a/crates/coriandertackd/src/fleet/crew.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -130,7 +130,7 @@
         let leading = &self.leading;
         let scheduler = leading.scheduler();
         let keys = scheduler.worker_keys();
-        let mut queues = leading.crew.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut queues = leading.queues.lock().unwrap_or_else(PoisonError::into_inner);
         let gone = |key: &WorkerKey| scheduler.worker(*key).is_none();
         self.each.retain(|key, _| !gone(key));
         queues.orders.retain(|key, _| !gone(key));
@@ -195,7 +195,7 @@
         Order::Start(start) => start.worker,
         Order::Stop { worker, .. } => *worker,
     };
-    let queues = leading.crew.lock().unwrap_or_else(PoisonError::into_inner);
+    let queues = leading.queues.lock().unwrap_or_else(PoisonError::into_inner);
     if let Some(wake) = queues.lists.get(&key) {
         wake.notify_one();
     }
