Log which runs are lost with a worker, and why the worker counts as lost

Cause: after a worker was lost, no line named the runs that it held, their age, or the moment at which it failed, and runs_lost had no cause. Change: sched::lost holds the removal of a lost worker with its cause; a line for each run with its age when the connection broke; a broken connection is an error of its own, apart from a time-out; step_waits counts the workers that accept tasks. No decision changes.

--- a/crates/coriandertack-jobs/src/sched/advice.rs
+++ b/crates/coriandertack-jobs/src/sched/advice.rs
@@ -386,13 +386,14 @@
         }
         log::info!(
             "event=step_waits step={id} reason=\"{reason}\" waiting={} gang={} tickets={} \
-             allowed={} barred={} calls={}",
+             allowed={} barred={} calls={} accepting={}",
             step.waiting,
             spec.gang,
             step.advice.valid_tickets(now).count(),
             step.advice.allowed.len(),
             step.advice.rejected.len(),
             self.regular_calls(),
+            self.workers.values().filter(|worker| worker.accepts_tasks(now)).count(),
         );
         if let Some(step) = self.step_mut(id) {
             step.logged_at = now;
--- a/crates/coriandertack-jobs/src/sched/commands.rs
+++ b/crates/coriandertack-jobs/src/sched/commands.rs
@@ -76,6 +76,9 @@
         now: BootTime,
     ) {
         let Some(worker) = self.workers.get_mut(key) else { return };
+        if matches!(outcome, StartOutcome::Started | StartOutcome::Refused(_)) {
+            worker.record_answer(now);
+        }
         let Some(run) = worker.runs.get_mut(&(task, attempt)) else { return };
         match outcome {
             StartOutcome::Started => {
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -15,6 +15,7 @@
 mod evacuate;
 mod fit;
 mod health;
+mod lost;
 mod place;
 mod queue;
 mod run_ends;
@@ -48,6 +49,7 @@
     advice::{AdviceCall, Ticket},
     advice_vms::AdviceVm,
     commands::{StartCommand, StartOutcome, WorkerCommand},
+    lost::LossCause,
     place::PassResult,
     queue::Rank,
     stats::SchedulerStats,
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -24,6 +24,7 @@
         if worker.entry.as_ref().is_some_and(|entry| entry.born != run_list.born) {
             return None;
         }
+        worker.record_answer(now);
         worker.record_clock(run_list.clock_ms, now);
         worker.listed = true;
         for end in &run_list.ended {
--- a/crates/coriandertack-jobs/src/sched/stats.rs
+++ b/crates/coriandertack-jobs/src/sched/stats.rs
@@ -1,5 +1,7 @@
 //! Counters of the scheduler, exported as metrics.
 
+use super::LossCause;
+
 use crate::report::{EndCause, StartRefusal};
 
 /// Counters of the scheduler.
@@ -9,8 +11,8 @@
     pub bound: u64,
     /// Number of ended runs by cause, in the order of [`EndCause::ALL`].
     pub ends: [u64; EndCause::ALL.len()],
-    /// Number of runs lost with their worker.
-    pub lost: u64,
+    /// Number of runs lost with their worker by cause, in the order of [`LossCause::ALL`].
+    pub lost: [u64; LossCause::ALL.len()],
     /// Number of refused starts by reason, in the order of [`StartRefusal::ALL`].
     pub refused: [u64; StartRefusal::COUNT],
     /// Number of runs stopped because they made no progress.
@@ -25,11 +27,11 @@
     /// Adds the counters of another period.
     pub fn merge(&mut self, more: &Self) {
         self.bound += more.bound;
-        self.lost += more.lost;
         self.stalled += more.stalled;
         self.advice += more.advice;
         self.quarantined += more.quarantined;
-        let sums = self.ends.iter_mut().chain(&mut self.refused);
-        sums.zip(more.ends.iter().chain(&more.refused)).for_each(|(sum, part)| *sum += part);
+        let sums = self.ends.iter_mut().chain(&mut self.refused).chain(&mut self.lost);
+        let parts = more.ends.iter().chain(&more.refused).chain(&more.lost);
+        sums.zip(parts).for_each(|(sum, part)| *sum += part);
     }
 }
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -4,7 +4,7 @@
 
 use {coriandertack_core::resources::Resources, slotmap::new_key_type};
 
-use super::{MAX_CLOCK_DRIFT_PERMILLE, MAX_LEASE_MS, Scheduler, speed::Speed};
+use super::{LossCause, MAX_CLOCK_DRIFT_PERMILLE, MAX_LEASE_MS, Scheduler, speed::Speed};
 
 use crate::{boot_time::BootTime, ids::TaskId, report::WorkerEntry, spec::StepSpec};
 
@@ -149,6 +149,10 @@
     lease_end: BootTime,
     /// Last reading of the worker's clock in milliseconds, and when it arrived.
     clock: Option<(u64, BootTime)>,
+    /// When the worker last answered a request.
+    pub(super) answered_at: BootTime,
+    /// When the worker is assumed to have failed; `None` while it answers.
+    pub(super) silent_since: Option<BootTime>,
     /// Speed as estimated from completed runs.
     pub(super) speed: Speed,
     /// Whether the worker is being evacuated because its machine is to go down.
@@ -178,6 +182,8 @@
             runs: HashMap::new(),
             lease_end,
             clock: None,
+            answered_at: BootTime(0),
+            silent_since: None,
             speed: Speed::default(),
             evacuating: false,
             avoided_until: BootTime(0),
@@ -392,7 +398,7 @@
                 return key;
             }
             log::info!("event=worker_reborn worker={name} born={}", entry.born);
-            self.remove_lost_worker(key, now);
+            self.remove_lost_worker(key, LossCause::Reborn, now);
         }
         let mut worker = Worker::new(Arc::clone(name), now);
         worker.absent = false;
@@ -429,18 +435,6 @@
         }
     }
 
-    /// Removes a worker whose runs can no longer exist. Its tasks wait again.
-    pub fn remove_lost_worker(&mut self, key: WorkerKey, now: BootTime) {
-        let Some(worker) = self.workers.remove(key) else { return };
-        self.worker_index.remove(&worker.name);
-        self.acks.remove(&key);
-        log::info!("event=worker_lost worker={} runs={}", worker.name, worker.runs.len());
-        for (task, attempt) in worker.runs.into_keys() {
-            self.stats.lost += 1;
-            self.requeue_task(key, task, attempt, "lost", now);
-        }
-    }
-
     /// Stops the runs of a draining worker that cannot end before it leaves, so that they resume
     /// elsewhere.
     fn stop_runs_for_drain(&mut self, key: WorkerKey, remaining_ms: u64, now: BootTime) {
--- a/crates/coriandertackd/src/fleet/metrics.rs
+++ b/crates/coriandertackd/src/fleet/metrics.rs
@@ -8,7 +8,7 @@
 use {
     coriandertack_jobs::{
         report::{EndCause, StartRefusal},
-        sched::SchedulerStats,
+        sched::{LossCause, SchedulerStats},
     },
     coriandertack_operators::Export,
     opentelemetry::{
@@ -133,9 +133,8 @@
             .build();
     }
     type Sum = fn(&SchedulerStats) -> u64;
-    let stats: [(&'static str, &'static str, Sum); 5] = [
+    let stats: [(&'static str, &'static str, Sum); 4] = [
         ("tasks_bound", "tasks that were bound to a worker", |c| c.bound),
-        ("runs_lost", "runs that were lost with their worker", |c| c.lost),
         ("runs_stalled", "runs that were stopped because they stood still", |c| c.stalled),
         ("advice_calls", "calls for advice that were decided", |c| c.advice),
         ("workers_quarantined", "times that a worker was taken out of use", |c| c.quarantined),
@@ -150,6 +149,11 @@
         let cause = |cause: &EndCause| vec![KeyValue::new("cause", cause.to_string())];
         ends.stats().ends.into_iter().zip(EndCause::ALL.iter().map(cause)).collect()
     });
+    let lost = shared.clone();
+    counter(meter, "runs_lost", "runs that were lost with their worker, by cause", move || {
+        let cause = |cause: &LossCause| vec![KeyValue::new("cause", cause.to_string())];
+        lost.stats().lost.into_iter().zip(LossCause::ALL.iter().map(cause)).collect()
+    });
     let refused = shared.clone();
     counter(meter, "starts_refused", "starts that workers refused, by reason", move || {
         let reason = |reason: &StartRefusal| vec![KeyValue::new("reason", reason.to_string())];
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -11,7 +11,7 @@
     coriandertack_jobs::{
         boot_time::BootTime,
         report::StartRefusal,
-        sched::{Batch, StartCommand, StartOutcome, WorkerCommand, WorkerKey},
+        sched::{Batch, LossCause, StartCommand, StartOutcome, WorkerCommand, WorkerKey},
     },
     coriandertack_platform::{
         http::CallError,
@@ -184,7 +184,7 @@
         let until = leadership.scheduler().worker(key).map(|worker| worker.lease_end());
         let Some(until) = until else { return };
         if now > until {
-            leadership.scheduler().remove_lost_worker(key, now);
+            leadership.scheduler().remove_lost_worker(key, LossCause::LeaseExpired, now);
             leadership.shared.wake.notify_one();
             return;
         }
@@ -305,7 +305,7 @@
     };
     match worker.start(start).await {
         Ok(response) => response.refusal.map_or(StartOutcome::Started, StartOutcome::Refused),
-        Err(CallError::Unanswered) => StartOutcome::Unanswered,
+        Err(CallError::Broken | CallError::Unanswered) => StartOutcome::Unanswered,
         Err(CallError::Refused | CallError::Unreachable) => StartOutcome::NotSent,
     }
 }
@@ -343,6 +343,8 @@
         Counters::count(&leadership.shared.counters.lists);
         let response = worker.list(leadership.epoch, acknowledged, lease, wait).await;
         let received = clock::now();
+        let broken =
+            matches!(response, Err(ListError::Call(CallError::Broken | CallError::Refused)));
         match response {
             Ok(run_list) => {
                 let (pending, known, delay_ms) = {
@@ -359,7 +361,7 @@
                     (pending, known, delay_ms)
                 };
                 if !known {
-                    remove_worker(&leadership, key, "another incarnation");
+                    remove_worker(&leadership, key, LossCause::Replaced);
                     return;
                 }
                 if !run_list.ended.is_empty() || !answered {
@@ -382,13 +384,13 @@
                 return;
             }
             Err(ListError::Refused(StartRefusal::Replaced)) => {
-                remove_worker(&leadership, key, "replaced");
+                remove_worker(&leadership, key, LossCause::Replaced);
                 return;
             }
             Err(ListError::Call(CallError::Refused)) => {
                 refused += 1;
                 if refused >= MAX_REFUSED_CONNECTIONS {
-                    remove_worker(&leadership, key, "connection refused");
+                    remove_worker(&leadership, key, LossCause::Refused);
                     return;
                 }
             }
@@ -400,10 +402,13 @@
             }
         }
         answered = false;
+        if let Some(state) = leadership.scheduler().worker_mut(key) {
+            state.record_silence(if broken { received } else { now });
+        }
         let now = clock::now();
         let ended = leadership.scheduler().worker(key).is_none_or(|state| state.lease_end() < now);
         if ended && leadership.scheduler().worker(key).is_some_and(|state| state.run_count() > 0) {
-            remove_worker(&leadership, key, "lease expired");
+            remove_worker(&leadership, key, LossCause::LeaseExpired);
             return;
         }
         sleep(Duration::from_millis(pause)).await;
@@ -412,12 +417,7 @@
 }
 
 /// Removes a worker that is lost, so that its tasks can run elsewhere.
-fn remove_worker(leadership: &Leadership, key: WorkerKey, reason: &'static str) {
-    let mut scheduler = leadership.scheduler();
-    if let Some(worker) = scheduler.worker(key) {
-        log::info!("event=worker_given_up worker={} reason=\"{reason}\"", worker.name);
-    }
-    scheduler.remove_lost_worker(key, clock::now());
-    drop(scheduler);
+fn remove_worker(leadership: &Leadership, key: WorkerKey, cause: LossCause) {
+    leadership.scheduler().remove_lost_worker(key, cause, clock::now());
     leadership.shared.wake.notify_one();
 }
