Reproduce the crashing tasks in a test of the scheduler, known to fail

Cause: a task whose worker is lost is queued at once, and nothing counts how many workers it has taken down.

--- a/crates/coriandertack-jobs/tests/sched/main.rs
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod colocation;
 mod commands;
+mod crashes;
 mod ends;
 mod gangs;
 mod liveness;
--- a/crates/coriandertack-jobs/tests/sched/support.rs
+++ b/crates/coriandertack-jobs/tests/sched/support.rs
@@ -14,7 +14,8 @@
         progress::{JobPhase, JobProgress},
         report::{ActiveRun, EndCause, RunEnd, RunList, WorkerEntry},
         sched::{
-            AdviceCall, Batch, Scheduler, StartCommand, StartOutcome, WorkerCommand, WorkerKey,
+            AdviceCall, Batch, LossCause, Scheduler, StartCommand, StartOutcome, WorkerCommand,
+            WorkerKey,
         },
         spec::{JobSpec, StepSpec},
     },
@@ -58,6 +59,8 @@
     pub starts: Vec<StartCommand>,
     pub stops: Vec<(WorkerKey, TaskId, u32)>,
     pub now: BootTime,
+    /// Number of workers that were ever added.
+    added: usize,
 }
 
 pub const INCARNATION: u64 = 7;
@@ -126,6 +129,7 @@
             starts: Vec::new(),
             stops: Vec::new(),
             now: BootTime(1_000_000),
+            added: 0,
         };
         for cores in cores {
             cluster.add_worker(*cores);
@@ -135,7 +139,8 @@
 
     /// Adds a worker that has returned a list of runs.
     pub fn add_worker(&mut self, cores: u32) -> WorkerKey {
-        let name = Arc::from(format!("w{}", self.keys.len()));
+        let name = Arc::from(format!("w{}", self.added));
+        self.added += 1;
         let key = self.sched.upsert_worker(&name, Arc::new(worker_entry(cores)), self.now);
         self.workers.insert(key, FakeWorker::default());
         self.keys.push(key);
@@ -204,6 +209,17 @@
         self.now = self.now.plus_ms(2);
     }
 
+    /// Breaks the connection to a worker now and removes it with its runs, as the leader does when
+    /// the address of a crashed worker refuses connections.
+    pub fn crash_worker(&mut self, key: WorkerKey) {
+        self.workers.remove(&key);
+        self.keys.retain(|known| *known != key);
+        if let Some(worker) = self.sched.worker_mut(key) {
+            worker.record_silence(self.now);
+        }
+        self.sched.remove_lost_worker(key, LossCause::Refused, self.now);
+    }
+
     /// Ends the runs of a task on all workers.
     pub fn end_runs(&mut self, task: TaskId, cause: EndCause) {
         for worker in self.workers.values_mut() {
