Give up a task only for crashes under starts that its worker confirmed

Change: an unconfirmed start counts as a crash, which makes its task a suspect with the second, but not as an early one. A suspect also waits up to a second for a worker without young runs, and runs of one step count as one cause, so a second crash is seldom ambiguous; the bound of three early crashes is gone.

--- a/crates/coriandertack-jobs/src/sched/commands.rs
+++ b/crates/coriandertack-jobs/src/sched/commands.rs
@@ -83,6 +83,7 @@
         match outcome {
             StartOutcome::Started => {
                 run.confirm(now);
+                run.started = true;
                 run.progressed_at = now;
                 self.mark_running(task);
             }
--- a/crates/coriandertack-jobs/src/sched/crashes.rs
+++ b/crates/coriandertack-jobs/src/sched/crashes.rs
@@ -24,8 +24,9 @@
 /// caused the last one.
 const PROVEN_CRASHES: u32 = 2;
 
-/// Number of crashes soon after its start with which a task is given up in any case.
-const MAX_EARLY_CRASHES: u32 = 3;
+/// Time for which a suspect waits for a worker without young runs, in milliseconds. Beside such a
+/// run, a crash would prove nothing.
+const ISOLATION_WAIT_MS: u64 = 1_000;
 
 /// Number of crashes at any time of a run with which its task is given up. A task may be started
 /// twice more after three crashes (rules, BUDGET).
@@ -42,9 +43,9 @@
     None,
     /// The run has worked for so long that its task does not crash workers.
     Stable,
-    /// The run was on the worker, but had not just started.
+    /// The run may have been on the worker, but is not known to have just started.
     Present,
-    /// The run had just started.
+    /// The worker had just started the run.
     Early,
 }
 
@@ -69,9 +70,7 @@
     /// Returns true if the task is not started again. `alone` is set if no other run can have caused
     /// the last crash.
     fn is_given_up(&self, alone: bool) -> bool {
-        (alone && self.early_crashes >= PROVEN_CRASHES)
-            || self.early_crashes >= MAX_EARLY_CRASHES
-            || self.crashes >= MAX_CRASHES
+        (alone && self.early_crashes >= PROVEN_CRASHES) || self.crashes >= MAX_CRASHES
     }
 }
 
@@ -95,7 +94,8 @@
             // The worker may be cut off and run on.
             LossCause::LeaseExpired => Evidence::Present,
             LossCause::Reborn | LossCause::Replaced | LossCause::Refused => {
-                if age_ms < PROBATION_MS { Evidence::Early } else { Evidence::Present }
+                let early = self.started && age_ms < PROBATION_MS;
+                if early { Evidence::Early } else { Evidence::Present }
             }
         }
     }
@@ -124,6 +124,11 @@
         self.step(id).is_some_and(|(_, _, step)| step.tasks.iter().any(Task::is_suspect))
     }
 
+    /// Returns true while the suspects of a step wait for workers without young runs.
+    pub(super) fn awaits_isolation(&self, id: StepId, now: BootTime) -> bool {
+        self.step(id).is_some_and(|(.., step)| now.ms_since(step.ready_at) < ISOLATION_WAIT_MS)
+    }
+
     /// Counts the loss of a worker, which failed at `failed_at`, against the tasks that ran there.
     /// Returns the tasks that are not to be started again.
     pub(super) fn record_crash(
@@ -141,13 +146,8 @@
             .map(|((task, _), run)| (*task, run.evidence(cause, failed_at)))
             .collect();
         let early = evidence.iter().filter(|(_, evidence)| *evidence == Evidence::Early);
-        // The members of a gang start together, and each of them may be the cause.
-        let causes: HashSet<(StepId, Option<u32>)> = early
-            .map(|(task, _)| {
-                let gang = self.step(task.step_id()).is_some_and(|(_, spec, _)| spec.gang);
-                (task.step_id(), (!gang).then_some(task.index))
-            })
-            .collect();
+        // The tasks of a step are alike, and a job fails with any of them.
+        let causes: HashSet<StepId> = early.map(|(task, _)| task.step_id()).collect();
         let mut given_up = Vec::new();
         for (id, evidence) in evidence {
             let alone = causes.len() == 1 && evidence == Evidence::Early;
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -244,22 +244,26 @@
         let Some((job, spec, step)) = self.step(id) else { return Vec::new() };
         let urgent = self.route_of(job).priority == URGENT_PRIORITY;
         let charge = spec.capacity_charge();
+        let awaits_isolation = self.awaits_isolation(id, now);
         let mut taken: HashMap<WorkerKey, u32> = HashMap::new();
         let mut chosen = Vec::new();
         for (index, task) in step.tasks.iter().enumerate() {
             if task.placement != Placement::Waiting {
                 continue;
             }
-            let best = candidates.iter().enumerate().filter(|(_, (_, slots))| *slots > 0);
+            let beside_young = |key: WorkerKey| {
+                task.is_suspect() && (taken.contains_key(&key) || self.has_young_runs(key, now))
+            };
+            let best = candidates.iter().enumerate().filter(|(_, (key, slots))| {
+                *slots > 0 && !(awaits_isolation && beside_young(*key))
+            });
             let best = best.min_by_key(|(_, (key, _))| {
                 let extra = charge.checked_mul(taken.get(key).copied().unwrap_or(0) + 1);
                 let left = headroom.free(*key).saturating_sub(extra.unwrap_or(charge));
-                let beside_young = task.is_suspect()
-                    && (taken.contains_key(key) || self.has_young_runs(*key, now));
                 let spread = spec.lasting || task.is_suspect();
-                (beside_young, self.preference(*key, spec, urgent, spread, left))
+                (beside_young(*key), self.preference(*key, spec, urgent, spread, left))
             });
-            let Some((position, &(key, slots))) = best else { break };
+            let Some((position, &(key, slots))) = best else { continue };
             candidates[position].1 = if task.is_suspect() { 0 } else { slots - 1 };
             *taken.entry(key).or_default() += 1;
             chosen.push((index as u32, key));
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -60,6 +60,7 @@
             worker.add_run(task, attempt, run);
         }
         let Some(run) = worker.runs.get_mut(&(task, attempt)) else { return };
+        run.started = true;
         if run.confirmed_at.is_none() {
             run.confirm(now);
             run.progressed_at = now;
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -73,6 +73,8 @@
     pub(super) confirmed_at: Option<BootTime>,
     /// When the start was sent to the worker; `None` if it was not.
     pub(super) sent_at: Option<BootTime>,
+    /// Whether the worker is known to have started the run.
+    pub(super) started: bool,
     /// Whether the task is suspected of crashing its workers.
     pub(super) probation: bool,
     /// When the last stop was commanded; `None` if none was.
@@ -94,6 +96,7 @@
             charge,
             confirmed_at: None,
             sent_at: None,
+            started: false,
             probation: false,
             stopped_at: None,
             percent: 0,
