Keep starts and predictions within the capacity of workers that shrink

Cause: a worker's entry may name a smaller capacity while it runs tasks. New tasks were bound by the newest entry, but a start that was bound before and waited for its record was sent all the same, up to 2 s later (LIMIT), and what the runs of such a worker leave was predicted as free although it is beyond the capacity. Change: a start is checked again when it is sent; the excess is left out of the prediction; event=worker_resized and start_withheld; random events of the scheduler's test include workers that change their size.

--- a/crates/coriandertack-jobs/src/sched/commands.rs
+++ b/crates/coriandertack-jobs/src/sched/commands.rs
@@ -66,6 +66,31 @@
 }
 
 impl Scheduler {
+    /// Returns true if a start that is about to be sent still fits on its worker, and records that
+    /// it is sent. The worker may have shrunk while the start was recorded.
+    #[must_use]
+    pub fn prepare_start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        attempt: u32,
+        now: BootTime,
+    ) -> bool {
+        let Some(worker) = self.workers.get_mut(key) else { return false };
+        if worker.is_overcommitted() {
+            log::info!(
+                "event=start_withheld task={task} attempt={attempt} worker={} capacity={}",
+                worker.name,
+                worker.capacity()
+            );
+            return false;
+        }
+        if let Some(run) = worker.runs.get_mut(&(task, attempt)) {
+            run.sent_at = Some(now);
+        }
+        true
+    }
+
     /// Records the outcome of a start command.
     pub fn record_start_outcome(
         &mut self,
--- a/crates/coriandertack-jobs/src/sched/crashes.rs
+++ b/crates/coriandertack-jobs/src/sched/crashes.rs
@@ -9,7 +9,7 @@
 
 use std::collections::HashSet;
 
-use super::{LossCause, Scheduler, Task, Worker, WorkerKey, worker::Run};
+use super::{LossCause, Scheduler, Task, Worker, worker::Run};
 
 use crate::{
     boot_time::BootTime,
@@ -175,12 +175,4 @@
             self.fail_job(key, now);
         }
     }
-
-    /// Records that the start of a run is sent to a worker now.
-    pub fn record_start_sent(&mut self, key: WorkerKey, id: TaskId, attempt: u32, now: BootTime) {
-        let run = self.workers.get_mut(key).and_then(|worker| worker.runs.get_mut(&(id, attempt)));
-        if let Some(run) = run {
-            run.sent_at = Some(now);
-        }
-    }
 }
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -221,6 +221,11 @@
         self.entry.as_ref().map_or(Resources::ZERO, |entry| entry.capacity)
     }
 
+    /// Returns true if the runs on the worker exceed its capacity, or if the need of any is unknown.
+    pub(super) fn is_overcommitted(&self) -> bool {
+        self.unsized_runs > 0 || !self.used.fits(self.capacity())
+    }
+
     /// Returns the capacity that would be free once all runs but the long-running ones have ended.
     pub(super) fn drainable_capacity(&self) -> Resources {
         let lasting = self.runs.values().filter(|run| run.profile.lasting);
@@ -268,11 +273,14 @@
             && spec.label.as_ref().is_none_or(|label| self.has_label(label))
     }
 
-    /// Returns the capacity of the runs that are predicted to end within `ahead_ms` milliseconds.
+    /// Returns the capacity that the runs predicted to end within `ahead_ms` milliseconds leave to
+    /// others. On a worker that has shrunk, what the runs occupy beyond its capacity is left to
+    /// nobody.
     pub(super) fn ending_capacity(&self, ahead_ms: u64, now: BootTime) -> Resources {
         let ending = self.runs.values().filter(|run| run.remaining_ms(now) <= ahead_ms);
         let charges = ending.filter_map(|run| run.charge);
-        charges.fold(Resources::ZERO, Resources::saturating_add)
+        let excess = self.used.saturating_sub(self.capacity());
+        charges.fold(Resources::ZERO, Resources::saturating_add).saturating_sub(excess)
     }
 
     /// Returns the capacity that is predicted to be free in `ahead_ms` milliseconds if nothing else
@@ -435,8 +443,16 @@
         worker.absent = false;
         let begins_draining = entry.draining && !was_draining;
         let remaining = entry.remaining_ms;
-        if worker.entry.is_none() {
-            log_joined(&worker.name, &entry);
+        match &worker.entry {
+            None => log_joined(&worker.name, &entry),
+            Some(known) if known.capacity != entry.capacity => log::info!(
+                "event=worker_resized worker={} former={} capacity={} used={}",
+                worker.name,
+                known.capacity,
+                entry.capacity,
+                worker.used
+            ),
+            Some(_) => {}
         }
         worker.entry = Some(entry);
         if begins_draining {
--- a/crates/coriandertack-jobs/tests/sched/crashes.rs
+++ b/crates/coriandertack-jobs/tests/sched/crashes.rs
@@ -250,7 +250,7 @@
         let batch = cluster.sched.take_batch();
         cluster.record(&batch);
         let (key, now) = (cluster.keys[0], cluster.now);
-        cluster.sched.record_start_sent(key, task(1, 0, 0), attempt, now);
+        assert!(cluster.sched.prepare_start(key, task(1, 0, 0), attempt, now));
         cluster.crash_worker(key);
         cluster.add_worker(4);
     }
--- a/crates/coriandertack-jobs/tests/sched/main.rs
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -12,6 +12,7 @@
 mod queue;
 mod random;
 mod replica;
+mod resize;
 mod return_time;
 mod speed;
 mod support;
--- a/crates/coriandertack-jobs/tests/sched/random.rs
+++ b/crates/coriandertack-jobs/tests/sched/random.rs
@@ -32,6 +32,8 @@
     End(usize, u8),
     Cancel(u8),
     Delay(usize),
+    /// An entry of a worker with another number of cores.
+    Resize(usize, u32),
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -44,6 +46,7 @@
         6 => (0..WORKER_COUNT, any::<u8>()).prop_map(|(worker, pick)| Event::End(worker, pick)),
         1 => (0..6_u8).prop_map(Event::Cancel),
         1 => (0..WORKER_COUNT).prop_map(Event::Delay),
+        1 => (0..WORKER_COUNT, 1..=CORES_PER_WORKER).prop_map(|(n, cores)| Event::Resize(n, cores)),
     ]
 }
 
@@ -51,6 +54,7 @@
     sched: Scheduler,
     keys: Vec<WorkerKey>,
     workers: Vec<FakeWorker>,
+    cores: [u32; WORKER_COUNT],
     specs: HashMap<JobId, Arc<JobSpec>>,
     cancelled: Vec<JobId>,
     records: HashMap<JobId, JobProgress>,
@@ -64,6 +68,7 @@
             sched: Scheduler::new(Arc::new(Config::default())),
             keys: Vec::new(),
             workers: (0..WORKER_COUNT).map(|_| FakeWorker::default()).collect(),
+            cores: [CORES_PER_WORKER; WORKER_COUNT],
             specs: HashMap::new(),
             cancelled: Vec::new(),
             records: HashMap::new(),
@@ -80,7 +85,7 @@
         self.keys = (0..WORKER_COUNT)
             .map(|n| {
                 let name = Arc::from(format!("w{n}"));
-                self.sched.upsert_worker(&name, Arc::new(worker_entry(CORES_PER_WORKER)), self.now)
+                self.sched.upsert_worker(&name, Arc::new(worker_entry(self.cores[n])), self.now)
             })
             .collect();
         for (id, spec) in &self.specs {
@@ -123,7 +128,7 @@
                     let run = (start.checkpoint.clone(), 0);
                     self.workers[n].running.insert((start.task, start.attempt), run);
                     assert!(
-                        self.workers[n].running.len() <= CORES_PER_WORKER as usize,
+                        self.workers[n].running.len() <= self.cores[n] as usize,
                         "worker w{n} exceeds its capacity"
                     );
                     let started = StartOutcome::Started;
@@ -205,6 +210,11 @@
                 }
             }
             Event::Delay(n) => self.now = self.now.plus_ms(n as u64 * 700),
+            Event::Resize(n, cores) => {
+                self.cores[n] = cores;
+                let name = Arc::from(format!("w{n}"));
+                self.sched.upsert_worker(&name, Arc::new(worker_entry(cores)), self.now);
+            }
         }
     }
 }
--- a/crates/coriandertack-jobs/tests/sched/support.rs
+++ b/crates/coriandertack-jobs/tests/sched/support.rs
@@ -209,6 +209,12 @@
         self.now = self.now.plus_ms(2);
     }
 
+    /// Applies an entry of a worker with another capacity.
+    pub fn resize_worker(&mut self, key: WorkerKey, cores: u32) {
+        let name = self.sched.worker(key).unwrap().name.clone();
+        self.sched.upsert_worker(&name, Arc::new(worker_entry(cores)), self.now);
+    }
+
     /// Breaks the connection to a worker now and removes it with its runs, as the leader does when
     /// the address of a crashed worker refuses connections.
     pub fn crash_worker(&mut self, key: WorkerKey) {
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -293,7 +293,9 @@
         let (Some(lease_end), true) = (lease_end, now < until) else {
             return StartOutcome::NotSent;
         };
-        scheduler.record_start_sent(key, start.task, start.attempt, now);
+        if !scheduler.prepare_start(key, start.task, start.attempt, now) {
+            return StartOutcome::NotSent;
+        }
         lease_end
     };
     Counters::count(&leadership.shared.counters.starts);
