Play crashing tasks and workers that change their size against real processes

Cause: neither the stand-ins nor the soak had workers that a task crashes, or whose capacity changes, so no test of processes could break BUDGET or LIMIT. Change: a task of the stand-in's worker may crash it after some milliseconds; its connections close, and the cluster replaces it after 1.2 s. Starts are checked against the capacity, which counts 4.5 s after it shrank. check_runs checks both rules in every test of processes. The soak draws both from a generator of its own, so that the faults of the seeds that are kept stay as they were.

--- a/crates/coriandertack-standins/src/platform/mod.rs
+++ b/crates/coriandertack-standins/src/platform/mod.rs
@@ -20,7 +20,10 @@
         Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
     },
     hyper_util::rt::TokioIo,
-    tokio::{net::TcpListener, task::JoinHandle},
+    tokio::{
+        net::TcpListener,
+        task::{JoinHandle, JoinSet},
+    },
 };
 
 /// Largest accepted request body, in bytes. A larger body is treated as empty.
@@ -53,7 +56,8 @@
 /// Status and body of a response, or `None` to leave the request without a response.
 pub(crate) type Reply = Option<(u16, Bytes)>;
 
-/// Serves calls on a free port of 127.0.0.1 until the returned task is aborted.
+/// Serves calls on a free port of 127.0.0.1 until the returned task is aborted, which also closes
+/// the connections.
 pub(crate) async fn serve<F>(
     handler: impl Fn(ApiCall) -> F + Clone + Send + Sync + 'static,
 ) -> Result<(SocketAddr, JoinHandle<()>)>
@@ -63,10 +67,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let accept = async move {
+        let mut connections = JoinSet::new();
         loop {
             let Ok((stream, _)) = listener.accept().await else { return };
+            while connections.try_join_next().is_some() {}
             let handler = handler.clone();
-            tokio::spawn(async move {
+            connections.spawn(async move {
                 let service = service_fn(move |request| respond(handler.clone(), request));
                 let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
                 if let Err(error) = serving.await {
--- a/crates/coriandertack-standins/src/platform/worker.rs
+++ b/crates/coriandertack-standins/src/platform/worker.rs
@@ -13,13 +13,21 @@
     serde_json::{Value, json},
     tokio::{
         sync::Notify,
-        task::JoinHandle,
+        task::{AbortHandle, JoinHandle},
         time::{Instant, sleep, sleep_until},
     },
 };
 
 use super::{ApiCall, Reply, Shared, json_reply, lock, serve};
 
+/// Prefix of a payload that makes a task crash its worker; the rest is the delay after its start, in
+/// milliseconds.
+pub const CRASH_PREFIX: &str = "crash-after-ms=";
+
+/// Time after which a smaller capacity counts against the starts on the worker: the contact time of
+/// the scheduler and one heartbeat.
+const SHRINK_GRACE: Duration = Duration::from_millis(4_500);
+
 /// Injected faults.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
@@ -75,6 +83,17 @@
     /// Tasks and attempts that were started.
     started: HashSet<(String, u64)>,
     faults: Faults,
+    /// Capacity in millicores that starts are checked against, and when it last shrank to it.
+    /// Starts are checked against the former, larger capacity for a while.
+    capacity: Option<u64>,
+    former_capacity: Option<(u64, Instant)>,
+    /// Need in millicores of a task, by the number of its step.
+    step_needs: Vec<u64>,
+    /// Starts that exceeded the capacity, each described for an assertion.
+    excess_starts: Vec<String>,
+    /// When the worker crashed.
+    crashed_at: Option<Instant>,
+    server: Option<AbortHandle>,
 }
 
 impl State {
@@ -99,6 +118,40 @@
         }
     }
 
+    /// Ends all runs without a trace and closes all connections.
+    fn crash(&mut self) {
+        if self.crashed_at.is_some() {
+            return;
+        }
+        let now = Instant::now();
+        self.crashed_at = Some(now);
+        for index in std::mem::take(&mut self.running).into_values() {
+            let run = &mut self.history[index];
+            (run.ended, run.cause) = (Some(now), "crashed");
+        }
+        self.unacked.clear();
+        if let Some(server) = self.server.take() {
+            server.abort();
+        }
+    }
+
+    /// Returns the need of a task in millicores, by the step in its name.
+    fn need(&self, task: &str) -> u64 {
+        let step = task.split('.').nth(2).and_then(|step| step.parse::<usize>().ok());
+        step.and_then(|step| self.step_needs.get(step)).copied().unwrap_or(0)
+    }
+
+    /// Records a start that exceeds the capacity.
+    fn check_capacity(&mut self, task: &str) {
+        let Some(capacity) = self.capacity else { return };
+        let former = self.former_capacity.filter(|(_, at)| at.elapsed() < SHRINK_GRACE);
+        let limit = capacity.max(former.map_or(0, |(former, _)| former));
+        let used: u64 = self.running.keys().map(|(task, _)| self.need(task)).sum();
+        if used > limit {
+            self.excess_starts.push(format!("{task} on {}: {used} of {limit} millicores", self.id));
+        }
+    }
+
     fn expire_lease(&mut self) {
         if Instant::now() < self.lease_end {
             return;
@@ -148,11 +201,18 @@
             history: Vec::new(),
             started: HashSet::new(),
             faults: Faults::default(),
+            capacity: None,
+            former_capacity: None,
+            step_needs: Vec::new(),
+            excess_starts: Vec::new(),
+            crashed_at: None,
+            server: None,
         }));
         let changed = Arc::new(Notify::new());
         let (handler_state, notify) = (state.clone(), changed.clone());
         let (address, task) =
             serve(move |call| handle(handler_state.clone(), notify.clone(), call)).await?;
+        lock(&state).server = Some(task.abort_handle());
         let expiry = tokio::spawn(expire_lease(state.clone(), changed));
         Ok(Self { address, state, tasks: vec![task, expiry] })
     }
@@ -163,10 +223,36 @@
         lock(&self.state).id.clone()
     }
 
-    /// Returns the entry that the worker writes to the store, as JSON.
+    /// Sets the capacity in millicores against which starts are checked, and the need of a task of
+    /// each step. A smaller capacity than before counts after the time that the scheduler has to
+    /// learn of it.
+    pub fn set_capacity(&self, capacity: u64, step_needs: &[u64]) {
+        let mut state = lock(&self.state);
+        if let Some(former) = state.capacity.filter(|former| *former > capacity) {
+            state.former_capacity = Some((former, Instant::now()));
+        }
+        state.capacity = Some(capacity);
+        state.step_needs = step_needs.to_vec();
+    }
+
+    /// Returns a description of each start that exceeded the capacity.
+    #[must_use]
+    pub fn excess_starts(&self) -> Vec<String> {
+        lock(&self.state).excess_starts.clone()
+    }
+
+    /// Returns when a task crashed the worker, or `None` if it still runs.
+    #[must_use]
+    pub fn crashed_at(&self) -> Option<Instant> {
+        lock(&self.state).crashed_at
+    }
+
+    /// Returns the entry that the worker writes to the store, as JSON. The capacity is that of
+    /// [`Worker::set_capacity`] if it was called, and `cores` otherwise.
     #[must_use]
     pub fn entry(&self, service: &str, cores: u32) -> String {
         let state = lock(&self.state);
+        let millicores = state.capacity.unwrap_or(u64::from(cores) * 1_000);
         json!({
             "backend": service,
             "address": self.address.to_string(),
@@ -175,7 +261,7 @@
             "slots": 8,
             "state": "ready",
             "cold-remaining-ms": 0,
-            "capacity": { "cpu": cores * 1_000, "mem-mb": 32_768, "gpus": 0 },
+            "capacity": { "cpu": millicores, "mem-mb": 32_768, "gpus": 0 },
             "labels": ["a", "r1-1"],
             "clock-ms": state.clock_ms(),
             "born": state.born,
@@ -275,6 +361,15 @@
     let index = state.history.len() - 1;
     state.started.insert((task.clone(), attempt));
     state.running.insert((task.clone(), attempt), index);
+    state.check_capacity(&task);
+    let payload = body.get("task-spec").and_then(Value::as_str).unwrap_or_default();
+    if let Some(delay_ms) = payload.strip_prefix(CRASH_PREFIX).and_then(|ms| ms.parse().ok()) {
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(delay_ms)).await;
+            lock(&shared).crash();
+        });
+    }
     let (run_ms, cause) = (state.run_ms, if state.faults.failing { "failed" } else { "done" });
     let (shared, changed) = (shared.clone(), changed.clone());
     tokio::spawn(async move {
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -21,7 +21,7 @@
         advice::Advice,
         machines::Machines,
         store::Store,
-        worker::{RecordedRun, Worker},
+        worker::{CRASH_PREFIX, RecordedRun, Worker},
     },
     nix::{
         sys::signal::{Signal, kill},
@@ -45,6 +45,16 @@
 /// Time for which a machine is down for its maintenance.
 const MAINTENANCE_TIME: Duration = Duration::from_millis(400);
 
+/// Time after which a worker that a task has crashed is replaced.
+const RESTART_TIME: Duration = Duration::from_millis(1_200);
+
+/// Capacity of a worker and need of a task of each step, in millicores.
+const WORKER_MILLICORES: u64 = 4_000;
+const STEP_NEEDS: [u64; 2] = [500, 1_000];
+
+/// Number of starts after three crashes that breaks the rule.
+const EXCESS_STARTS: usize = 3;
+
 /// Interval at which conditions are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -160,6 +170,7 @@
     /// Starts a worker and writes its entry.
     async fn start_worker(&self, id: &str, born: u64) -> Worker {
         let worker = Worker::start(id, RUN_MS, born).await.unwrap();
+        worker.set_capacity(WORKER_MILLICORES, &STEP_NEEDS);
         self.store.put("keyed.servers", id, worker.entry("vans", 4).as_bytes());
         worker
     }
@@ -206,6 +217,30 @@
         }
     }
 
+    /// Changes the capacity of a worker, as its next entry shows.
+    pub fn resize_worker(&self, index: usize, millicores: u64) {
+        let worker = &self.workers[index];
+        worker.set_capacity(millicores, &STEP_NEEDS);
+        self.store.put("keyed.servers", &worker.id(), worker.entry("vans", 4).as_bytes());
+    }
+
+    /// Replaces workers that crashed some time ago by new ones.
+    pub async fn replace_crashed(&mut self) {
+        for index in 0..self.workers.len() {
+            let crashed_at = self.workers[index].crashed_at();
+            if crashed_at.is_none_or(|at| at.elapsed() < RESTART_TIME) {
+                continue;
+            }
+            self.next_id += 1;
+            let born = 5_000 + self.next_id;
+            let worker = self.start_worker(&format!("i-{index}-{born}"), born).await;
+            let gone = std::mem::replace(&mut self.workers[index], worker);
+            self.store.put("keyed.servers", &gone.id(), b"");
+            assert_eq!(gone.excess_starts(), Vec::<String>::new());
+            self.retired.extend(gone.recorded_runs());
+        }
+    }
+
     /// Starts all processes that do not run, and waits until all VMs serve requests.
     pub async fn start_all(&mut self) {
         self.wait_until("all VMs serve", async |cluster| {
@@ -296,6 +331,7 @@
     pub async fn wait_until(&mut self, what: &str, holds: impl AsyncFn(&mut Self) -> bool) {
         let wait = async {
             while !holds(self).await {
+                self.replace_crashed().await;
                 sleep(POLL_INTERVAL).await;
             }
         };
@@ -354,6 +390,30 @@
         .to_string()
     }
 
+    /// Submits a job of two tasks that crash their workers `delay_ms` after they start. Returns its
+    /// name once it is accepted, or `None` if it may not have been.
+    pub async fn submit_crashing(&mut self, vm: usize, delay_ms: u64) -> Option<String> {
+        let (job, _) = self.new_job();
+        let body = json!({
+            "task-spec": format!("{CRASH_PREFIX}{delay_ms}"),
+            "steps": [{ "count": 2, "cpu": 500, "mem-mb": 64, "est-runtime-ms": RUN_MS }],
+        });
+        (self.post(vm, &job, &body.to_string()).await == Some(200)).then_some(job)
+    }
+
+    /// Waits until some VM reports a job as failed.
+    pub async fn wait_failed(&mut self, job: &str) {
+        self.wait_until(&format!("job {job} has failed"), async |cluster| {
+            for vm in 0..cluster.vms.len() {
+                if cluster.state(vm, job).await.as_deref() == Some("failed") {
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+    }
+
     fn new_job(&mut self) -> (String, u64) {
         self.next_id += 1;
         (format!("{:016x}", self.next_id), self.next_id)
@@ -506,9 +566,20 @@
         runs
     }
 
-    /// Checks that no two runs of a task overlapped, and that no task ran again after its end was acknowledged (RULES,
-    /// TWICE).
+    /// Checks that no two runs of a task overlapped, that no task ran again after its end was acknowledged (RULES,
+    /// TWICE), that no task was started too often after three workers had crashed under it (BUDGET), and that no start
+    /// exceeded the capacity of its worker (LIMIT).
     pub fn check_runs(&self) {
+        for worker in &self.workers {
+            assert_eq!(worker.excess_starts(), Vec::<String>::new());
+        }
+        for (task, mut runs) in self.recorded_runs() {
+            runs.sort_by_key(|run| run.began);
+            let third = runs.iter().filter(|run| run.cause == "crashed").nth(2);
+            let Some(crashed_at) = third.and_then(|run| run.ended) else { continue };
+            let later = runs.iter().filter(|run| run.began > crashed_at).count();
+            assert!(later < EXCESS_STARTS, "{task} was started {later} times after three crashes");
+        }
         for (task, mut runs) in self.recorded_runs() {
             runs.sort_by_key(|run| run.began);
             for pair in runs.windows(2) {
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -140,6 +140,42 @@
     cluster.check_runs();
 }
 
+/// Guards against a task that takes down one worker after the other, also while the lead changes, and against jobs of
+/// other callers that fail or are lost with it.
+#[tokio::test]
+async fn a_task_that_crashes_its_workers_is_given_up() {
+    let mut cluster = Cluster::start(3, 6).await;
+    let mut jobs = cluster.submit(6).await;
+    let crashing = cluster.submit_crashing(0, 10).await.expect("the job is accepted");
+    cluster
+        .wait_until("a worker has crashed", async |cluster| {
+            cluster.workers.iter().any(|worker| worker.crashed_at().is_some())
+        })
+        .await;
+    cluster.kill_leader().await;
+    jobs.extend(cluster.submit(6).await);
+    cluster.wait_failed(&crashing).await;
+    cluster.wait_completed(&jobs).await;
+    cluster.check_runs();
+}
+
+/// Guards against starts that exceed the capacity of a worker that shrinks while it runs tasks.
+#[tokio::test]
+async fn workers_that_shrink_are_not_overloaded() {
+    let mut cluster = Cluster::start(2, 3).await;
+    let mut jobs = cluster.submit(4).await;
+    for index in 0..3 {
+        cluster.resize_worker(index, 1_000);
+    }
+    jobs.extend(cluster.submit(10).await);
+    sleep(Duration::from_millis(4_600)).await;
+    jobs.extend(cluster.submit(6).await);
+    sleep(Duration::from_millis(1_000)).await;
+    cluster.resize_worker(0, 4_000);
+    cluster.wait_completed(&jobs).await;
+    cluster.check_runs();
+}
+
 /// Guards against a planned stop that loses responses or leaves the other VMs without a leader.
 #[tokio::test]
 async fn a_planned_stop_releases_the_leadership() {
--- a/crates/coriandertackd/tests/platform/soak.rs
+++ b/crates/coriandertackd/tests/platform/soak.rs
@@ -1,5 +1,6 @@
-//! A soak test with seeded random faults, which may overlap. At the end, all accepted jobs must complete and no task
-//! may have run twice.
+//! A soak test with seeded random faults, which may overlap, tasks that crash their workers and workers that change
+//! their size. At the end, all other accepted jobs must complete, no task may have run twice or have been started too
+//! often after crashes, and no start may have exceeded the capacity of its worker.
 //!
 //! `SOAK_SEEDS=50 cargo test -p coriandertackd --test platform soak` runs that many seeds; `SOAK_FIRST` is the first
 //! one. Seeds that once failed stay in [`REGRESSION_SEEDS`] and are always run.
@@ -49,7 +50,20 @@
     let mut cluster = Cluster::start(3, 4).await;
     let mut jobs = cluster.submit(4).await;
     let mut paused: Vec<usize> = Vec::new();
+    // A generator of its own leaves the faults above unchanged for the seeds that are kept.
+    let mut crash_rng = ChaCha8Rng::seed_from_u64(!seed);
     for _ in 0..FAULT_COUNT {
+        cluster.replace_crashed().await;
+        match crash_rng.random_range(0..6) {
+            0 => {
+                let _accepted = cluster.submit_crashing(0, crash_rng.random_range(0..300)).await;
+            }
+            1 => {
+                let at = crash_rng.random_range(0..cluster.workers.len());
+                cluster.resize_worker(at, crash_rng.random_range(1..=4) * 1_000);
+            }
+            _ => {}
+        }
         let vm = rng.random_range(0..3);
         match rng.random_range(0..9) {
             0 => cluster.kill(vm),
@@ -94,8 +108,9 @@
 /// Removes all faults, resumes paused processes and starts those that do not run.
 async fn clear_faults(cluster: &mut Cluster, paused: &mut Vec<usize>) {
     cluster.store.fail(store::Faults::default());
-    for worker in &cluster.workers {
-        worker.fail(worker::Faults::default());
+    for index in 0..cluster.workers.len() {
+        cluster.workers[index].fail(worker::Faults::default());
+        cluster.resize_worker(index, 4_000);
     }
     for vm in paused.drain(..) {
         cluster.signal(vm, Signal::SIGCONT);
