Start the tasks of a suspected step one at a time

Cause: all tasks of a step that crash their workers started again at once, so a step of six took down twelve workers before its job failed. Change: while a task of a step is a suspect and none has survived a start, its tasks start one after the other, all on probation.

--- a/crates/coriandertack-jobs/src/ids.rs
+++ b/crates/coriandertack-jobs/src/ids.rs
@@ -65,6 +65,14 @@
     pub index: u32,
 }
 
+impl StepId {
+    /// Returns a task of the step.
+    #[must_use]
+    pub const fn task(self, index: u32) -> TaskId {
+        TaskId { job: self.job, occurrence: self.occurrence, step: self.step, index }
+    }
+}
+
 impl TaskId {
     /// Returns the step that the task belongs to.
     #[must_use]
--- a/crates/coriandertack-jobs/src/sched/crashes.rs
+++ b/crates/coriandertack-jobs/src/sched/crashes.rs
@@ -9,7 +9,7 @@
 
 use std::collections::HashSet;
 
-use super::{LossCause, Scheduler, Task, Worker, worker::Run};
+use super::{LossCause, Placement, Scheduler, Task, Worker, worker::Run};
 
 use crate::{
     boot_time::BootTime,
@@ -119,9 +119,39 @@
 }
 
 impl Scheduler {
-    /// Returns true if any waiting task of a step is a suspect.
-    pub(super) fn has_suspects(&self, id: StepId) -> bool {
-        self.step(id).is_some_and(|(_, _, step)| step.tasks.iter().any(Task::is_suspect))
+    /// Returns true if a task of a step is a suspect, and no other has survived a start.
+    ///
+    /// The tasks of a step are alike, so if one crashes its workers, the others probably do as well.
+    /// All of them start on probation until one of them has survived it.
+    pub(super) fn is_unproven(&self, id: StepId, now: BootTime) -> bool {
+        let Some((.., step)) = self.step(id) else { return false };
+        let survived = |(index, task): (usize, &Task)| match task.placement {
+            Placement::Waiting => false,
+            Placement::Bound(_) => {
+                self.bound_run(id, index, task).is_some_and(|run| !run.is_young(now))
+            }
+            Placement::Done => true,
+        };
+        step.tasks.iter().any(Task::is_suspect) && !step.tasks.iter().enumerate().any(survived)
+    }
+
+    /// Returns how many tasks of a step may start on probation now. In a step of which none has
+    /// survived a start, only one does at a time.
+    pub(super) fn probation_limit(&self, id: StepId, now: BootTime) -> usize {
+        let Some((.., step)) = self.step(id) else { return 0 };
+        if !self.is_unproven(id, now) {
+            return step.tasks.len();
+        }
+        let on_probation = |(index, task): (usize, &Task)| {
+            self.bound_run(id, index, task).is_some_and(|run| run.is_on_probation(now))
+        };
+        usize::from(!step.tasks.iter().enumerate().any(on_probation))
+    }
+
+    /// Returns the run of a task of a step on the worker that it is bound to.
+    fn bound_run(&self, id: StepId, index: usize, task: &Task) -> Option<&Run> {
+        let Placement::Bound(key) = task.placement else { return None };
+        self.workers.get(key)?.runs.get(&(id.task(index as u32), task.attempt))
     }
 
     /// Returns true while the suspects of a step wait for workers without young runs.
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -165,11 +165,10 @@
         };
         let attempt = gang.then(|| self.next_gang_attempt(id));
         let bound = chosen.len() as u32;
-        let gang_probation = gang && self.has_suspects(id);
+        let unproven = self.is_unproven(id, now);
         for (index, worker) in chosen {
-            let StepId { job, occurrence, step } = id;
-            let task = TaskId { job, occurrence, step, index };
-            let probation = gang_probation || self.task(task).is_some_and(Task::is_suspect);
+            let task = id.task(index);
+            let probation = unproven || self.task(task).is_some_and(Task::is_suspect);
             if bind_tasks {
                 self.bind(task, worker, attempt, probation, &payload, now);
             }
@@ -245,14 +244,17 @@
         let urgent = self.route_of(job).priority == URGENT_PRIORITY;
         let charge = spec.capacity_charge();
         let awaits_isolation = self.awaits_isolation(id, now);
+        let unproven = self.is_unproven(id, now);
+        let mut probations_left = self.probation_limit(id, now);
         let mut taken: HashMap<WorkerKey, u32> = HashMap::new();
         let mut chosen = Vec::new();
         for (index, task) in step.tasks.iter().enumerate() {
-            if task.placement != Placement::Waiting {
+            let probation = unproven || task.is_suspect();
+            if task.placement != Placement::Waiting || (probation && probations_left == 0) {
                 continue;
             }
             let beside_young = |key: WorkerKey| {
-                task.is_suspect() && (taken.contains_key(&key) || self.has_young_runs(key, now))
+                probation && (taken.contains_key(&key) || self.has_young_runs(key, now))
             };
             let best = candidates.iter().enumerate().filter(|(_, (key, slots))| {
                 *slots > 0 && !(awaits_isolation && beside_young(*key))
@@ -260,11 +262,16 @@
             let best = best.min_by_key(|(_, (key, _))| {
                 let extra = charge.checked_mul(taken.get(key).copied().unwrap_or(0) + 1);
                 let left = headroom.free(*key).saturating_sub(extra.unwrap_or(charge));
-                let spread = spec.lasting || task.is_suspect();
+                let spread = spec.lasting || probation;
                 (beside_young(*key), self.preference(*key, spec, urgent, spread, left))
             });
             let Some((position, &(key, slots))) = best else { continue };
-            candidates[position].1 = if task.is_suspect() { 0 } else { slots - 1 };
+            if probation {
+                candidates[position].1 = 0;
+                probations_left -= 1;
+            } else {
+                candidates[position].1 = slots - 1;
+            }
             *taken.entry(key).or_default() += 1;
             chosen.push((index as u32, key));
         }
@@ -302,7 +309,7 @@
         now: BootTime,
     ) -> Vec<(u32, WorkerKey)> {
         let Some((_, spec, step)) = self.step(id) else { return Vec::new() };
-        let suspect = self.has_suspects(id);
+        let unproven = self.is_unproven(id, now);
         if candidates.iter().map(|(_, slots)| slots).sum::<u32>() < step.waiting {
             return Vec::new();
         }
@@ -312,7 +319,7 @@
             candidates.retain(|(key, _)| self.rack(*key).as_deref() == Some(&*rack));
         }
         candidates.sort_by_key(|&(key, slots)| {
-            let beside_young = suspect && self.has_young_runs(key, now);
+            let beside_young = unproven && self.has_young_runs(key, now);
             let remote = self.preference(key, spec, false, false, Resources::ZERO).0;
             (beside_young, remote, self.is_speed_mismatch(key, spec, false), Reverse(slots))
         });
--- a/crates/coriandertack-jobs/tests/sched/crashes.rs
+++ b/crates/coriandertack-jobs/tests/sched/crashes.rs
@@ -171,6 +171,17 @@
     }
 }
 
+/// Guards against a step of many tasks that takes down a worker with each of them a second time.
+#[test]
+fn tasks_of_a_suspected_step_start_one_at_a_time() {
+    let mut play = Play::new(12);
+    play.admit(1, 6, Some(10));
+    play.run_ms(6_000);
+    assert_eq!(play.cluster.phase(1), Some(JobPhase::Failed));
+    let lost: u32 = play.crashes.values().sum();
+    assert_eq!(lost, 6 + 1, "each task once, and one of them again");
+}
+
 /// Guards against a gang or a long-running task that is exempt from being given up.
 #[test]
 fn gangs_and_long_running_tasks_are_given_up_too() {
