Count a crashed worker as down until a worker joins

In a service of one worker, the reborn worker's crash counted as a worker that is down for 4 s, so the suspect waited although the worker was back. Change: a worker that joins a service ends the time of the oldest crash there.

--- a/crates/coriandertack-jobs/src/sched/containment.rs
+++ b/crates/coriandertack-jobs/src/sched/containment.rs
@@ -14,7 +14,7 @@
 
 use crate::{boot_time::BootTime, config::Route};
 
-/// Time for which a crashed worker is assumed to be down, in milliseconds.
+/// Time after which a crashed worker that was not replaced no longer counts as down, in milliseconds.
 const DOWN_MS: u64 = 4_000;
 
 /// Time for which crashes and tasks that were given up count against their route, in milliseconds.
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Records that a worker has joined a service, in place of one that crashed if there is one.
+    pub(super) fn record_join(&mut self, service: &str) {
+        if let Some(times) = self.services.0.get_mut(service) {
+            times.pop_front();
+        }
+    }
+
     /// Records that a task of a route was given up.
     pub(super) fn record_given_up(&mut self, route: &Arc<str>, now: BootTime) {
         self.given_up.record(route, now);
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -431,6 +431,7 @@
         let mut worker = Worker::new(Arc::clone(name), now);
         worker.absent = false;
         log_joined(name, &entry);
+        self.crash_history.record_join(&entry.service);
         worker.entry = Some(entry);
         let key = self.workers.insert(worker);
         self.worker_index.insert(Arc::clone(name), key);
