Say what the fields of the worker's stand-in hold

Cause: two fields shared one comment, and two had none. Change: comments of the stand-in and of the scheduler's play of crashes.

--- a/crates/coriandertack-jobs/tests/sched/crashes.rs
+++ b/crates/coriandertack-jobs/tests/sched/crashes.rs
@@ -40,6 +40,7 @@
     active: HashMap<(TaskId, u32), (WorkerKey, BootTime)>,
     /// When each crashed worker is replaced.
     restarts: Vec<BootTime>,
+    /// Number of starts that were processed.
     seen: usize,
     /// Number of crashes under each task.
     crashes: HashMap<TaskId, u32>,
--- a/crates/coriandertack-standins/src/platform/worker.rs
+++ b/crates/coriandertack-standins/src/platform/worker.rs
@@ -83,9 +83,10 @@
     /// Tasks and attempts that were started.
     started: HashSet<(String, u64)>,
     faults: Faults,
-    /// Capacity in millicores that starts are checked against, and when it last shrank to it.
-    /// Starts are checked against the former, larger capacity for a while.
+    /// Capacity in millicores; `None` if starts are not checked against it.
     capacity: Option<u64>,
+    /// Larger capacity before the last time that it shrank, and when that was. It counts for
+    /// [`SHRINK_GRACE`] longer.
     former_capacity: Option<(u64, Instant)>,
     /// Need in millicores of a task, by the number of its step.
     step_needs: Vec<u64>,
@@ -93,6 +94,7 @@
     excess_starts: Vec<String>,
     /// When the worker crashed.
     crashed_at: Option<Instant>,
+    /// Task that serves the worker's interface.
     server: Option<AbortHandle>,
 }
 
