--- a/crates/coriandertack-jobs/src/sched/lost.rs
+++ b/crates/coriandertack-jobs/src/sched/lost.rs
@@ -45,6 +45,15 @@
         [Self::Reborn, Self::Replaced, Self::Refused, Self::Unhosted, Self::LeaseExpired];
 }
 
+/// What a conclusion that runs have ended rests on.
+#[derive(Clone, Copy, Debug)]
+struct Evidence {
+    cause: LossCause,
+    /// The time that the evidence speaks of: when the listing was requested, when the leases expired,
+    /// or when the answer arrived.
+    as_of: BootTime,
+}
+
 impl Worker {
     /// Records that the worker answered a request.
     pub(super) fn record_answer(&mut self, now: BootTime) {
@@ -97,7 +106,11 @@
             _ if worker.lease_end() < now => LossCause::LeaseExpired,
             _ => return true,
         };
-        self.remove_lost_worker(key, cause, now);
+        let as_of = match cause {
+            LossCause::LeaseExpired => worker.lease_end(),
+            _ => now,
+        };
+        self.remove_on_evidence(key, Evidence { cause, as_of }, now);
         false
     }
 
@@ -146,7 +159,8 @@
             .map(|(key, _)| key)
             .collect();
         for key in &unhosted {
-            self.remove_lost_worker(*key, LossCause::Unhosted, now);
+            let evidence = Evidence { cause: LossCause::Unhosted, as_of: requested_at };
+            self.remove_on_evidence(*key, evidence, now);
         }
         !unhosted.is_empty()
     }
@@ -157,14 +171,18 @@
         self.workers.values().any(Worker::is_silent)
     }
 
-    /// Removes a worker whose runs can no longer exist. Its tasks wait again.
+    /// Removes a worker whose runs can no longer exist, as known from now on. Its tasks wait again.
     pub fn remove_lost_worker(&mut self, key: WorkerKey, cause: LossCause, now: BootTime) {
+        self.remove_on_evidence(key, Evidence { cause, as_of: now }, now);
+    }
+
+    fn remove_on_evidence(&mut self, key: WorkerKey, evidence: Evidence, now: BootTime) {
         let Some(worker) = self.workers.remove(key) else { return };
         self.worker_index.remove(&worker.name);
         self.acks.remove(&key);
         let successor = worker.entry.clone().filter(|_| worker.has_new_entry() && !worker.absent);
         let name = Arc::clone(&worker.name);
-        self.lose_runs(key, worker, cause, now);
+        self.lose_runs(key, worker, evidence, now);
         if let Some(entry) = successor {
             self.upsert_worker(&name, entry, now);
         }
@@ -189,26 +207,39 @@
                 lost.add_run(task, attempt, run);
             }
         }
-        self.lose_runs(key, lost, LossCause::Reborn, now);
+        lost.born = Some(born);
+        let evidence = Evidence { cause: LossCause::Reborn, as_of: now };
+        self.lose_runs(key, lost, evidence, now);
     }
 
     /// Returns the tasks of a lost worker to the waiting state, and counts the loss against them.
-    fn lose_runs(&mut self, key: WorkerKey, worker: Worker, cause: LossCause, now: BootTime) {
+    fn lose_runs(&mut self, key: WorkerKey, worker: Worker, evidence: Evidence, now: BootTime) {
+        let Evidence { cause, as_of } = evidence;
         let failed_at = worker.silent_since.unwrap_or(now);
         log::info!(
-            "event=worker_lost worker={} cause={cause} runs={} silent_ms={} answered_ms={}",
+            "event=worker_lost worker={} cause={cause} evidence_ms={} born={} entry_born={} runs={} \
+             silent_ms={} answered_ms={}",
             worker.name,
+            now.ms_since(as_of),
+            worker.born.unwrap_or_default(),
+            worker.entry.as_ref().and_then(|entry| entry.born).unwrap_or_default(),
             worker.runs.len(),
             now.ms_since(failed_at),
             now.ms_since(worker.answered_at)
         );
         self.stats.lost[cause as usize] += worker.runs.len() as u64;
         let given_up = self.record_crash(&worker, cause, failed_at);
+        let lease_ms = worker.lease_end().ms_since(now);
         for ((task, attempt), run) in worker.runs {
             log::info!(
-                "event=run_lost task={task} attempt={attempt} worker={} cause={cause} age_ms={} \
-                 confirmed={} percent={}",
+                "event=run_lost task={task} attempt={attempt} worker={} cause={cause} evidence_ms={} \
+                 born={} answered_by={} lease_ms={} read_offset={} age_ms={} confirmed={} percent={}",
                 worker.name,
+                now.ms_since(as_of),
+                run.born.unwrap_or_default(),
+                worker.born.unwrap_or_default(),
+                lease_ms,
+                self.read_offset,
                 failed_at.ms_since(run.bound_at),
                 run.confirmed_at.is_some(),
                 run.percent
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -188,6 +188,8 @@
 #[derive(Debug, Default)]
 pub struct Scheduler {
     config: Arc<Config>,
+    /// Offset up to which the records of former leaders had been read before the first decision.
+    read_offset: u64,
     jobs: SlotMap<JobKey, Job>,
     job_index: HashMap<JobId, JobKey>,
     workers: SlotMap<WorkerKey, Worker>,
@@ -222,6 +224,12 @@
         Self { config, ..Self::default() }
     }
 
+    /// Sets the offset up to which the records of former leaders have been read. The log names it
+    /// where a run is given up, so that a decision on an incomplete replica can be recognised.
+    pub const fn set_read_offset(&mut self, offset: u64) {
+        self.read_offset = offset;
+    }
+
     /// Applies a configuration, unless its revision is older than that of the current one.
     pub fn set_config(&mut self, config: Arc<Config>) {
         if config.revision >= self.config.revision {
--- a/crates/coriandertack-jobs/src/sched/run_ends.rs
+++ b/crates/coriandertack-jobs/src/sched/run_ends.rs
@@ -25,10 +25,12 @@
         let run_ms = run.map_or(0, |run| now.ms_since(run.bound_at));
         self.stats.ends[end.cause as usize] += 1;
         log::info!(
-            "event=run_ended task={task} attempt={attempt} worker={} cause={} run_ms={run_ms} end={}",
+            "event=run_ended task={task} attempt={attempt} worker={} cause={} run_ms={run_ms} end={} \
+             born={}",
             worker.name,
             end.cause,
-            end.number
+            end.number,
+            worker.born.unwrap_or_default()
         );
         match end.cause {
             EndCause::Done => self.record_success(key),
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -148,6 +148,17 @@
             .filter(|id| !listed(id))
             .collect();
         for (task, attempt) in missing {
+            let Some(worker) = self.workers.get(key) else { return };
+            let confirmed_at = worker.runs.get(&(task, attempt)).and_then(|run| run.confirmed_at);
+            log::info!(
+                "event=run_unlisted task={task} attempt={attempt} worker={} evidence_ms={} born={} \
+                 confirmed_ms={} read_offset={}",
+                worker.name,
+                now.ms_since(sent),
+                run_list.born.unwrap_or_default(),
+                now.ms_since(confirmed_at.unwrap_or(now)),
+                self.read_offset
+            );
             self.remove_run(key, task, attempt, "unlisted", now);
         }
     }
--- a/crates/coriandertackd/src/fleet/leadership.rs
+++ b/crates/coriandertackd/src/fleet/leadership.rs
@@ -287,6 +287,7 @@
     let replica = shared.replica();
     *shared.arrivals.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender);
     let mut scheduler = leadership.scheduler();
+    scheduler.set_read_offset(shared.progress.borrow().next);
     for (&id, view) in &replica.jobs {
         scheduler.admit_from_replica(id, view, now, wall);
     }
