Take a worker's end only from the row of its machine, not from its absence

Cause: the adapter dropped a row with an unknown state, and remove_unhosted_workers took each worker that no row named for ended. The class is that of the refused connections: an absence is taken for evidence. An empty or partial listing, a listing from before the worker started, and a row that has no worker's name yet had the same effect.

Change: HostReader remembers on which machine a listing showed a worker, and a worker has ended only if a later complete listing shows that machine down, moving, in upkeep or with another worker. Rows that cannot be read make a listing incomplete; a machine or worker listed twice proves nothing; a listing that names a replaced worker is out of date. The worker must have lived for 10 s, so a listing that lags may not speak of the time before it, or of its former life under the same id. The leader lists machines when workers join. The test of several pages is replaced: a machine that is missing never counts now, whatever the pages; the tests of omissions in hosts.rs are stricter. The stand-in shows a crashed machine as down, as the bench does.

--- a/crates/coriandertack-jobs/src/maintenance.rs
+++ b/crates/coriandertack-jobs/src/maintenance.rs
@@ -46,15 +46,19 @@
 }
 
 /// State of a machine in the platform's listing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum MachineState {
     /// The machine runs a worker.
+    #[display("up")]
     Up,
     /// The machine is moving to another pool.
+    #[display("moving")]
     Moving,
     /// The machine is down for upkeep.
+    #[display("upkeep")]
     Upkeep,
     /// The machine is switched off.
+    #[display("down")]
     Down,
 }
 
--- a/crates/coriandertack-jobs/src/sched/lost.rs
+++ b/crates/coriandertack-jobs/src/sched/lost.rs
@@ -5,11 +5,14 @@
 //! connections while the worker runs on. Its runs therefore count as active until their lease has
 //! expired, or the worker is known to have ended. See docs/design.md, "When a run has ended".
 
-use std::{collections::HashSet, sync::Arc};
+use std::sync::Arc;
 
 use super::{Scheduler, Worker, WorkerKey, worker::Run};
 
-use crate::{boot_time::BootTime, hosts::Hosts};
+use crate::{
+    boot_time::{BootTime, WallTime},
+    hosts::{Departure, Hosts},
+};
 
 /// Consecutive refused connections after which a worker without runs is removed. A single one can
 /// come from a full accept queue.
@@ -19,6 +22,11 @@
 /// requested earlier.
 const SILENCE_PAUSE_MS: u64 = 1_500;
 
+/// How long an incarnation must have lived before a listing of machines can prove its end, in
+/// milliseconds. A listing that is seconds old may show the worker's machine as it was before the
+/// incarnation started, and the clocks that date its start may jump by seconds.
+const SETTLED_MS: u64 = 10_000;
+
 /// The reason why the runs of a worker can no longer exist.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
 pub enum LossCause {
@@ -31,7 +39,7 @@
     /// Its address refuses connections, and it had no runs.
     #[display("refused")]
     Refused,
-    /// No machine hosts it any more.
+    /// Its machine is down or hosts another worker.
     #[display("unhosted")]
     Unhosted,
     /// It did not answer until its leases had expired. It may still be alive.
@@ -76,6 +84,16 @@
         self.born.is_some_and(|born| listed.is_some_and(|listed| listed != born))
     }
 
+    /// Returns the start of the latest incarnation of which the leader knows, in milliseconds since
+    /// 1970; `None` if any of them is unknown.
+    fn latest_birth(&self) -> Option<u64> {
+        let entry = self.entry.as_ref().map_or(Some(0), |entry| entry.born)?;
+        let listed = if self.listed { self.born? } else { 0 };
+        let runs = self.runs.values().map(|run| run.born);
+        let latest = runs.chain([Some(entry), Some(listed)]).collect::<Option<Vec<u64>>>()?;
+        latest.into_iter().max()
+    }
+
     /// Returns true if the worker has runs and does not answer.
     fn is_silent(&self) -> bool {
         self.silent_since.is_some() && self.run_count() > 0
@@ -131,38 +149,51 @@
         false
     }
 
-    /// Removes the workers with runs that do not answer and that no machine hosted when a listing was
-    /// requested at `requested_at`. Returns true if there were any.
+    /// Removes the workers with runs that do not answer and that have ended according to a listing of
+    /// machines that was requested at `requested_at`. Returns true if there were any.
     ///
     /// A worker that has answered since may have started again under its name, and is left to the next
-    /// listing. The listing covers a service only if it has another of its workers.
+    /// listing. So is one that has not lived for [`SETTLED_MS`]: the listing may be from before it
+    /// started.
     pub fn remove_unhosted_workers(
         &mut self,
         hosts: &Hosts,
         requested_at: BootTime,
         now: BootTime,
+        wall: WallTime,
     ) -> bool {
-        let hosted = self.workers.values().filter(|worker| hosts.has(&worker.name));
-        let services: HashSet<Arc<str>> =
-            hosted.filter_map(|worker| Some(worker.entry.as_ref()?.service.clone())).collect();
-        let is_unhosted = |worker: &Worker| {
-            let covered = worker.entry.as_ref().is_some_and(|e| services.contains(&e.service));
-            covered
-                && worker.is_silent()
+        let has_ended = |worker: &Worker| {
+            let born = worker.latest_birth();
+            worker.is_silent()
                 && worker.answered_at < requested_at
-                && !hosts.has(&worker.name)
+                && born.is_some_and(|born| born + SETTLED_MS <= wall.0)
         };
-        let unhosted: Vec<WorkerKey> = self
+        let ended: Vec<(WorkerKey, Departure)> = self
             .workers
             .iter()
-            .filter(|(_, worker)| is_unhosted(worker))
-            .map(|(key, _)| key)
+            .filter(|(_, worker)| has_ended(worker))
+            .filter_map(|(key, worker)| Some((key, hosts.departure(&worker.name)?.clone())))
             .collect();
-        for key in &unhosted {
+        for (key, departure) in &ended {
+            let Some(worker) = self.workers.get(*key) else { continue };
+            log::info!(
+                "event=worker_unhosted worker={} {departure} shown_ms={} listed_ms={}",
+                worker.name,
+                now.ms_since(departure.shown_at),
+                now.ms_since(requested_at)
+            );
             let evidence = Evidence { cause: LossCause::Unhosted, as_of: requested_at };
             self.remove_on_evidence(*key, evidence, now);
         }
-        !unhosted.is_empty()
+        !ended.is_empty()
+    }
+
+    /// Returns the number of workers that no listing of machines has shown so far, without those that
+    /// are missing from the list of workers and have no runs.
+    #[must_use]
+    pub fn unplaced_workers(&self, has_shown: impl Fn(&str) -> bool) -> usize {
+        let is_relevant = |worker: &&Worker| !worker.absent || worker.run_count() > 0;
+        self.workers.values().filter(is_relevant).filter(|worker| !has_shown(&worker.name)).count()
     }
 
     /// Returns true if a worker with runs does not answer.
--- a/crates/coriandertack-jobs/tests/sched/main.rs
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod ends;
 mod gangs;
+mod hosts;
 mod liveness;
 mod load;
 mod lost;
--- a/crates/coriandertack-standins/src/platform/machines.rs
+++ b/crates/coriandertack-standins/src/platform/machines.rs
@@ -23,6 +23,8 @@
 struct Machine {
     worker: Option<String>,
     down: bool,
+    /// Whether the machine is switched off, as after a crash of its worker.
+    off: bool,
     /// Waves in which upkeep of the machine was started.
     waves: Vec<u64>,
     /// Highest fencing token accepted so far. Requests with a lower one are rejected.
@@ -86,13 +88,13 @@
         let mut state = lock(&self.state);
         let machine = state.machines.entry(machine.to_owned()).or_default();
         machine.worker = Some(worker.to_owned());
-        machine.down = false;
+        (machine.down, machine.off) = (false, false);
     }
 
-    /// Removes the worker of a machine, as after a crash.
+    /// Removes the worker of a machine and shows the machine as down, as after a crash.
     pub fn vacate(&self, machine: &str) {
         if let Some(machine) = lock(&self.state).machines.get_mut(machine) {
-            machine.worker = None;
+            (machine.worker, machine.off) = (None, true);
         }
     }
 
@@ -134,7 +136,11 @@
             json!({
                 "machine-id": id,
                 "pool": "vans",
-                "state": if machine.down { "upkeep" } else { "up" },
+                "state": match (machine.down, machine.off) {
+                    (true, _) => "upkeep",
+                    (false, true) => "down",
+                    (false, false) => "up",
+                },
                 "zone": "split",
                 "id": machine.worker.as_ref().filter(|_| !machine.down),
             })
