Order a machine that a listing omits, instead of counting its upkeep as done

What operators saw: a wave was reported as completed although a machine of it had not had its upkeep (MIXED), if one listing lacked the machine or had a row that could not be read.

Cause: update_machines counted each machine that a listing lacked as removed: an absence as evidence.

Change: such a machine stays in the wave and is ordered down, after its last known worker has been evacuated; the platform's answer that there is no such machine counts it as done. A machine whose row could not be read is not ordered. A machine that vanishes during its upkeep keeps its place in the limit for 10 s.

Measured: omitted_machine_does_not_count_as_done failed on (assertion on report.done.is_empty()) with the former signature; all 11 tests of maintenance pass. removed_machine_counts_as_done now asks for the platform's refusal, which is stricter.

--- a/crates/coriandertack-jobs/src/maintenance.rs
+++ b/crates/coriandertack-jobs/src/maintenance.rs
@@ -15,7 +15,7 @@
 //! let machines = vec!["m-1".into(), "m-2".into()];
 //! planner.add_wave(MaintenanceWave { number: 1, machines, deadline: BootTime(20_000), max_down: 1 });
 //! let up = |id: &str| Machine { id: id.into(), state: MachineState::Up, worker: None };
-//! planner.update_machines(&[up("m-1"), up("m-2")], BootTime(5));
+//! planner.update_machines(&[up("m-1"), up("m-2")], true, BootTime(5));
 //! assert_eq!(planner.due_machines(BootTime(10)).len(), 1);
 //! ```
 
@@ -32,6 +32,9 @@
 /// 2 s (`maintenance-s`), and a listing shows the end half a second later.
 const ASSUMED_UPKEEP_MS: u64 = 2_500;
 
+/// Time after which the upkeep of a machine that is no longer listed counts as over, in milliseconds.
+const MAX_UPKEEP_MS: u64 = 4 * ASSUMED_UPKEEP_MS;
+
 /// A wave of upkeep that operators requested.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MaintenanceWave {
@@ -112,7 +115,7 @@
     pub wave: u64,
     /// Whether every machine that still exists has had its upkeep.
     pub completed: bool,
-    /// Machines that have had their upkeep or no longer exist.
+    /// Machines that have had their upkeep or do not exist.
     pub done: Vec<Arc<str>>,
 }
 
@@ -159,8 +162,13 @@
     waves: BTreeMap<u64, WaveProgress>,
     /// Numbers of completed waves.
     completed: HashSet<u64>,
+    /// Last known row of each machine.
     machines: HashMap<Arc<str>, Machine>,
+    /// Machines of the last listing.
+    listed: HashSet<Arc<str>>,
     listed_at: Option<BootTime>,
+    /// Whether each row of the last listing could be read.
+    complete: bool,
 }
 
 impl MaintenancePlanner {
@@ -201,22 +209,33 @@
         self.waves.is_empty()
     }
 
-    /// Applies a listing of all machines that was requested at `requested_at`.
-    pub fn update_machines(&mut self, machines: &[Machine], requested_at: BootTime) {
-        self.machines =
-            machines.iter().map(|machine| (machine.id.clone(), machine.clone())).collect();
+    /// Applies a listing of machines that was requested at `requested_at`. With `complete`, each of
+    /// its rows could be read.
+    ///
+    /// A machine that the listing omits may still exist. It is ordered down like the others, and the
+    /// platform's refusal tells that it does not.
+    pub fn update_machines(
+        &mut self,
+        machines: &[Machine],
+        complete: bool,
+        requested_at: BootTime,
+    ) {
+        self.listed = machines.iter().map(|machine| machine.id.clone()).collect();
+        let rows = machines.iter().map(|machine| (machine.id.clone(), machine.clone()));
+        self.machines.extend(rows);
+        self.complete = complete;
         self.listed_at = Some(requested_at);
         for progress in self.waves.values_mut() {
             for (id, stage) in &mut progress.stages {
-                let Some(machine) = self.machines.get(id) else {
-                    // A machine that no longer exists needs no upkeep.
-                    *stage = MachineStage::Done;
-                    continue;
+                let MachineStage::Begun(at) = *stage else { continue };
+                let is_over = match self.listed.contains(id) {
+                    true => {
+                        let row = self.machines.get(id);
+                        requested_at > at && row.is_some_and(|row| row.state == MachineState::Up)
+                    }
+                    false => requested_at > at.plus_ms(MAX_UPKEEP_MS),
                 };
-                if let MachineStage::Begun(at) = *stage
-                    && requested_at > at
-                    && machine.state == MachineState::Up
-                {
+                if is_over {
                     *stage = MachineStage::Done;
                 }
             }
@@ -232,7 +251,13 @@
         if self.listed_at.is_none() {
             return due;
         }
-        for progress in self.waves.values_mut() {
+        let Self { waves, machines, listed, complete, .. } = self;
+        // The platform's answer to the order tells whether a machine that the listing omits exists.
+        let can_go_down = |id: &Arc<str>| match listed.contains(id) {
+            true => machines.get(id).is_some_and(|row| row.state == MachineState::Up),
+            false => *complete,
+        };
+        for progress in waves.values_mut() {
             let max_down = progress.wave.max_down.max(1) as usize;
             let in_progress = |stage: &&MachineStage| {
                 !matches!(stage, MachineStage::Pending | MachineStage::Done)
@@ -240,9 +265,7 @@
             let mut available =
                 max_down.saturating_sub(progress.stages.values().filter(in_progress).count());
             for (id, stage) in &mut progress.stages {
-                let is_up =
-                    self.machines.get(id).is_some_and(|machine| machine.state == MachineState::Up);
-                if available > 0 && is_up && *stage == MachineStage::Pending {
+                if available > 0 && *stage == MachineStage::Pending && can_go_down(id) {
                     *stage = MachineStage::Draining;
                     available -= 1;
                 }
@@ -258,7 +281,7 @@
                 due.push(DueMachine {
                     wave: progress.wave.number,
                     machine: id.clone(),
-                    worker: self.machines.get(id).and_then(|machine| machine.worker.clone()),
+                    worker: machines.get(id).and_then(|machine| machine.worker.clone()),
                     sent: *stage == MachineStage::Ordered,
                     forced,
                 });
--- a/crates/coriandertack-jobs/tests/sched/maintenance.rs
+++ b/crates/coriandertack-jobs/tests/sched/maintenance.rs
@@ -25,7 +25,7 @@
 
 fn list_all_up(planner: &mut MaintenancePlanner, ids: &[&str], at: u64) {
     let machines: Vec<Machine> = ids.iter().map(|id| machine(id, MachineState::Up)).collect();
-    planner.update_machines(&machines, BootTime(at));
+    planner.update_machines(&machines, true, BootTime(at));
 }
 
 /// Guards against new tasks on a worker whose machine is about to go down.
@@ -120,7 +120,7 @@
         .iter()
         .map(|id| machine(id, if *id == "a" { MachineState::Upkeep } else { MachineState::Up }))
         .collect();
-    planner.update_machines(&listing, BootTime(6));
+    planner.update_machines(&listing, true, BootTime(6));
     assert!(planner.due_machines(BootTime(7)).is_empty());
     list_all_up(&mut planner, &ids, 8);
     let second = planner.due_machines(BootTime(9));
@@ -152,13 +152,53 @@
     let mut planner = planner(&["a", "b"], 2, 60_000);
     list_all_up(&mut planner, &["a"], 1);
     let due = planner.due_machines(BootTime(2));
-    assert_eq!(due.len(), 1);
-    planner.record_order(&due[0]);
-    planner.record_outcome(&due[0], MaintenanceOutcome::Begun, BootTime(3));
+    assert_eq!(due.len(), 2);
+    for (due, outcome) in due.iter().zip([MaintenanceOutcome::Begun, MaintenanceOutcome::Refused]) {
+        planner.record_order(due);
+        planner.record_outcome(due, outcome, BootTime(3));
+    }
     list_all_up(&mut planner, &["a"], 4);
     assert!(planner.changed_reports()[0].completed);
 }
 
+/// Guards against a wave that is reported as completed although a machine that a listing omitted, or
+/// whose row could not be read, has not had its upkeep.
+#[test]
+fn omitted_machine_does_not_count_as_done() {
+    let mut planner = planner(&["a", "b"], 2, 60_000);
+    list_all_up(&mut planner, &["a", "b"], 1);
+    planner.update_machines(&[machine("a", MachineState::Up)], false, BootTime(2));
+    planner.update_machines(&[], true, BootTime(3));
+    assert!(planner.changed_reports().iter().all(|report| report.done.is_empty()));
+    let due = planner.due_machines(BootTime(4));
+    let workers: Vec<_> = due.iter().map(|due| due.worker.as_deref()).collect();
+    assert_eq!(workers, [Some("worker-a"), Some("worker-b")], "their last workers are evacuated");
+}
+
+/// Guards against an order for a machine whose row could not be read, and whose worker is unknown.
+#[test]
+fn machine_with_an_unreadable_row_is_not_ordered_down() {
+    let mut planner = planner(&["a", "b"], 2, 60_000);
+    planner.update_machines(&[machine("a", MachineState::Up)], false, BootTime(1));
+    let due = planner.due_machines(BootTime(2));
+    assert_eq!((due.len(), &*due[0].machine), (1, "a"));
+}
+
+/// Guards against a machine that is removed during its upkeep and keeps its wave open, and against
+/// one that counts as up again because a listing omits it.
+#[test]
+fn upkeep_of_an_omitted_machine_ends_later() {
+    let mut planner = planner(&["a", "b"], 1, 60_000);
+    list_all_up(&mut planner, &["a", "b"], 1);
+    let due = planner.due_machines(BootTime(2));
+    planner.record_order(&due[0]);
+    planner.record_outcome(&due[0], MaintenanceOutcome::Begun, BootTime(3));
+    list_all_up(&mut planner, &["b"], 4);
+    assert!(planner.due_machines(BootTime(5)).is_empty(), "one machine at a time");
+    list_all_up(&mut planner, &["b"], 20_000);
+    assert_eq!(&*planner.due_machines(BootTime(20_001))[0].machine, "b");
+}
+
 /// Guards against a successor that evacuates machines again which already had their upkeep.
 #[test]
 fn successor_resumes_from_the_last_report() {
--- a/crates/coriandertackd/src/fleet/maintenance.rs
+++ b/crates/coriandertackd/src/fleet/maintenance.rs
@@ -99,7 +99,7 @@
             if std::mem::replace(unavailable, false) {
                 log::info!("event=dependency_regained dependency=machines");
             }
-            planner.update_machines(&listing.machines, requested_at);
+            planner.update_machines(&listing.machines, listing.unreadable == 0, requested_at);
         }
         Err(error) => {
             if !std::mem::replace(unavailable, true) {
