--- a/crates/coriandertack-standins/src/platform/mod.rs
+++ b/crates/coriandertack-standins/src/platform/mod.rs
@@ -2,10 +2,12 @@
 //! and its machine API.
 //!
 //! Each stand-in speaks the platform's protocol on an address of its own, keeps its state in memory,
-//! and injects faults on demand ([`store::Faults`], [`worker::Faults`], [`machines::Faults`]). Each
-//! worker records every run, so that a test can detect a task that ran twice.
+//! and injects faults on demand ([`store::Faults`], [`worker::Faults`], [`machines::Faults`], and
+//! [`link::Link`] for the connections of a worker). Each worker records every run, so that a test can detect a task that ran twice.
 
 pub mod advice;
+mod lease;
+pub mod link;
 pub mod machines;
 pub mod store;
 pub mod worker;
@@ -69,18 +71,7 @@
 where
     F: Future<Output = Reply> + Send + 'static,
 {
-    serve_at((Ipv4Addr::LOCALHOST, 0).into(), handler).await
-}
-
-/// Serves calls like [`serve`] at a given address.
-pub(crate) async fn serve_at<F>(
-    address: SocketAddr,
-    handler: impl Fn(ApiCall) -> F + Clone + Send + Sync + 'static,
-) -> Result<(SocketAddr, JoinHandle<()>)>
-where
-    F: Future<Output = Reply> + Send + 'static,
-{
-    let listener = TcpListener::bind(address).await?;
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let address = listener.local_addr()?;
     let accept = async move {
         let mut connections = JoinSet::new();
--- a/crates/coriandertack-standins/src/platform/worker.rs
+++ b/crates/coriandertack-standins/src/platform/worker.rs
@@ -12,18 +12,29 @@
     anyhow::Result,
     serde_json::{Value, json},
     tokio::{
-        sync::Notify,
+        sync::{Notify, watch},
         task::{AbortHandle, JoinHandle},
         time::{Instant, sleep, sleep_until},
     },
 };
 
-use super::{ApiCall, Reply, Shared, json_reply, lock, serve, serve_at};
+use super::{
+    ApiCall, Reply, Shared, json_reply,
+    lease::Lease,
+    link::{self, Link},
+    lock,
+};
 
 /// Prefix of a payload that makes a task crash its worker; the rest is the delay after its start, in
 /// milliseconds.
 pub const CRASH_PREFIX: &str = "crash-after-ms=";
 
+/// Prefix of a payload that sets how long its tasks run; the rest is the time in milliseconds.
+pub const RUN_PREFIX: &str = "run-ms=";
+
+/// Reading of a worker's clock when the worker starts. It starts at 0 again with a later incarnation.
+const CLOCK_START_MS: u64 = 60_000;
+
 /// Time after which a smaller capacity counts against the starts on the worker: the contact time of
 /// the scheduler and one heartbeat.
 const SHRINK_GRACE: Duration = Duration::from_millis(4_500);
@@ -42,6 +53,8 @@
 /// A run in the worker's history.
 #[derive(Clone, Debug)]
 pub struct RecordedRun {
+    /// Id of the worker.
+    pub worker: String,
     /// Id of the task.
     pub task: String,
     /// Number of the attempt to run the task.
@@ -52,6 +65,8 @@
     pub ended: Option<Instant>,
     /// Why the run ended, or `running` while it is active.
     pub cause: &'static str,
+    /// How long the run takes, in milliseconds.
+    pub run_ms: u64,
     /// Whether the end was acknowledged before the worker's lease expired. Only then is the end final:
     /// what a silent worker finished may run again once its lease has expired.
     pub acknowledged: bool,
@@ -65,9 +80,7 @@
     token: u64,
     /// Start of this incarnation, in milliseconds since the Unix epoch.
     born: u64,
-    lease_end: Instant,
-    /// Origin of the worker's clock.
-    clock_origin: Instant,
+    lease: Lease,
     /// Index in `history` of each active run, by task and attempt.
     running: BTreeMap<(String, u64), usize>,
     /// Highest attempt of each task that has ended or was stopped. It and lower ones cannot start.
@@ -100,7 +113,7 @@
 
 impl State {
     fn clock_ms(&self) -> u64 {
-        self.clock_origin.elapsed().as_millis() as u64
+        self.lease.clock_ms()
     }
 
     fn end_run(&mut self, task: &str, attempt: u64, cause: &'static str) {
@@ -115,8 +128,7 @@
 
     fn extend_lease(&mut self, until_ms: Option<u64>) {
         if let Some(until_ms) = until_ms {
-            self.lease_end =
-                self.lease_end.max(self.clock_origin + Duration::from_millis(until_ms));
+            self.lease.extend(until_ms);
         }
     }
 
@@ -125,16 +137,21 @@
         if self.crashed_at.is_some() {
             return;
         }
+        self.crashed_at = Some(Instant::now());
+        self.forget_runs();
+        if let Some(server) = self.server.take() {
+            server.abort();
+        }
+    }
+
+    /// Ends all runs without a trace.
+    fn forget_runs(&mut self) {
         let now = Instant::now();
-        self.crashed_at = Some(now);
         for index in std::mem::take(&mut self.running).into_values() {
             let run = &mut self.history[index];
             (run.ended, run.cause) = (Some(now), "crashed");
         }
         self.unacked.clear();
-        if let Some(server) = self.server.take() {
-            server.abort();
-        }
     }
 
     /// Returns the need of a task in millicores, by the step in its name.
@@ -155,7 +172,7 @@
     }
 
     fn expire_lease(&mut self) {
-        if Instant::now() < self.lease_end {
+        if Instant::now() < self.lease.end() {
             return;
         }
         self.expired_ends.extend(self.unacked.iter().map(|(_, index)| *index));
@@ -170,6 +187,7 @@
 pub struct Worker {
     address: SocketAddr,
     state: Shared<State>,
+    link: watch::Sender<Link>,
     /// Notified when a run ends.
     changed: Arc<Notify>,
     tasks: Vec<JoinHandle<()>>,
@@ -182,21 +200,19 @@
 }
 
 impl Worker {
-    /// Starts a worker on a free port of 127.0.0.1. Its runs take `run_ms` milliseconds each, and it
-    /// reports `born` as the start of its incarnation.
+    /// Starts a worker on a free port of 127.0.0.1. Its runs take `run_ms` milliseconds each, unless
+    /// their payload says otherwise, and it reports `born` as the start of its incarnation.
     ///
     /// # Errors
     ///
     /// Returns an error if no port can be bound.
     pub async fn start(id: &str, run_ms: u64, born: u64) -> Result<Self> {
-        let now = Instant::now();
         let state = Arc::new(std::sync::Mutex::new(State {
             id: id.to_owned(),
             run_ms,
             token: 0,
             born,
-            lease_end: now,
-            clock_origin: now,
+            lease: Lease::new(CLOCK_START_MS),
             running: BTreeMap::new(),
             closed_attempts: BTreeMap::new(),
             unacked: Vec::new(),
@@ -214,18 +230,30 @@
         }));
         let changed = Arc::new(Notify::new());
         let (handler_state, notify) = (state.clone(), changed.clone());
-        let (address, task) =
-            serve(move |call| handle(handler_state.clone(), notify.clone(), call)).await?;
+        let handler = move |call| handle(handler_state.clone(), notify.clone(), call);
+        let (link, link_changes) = watch::channel(Link::Open);
+        let (address, task) = link::serve(link_changes, handler).await?;
         lock(&state).server = Some(task.abort_handle());
         let expiry = tokio::spawn(expire_lease(state.clone(), changed.clone()));
-        Ok(Self { address, state, changed, tasks: vec![task, expiry] })
+        Ok(Self { address, state, link, changed, tasks: vec![task, expiry] })
     }
 
-    /// Cuts the worker off: its connections break and new ones are refused, while its runs go on.
-    pub fn cut_off(&self) {
-        if let Some(server) = lock(&self.state).server.take() {
-            server.abort();
-        }
+    /// Changes what callers of the worker meet, while its runs go on.
+    pub fn set_link(&self, link: Link) {
+        self.link.send_replace(link);
+    }
+
+    /// Ends all runs and starts the worker again under its id. It then holds and knows nothing of
+    /// before, and its clock and counts start anew.
+    pub fn restart(&self, born: u64) {
+        let mut state = lock(&self.state);
+        state.forget_runs();
+        state.closed_attempts.clear();
+        state.expired_ends.clear();
+        (state.token, state.last_seq, state.born) = (0, 0, born);
+        state.lease = Lease::new(0);
+        drop(state);
+        self.changed.notify_waiters();
     }
 
     /// Ends the worker and its runs.
@@ -233,20 +261,6 @@
         lock(&self.state).crash();
     }
 
-    /// Makes a worker that was cut off reachable again, at the same address.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the port cannot be bound again.
-    pub async fn reconnect(&mut self) -> Result<()> {
-        let (state, changed) = (self.state.clone(), self.changed.clone());
-        let handler = move |call| handle(state.clone(), changed.clone(), call);
-        let (_, task) = serve_at(self.address, handler).await?;
-        lock(&self.state).server = Some(task.abort_handle());
-        self.tasks.push(task);
-        Ok(())
-    }
-
     /// Returns the worker's id.
     #[must_use]
     pub fn id(&self) -> String {
@@ -315,7 +329,7 @@
 /// Ends all runs when the lease expires.
 async fn expire_lease(state: Shared<State>, changed: Arc<Notify>) {
     loop {
-        let lease_end = lock(&state).lease_end;
+        let lease_end = lock(&state).lease.end();
         sleep_until(lease_end.max(Instant::now() + Duration::from_millis(20))).await;
         lock(&state).expire_lease();
         changed.notify_waiters();
@@ -368,23 +382,29 @@
         return reject("fence");
     }
     state.token = token;
+    let until_ms = body.get("until-ms").and_then(Value::as_u64);
+    // A start that is refused as superseded extends the lease as well.
+    state.extend_lease(until_ms);
     if state.running.contains_key(&(task.clone(), attempt)) {
         return json_reply(200, &json!({ "clock-ms": clock_ms }));
     }
     if state.closed_attempts.get(&task).is_some_and(|closed| attempt <= *closed) {
         return reject("old");
     }
-    let until_ms = body.get("until-ms").and_then(Value::as_u64);
     if until_ms.is_none_or(|until_ms| until_ms <= clock_ms) {
         return reject("late");
     }
-    state.extend_lease(until_ms);
+    let payload = body.get("task-spec").and_then(Value::as_str).unwrap_or_default();
+    let run_ms = payload.strip_prefix(RUN_PREFIX).and_then(|ms| ms.parse().ok());
+    let run_ms = run_ms.unwrap_or(state.run_ms);
     let run = RecordedRun {
+        worker: state.id.clone(),
         task: task.clone(),
         attempt,
         began: Instant::now(),
         ended: None,
         cause: "running",
+        run_ms,
         acknowledged: false,
     };
     state.history.push(run);
@@ -392,7 +412,6 @@
     state.started.insert((task.clone(), attempt));
     state.running.insert((task.clone(), attempt), index);
     state.check_capacity(&task);
-    let payload = body.get("task-spec").and_then(Value::as_str).unwrap_or_default();
     if let Some(delay_ms) = payload.strip_prefix(CRASH_PREFIX).and_then(|ms| ms.parse().ok()) {
         let shared = shared.clone();
         tokio::spawn(async move {
@@ -400,11 +419,16 @@
             lock(&shared).crash();
         });
     }
-    let (run_ms, cause) = (state.run_ms, if state.faults.failing { "failed" } else { "done" });
+    let cause = if state.faults.failing { "failed" } else { "done" };
     let (shared, changed) = (shared.clone(), changed.clone());
     tokio::spawn(async move {
         sleep(Duration::from_millis(run_ms)).await;
-        lock(&shared).end_run(&task, attempt, cause);
+        let mut state = lock(&shared);
+        // A later incarnation may have a run of the same attempt.
+        if state.running.get(&(task.clone(), attempt)) == Some(&index) {
+            state.end_run(&task, attempt, cause);
+        }
+        drop(state);
         changed.notify_waiters();
     });
     json_reply(200, &json!({ "clock-ms": clock_ms }))
@@ -445,8 +469,9 @@
                     .running
                     .iter()
                     .map(|((task, attempt), index)| {
-                        let ran_ms = state.history[*index].began.elapsed().as_millis() as u64;
-                        json!([task, attempt, "", (ran_ms * 100 / state.run_ms.max(1)).min(99), 0])
+                        let run = &state.history[*index];
+                        let ran_ms = run.began.elapsed().as_millis() as u64;
+                        json!([task, attempt, "", (ran_ms * 100 / run.run_ms.max(1)).min(99), 0])
                     })
                     .collect();
                 let ended: Vec<&Value> = state.unacked.iter().map(|(end, _)| end).collect();
