Play workers that are cut off while they run tasks

No test asked whether the tasks of a worker that is cut off start elsewhere while it still runs them, with other connections than refused ones, or beside a listing of machines that is late or cannot be read. VM_PROGRAM plays another version of the program.

--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -1,14 +1,19 @@
 //! A cluster of entry VMs as child processes, with stand-ins for the platform's services in the test process.
+//!
+//! `VM_PROGRAM` names the program that the VMs run in place of the one that was built with the tests, for example that
+//! of an earlier version: `VM_PROGRAM=old/coriandertackd CUTS=all cargo test -p coriandertackd --test platform cuts`.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
+    env,
+    ffi::OsString,
     fs::{self, File},
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
         Arc,
-        atomic::{AtomicU8, AtomicU32, Ordering},
+        atomic::{AtomicU16, AtomicU32, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -21,7 +26,7 @@
         advice::Advice,
         machines::Machines,
         store::Store,
-        worker::{CRASH_PREFIX, RecordedRun, Worker},
+        worker::{CRASH_PREFIX, RUN_PREFIX, RecordedRun, Worker},
     },
     nix::{
         sys::signal::{Signal, kill},
@@ -99,7 +104,7 @@
 
 /// Number of the next VM among all tests of this process. Each VM has a loopback address of its own, since other tests
 /// could take a port between choosing and binding it.
-static NEXT_VM: AtomicU8 = AtomicU8::new(1);
+static NEXT_VM: AtomicU16 = AtomicU16::new(0);
 
 /// Number of the next cluster among all tests of this process.
 static NEXT_CLUSTER: AtomicU32 = AtomicU32::new(1);
@@ -115,7 +120,13 @@
 
 fn unique_address() -> Ipv4Addr {
     let process = (std::process::id() % 250) as u8 + 1;
-    Ipv4Addr::new(127, 77, process, NEXT_VM.fetch_add(1, Ordering::Relaxed))
+    let vm = NEXT_VM.fetch_add(1, Ordering::Relaxed);
+    let subnet = u8::try_from(77 + vm / 250).expect("the tests have too many VMs");
+    Ipv4Addr::new(127, subnet, process, (vm % 250) as u8 + 1)
+}
+
+fn vm_program() -> OsString {
+    env::var_os("VM_PROGRAM").unwrap_or_else(|| env!("CARGO_BIN_EXE_coriandertackd").into())
 }
 
 impl Cluster {
@@ -191,25 +202,51 @@
         index
     }
 
-    /// Deletes the entries of all workers, as the store does when they lapse.
+    /// Deletes the entry of a worker, as the store does when it lapses.
+    pub fn withdraw_entry(&self, index: usize) {
+        self.store.put("keyed.servers", &self.workers[index].id(), b"");
+    }
+
+    /// Writes the entry of a worker again.
+    pub fn publish_entry(&self, index: usize) {
+        let worker = &self.workers[index];
+        self.store.put("keyed.servers", &worker.id(), worker.entry("vans", 4).as_bytes());
+    }
+
+    /// Deletes the entries of all workers.
     pub fn withdraw_entries(&self) {
-        for worker in &self.workers {
-            self.store.put("keyed.servers", &worker.id(), b"");
-        }
+        (0..self.workers.len()).for_each(|index| self.withdraw_entry(index));
     }
 
     /// Writes the entries of all workers again.
     pub fn publish_entries(&self) {
-        for worker in &self.workers {
-            let entry = worker.entry("vans", 4);
-            self.store.put("keyed.servers", &worker.id(), entry.as_bytes());
-        }
+        (0..self.workers.len()).for_each(|index| self.publish_entry(index));
     }
 
     /// Returns whether the log of any VM contains a text.
     pub fn log_contains(&self, text: &str) -> bool {
-        let logs = self.vms.iter().map(|vm| fs::read_to_string(&vm.log).unwrap_or_default());
-        logs.into_iter().any(|log| log.contains(text))
+        !self.log_lines(|line| line.contains(text)).is_empty()
+    }
+
+    /// Returns the lines that match in the logs of all VMs, each with the number of its VM.
+    pub fn log_lines(&self, matches: impl Fn(&str) -> bool) -> Vec<(usize, String)> {
+        let logs = self.vms.iter().map(|vm| fs::read(&vm.log).unwrap_or_default()).enumerate();
+        logs.flat_map(|(vm, log)| {
+            let log = String::from_utf8_lossy(&log);
+            let lines = log.lines().filter(|line| matches(line));
+            lines.map(|line| (vm, line.to_owned())).collect::<Vec<_>>()
+        })
+        .collect()
+    }
+
+    /// Returns how many workers the VMs gave up, by the cause that they logged.
+    pub fn lost_workers(&self) -> BTreeMap<String, usize> {
+        let mut causes = BTreeMap::new();
+        for (_, line) in self.log_lines(|line| line.contains("event=worker_lost")) {
+            let cause = line.split(" cause=").nth(1).and_then(|rest| rest.split(' ').next());
+            *causes.entry(cause.unwrap_or("unknown").to_owned()).or_default() += 1;
+        }
+        causes
     }
 
     /// Carries out the maintenance of machines that are down: replaces the worker of each by a new one.
@@ -235,9 +272,8 @@
 
     /// Changes the capacity of a worker, as its next entry shows.
     pub fn resize_worker(&self, index: usize, millicores: u64) {
-        let worker = &self.workers[index];
-        worker.set_capacity(millicores, &STEP_NEEDS);
-        self.store.put("keyed.servers", &worker.id(), worker.entry("vans", 4).as_bytes());
+        self.workers[index].set_capacity(millicores, &STEP_NEEDS);
+        self.publish_entry(index);
     }
 
     /// Replaces workers that crashed some time ago by new ones.
@@ -286,7 +322,7 @@
                 continue;
             }
             let log = File::options().create(true).append(true).open(&vm.log).unwrap();
-            let child = Command::new(env!("CARGO_BIN_EXE_coriandertackd"))
+            let child = Command::new(vm_program())
                 .args(["--platform", "--settings"])
                 .arg(&vm.settings)
                 .stdin(Stdio::null())
@@ -414,6 +450,24 @@
         .to_string()
     }
 
+    /// Submits a job of tasks that run for `run_ms` each, with the time for which the caller waits. Returns its name
+    /// once it is accepted, or `None` if it may not have been.
+    pub async fn submit_running(&mut self, vm: usize, run_ms: u64, wait_ms: u64) -> Option<String> {
+        let (job, id) = self.new_job();
+        let header = format!("request-deadline: {wait_ms}\r\n");
+        let body = json!({
+            "task-spec": format!("{RUN_PREFIX}{run_ms}"),
+            "steps": [{
+                "count": 2, "cpu": 500, "mem-mb": 64, "est-runtime-ms": run_ms,
+                "gang": id.is_multiple_of(3),
+            }],
+        });
+        let path = format!("/plans/{job}");
+        let answer =
+            call_with(self.vms[vm].callers, "POST", &path, &header, &body.to_string()).await;
+        answer.is_some_and(|(status, _)| status == 200).then_some(job)
+    }
+
     /// Submits a job of two tasks that crash their workers `delay_ms` after they start. Returns its
     /// name once it is accepted, or `None` if it may not have been.
     pub async fn submit_crashing(&mut self, vm: usize, delay_ms: u64) -> Option<String> {
@@ -591,35 +645,49 @@
         runs
     }
 
+    /// Returns each two runs of a task that overlapped, or of which the second began although the end of the first was
+    /// acknowledged (RULES, TWICE).
+    pub fn double_runs(&self) -> Vec<[RecordedRun; 2]> {
+        let mut double = Vec::new();
+        for mut runs in self.recorded_runs().into_values() {
+            runs.sort_by_key(|run| run.began);
+            for pair in runs.array_windows::<2>() {
+                let has_ended = pair[0].ended.is_some_and(|ended| ended <= pair[1].began);
+                let acknowledged = pair[0].cause == "done" && pair[0].acknowledged;
+                if !has_ended || acknowledged {
+                    double.push(pair.clone());
+                }
+            }
+        }
+        double
+    }
+
     /// Checks that no two runs of a task overlapped, that no task ran again after its end was acknowledged (RULES,
-    /// TWICE), that no task was started too often after three workers had crashed under it (BUDGET), and that no start
-    /// exceeded the capacity of its worker (LIMIT).
+    /// TWICE), and what [`Self::check_starts`] checks.
     pub fn check_runs(&self) {
+        let double = self.double_runs();
+        assert!(double.is_empty(), "tasks ran twice: {double:?}");
+        self.check_starts();
+    }
+
+    /// Checks that no task was started too often after three workers had crashed under it (BUDGET), that no start
+    /// exceeded the capacity of its worker (LIMIT), and that the attempts of each task increase.
+    pub fn check_starts(&self) {
         for worker in &self.workers {
             assert_eq!(worker.excess_starts(), Vec::<String>::new());
         }
-        for (task, mut runs) in self.recorded_runs() {
-            runs.sort_by_key(|run| run.began);
-            let third = runs.iter().filter(|run| run.cause == "crashed").nth(2);
-            let Some(crashed_at) = third.and_then(|run| run.ended) else { continue };
-            let later = runs.iter().filter(|run| run.began > crashed_at).count();
-            assert!(later < EXCESS_STARTS, "{task} was started {later} times after three crashes");
-        }
         for (task, mut runs) in self.recorded_runs() {
             runs.sort_by_key(|run| run.began);
             for pair in runs.windows(2) {
-                let ended = pair[0].ended;
-                assert!(
-                    ended.is_some_and(|ended| ended <= pair[1].began),
-                    "runs of {task} overlapped: {pair:?}"
-                );
-                let acknowledged = pair[0].cause == "done" && pair[0].acknowledged;
-                assert!(!acknowledged, "{task} ran again after its end was acknowledged: {pair:?}");
                 assert!(
                     pair[0].attempt < pair[1].attempt,
                     "attempts of {task} do not increase: {pair:?}"
                 );
             }
+            let third = runs.iter().filter(|run| run.cause == "crashed").nth(2);
+            let Some(crashed_at) = third.and_then(|run| run.ended) else { continue };
+            let later = runs.iter().filter(|run| run.began > crashed_at).count();
+            assert!(later < EXCESS_STARTS, "{task} was started {later} times after three crashes");
         }
     }
 
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -4,13 +4,14 @@
 //! At the end, the tests check that every accepted job is completed and that no task ran twice.
 
 mod cluster;
+mod cuts;
 mod entries;
 mod soak;
 
 use std::time::Duration;
 
 use {
-    coriandertack_standins::platform::{machines, store, worker},
+    coriandertack_standins::platform::{link::Link, machines, store, worker},
     nix::sys::signal::Signal,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -148,9 +149,9 @@
     let mut cluster = Cluster::start(3, 4).await;
     let jobs = cluster.submit(12).await;
     cluster.wait_until("the first worker runs a task", async |cluster| is_busy(cluster, 0)).await;
-    cluster.workers[0].cut_off();
+    cluster.workers[0].set_link(Link::Refuse);
     sleep(Duration::from_millis(2_000)).await;
-    cluster.workers[0].reconnect().await.unwrap();
+    cluster.workers[0].set_link(Link::Open);
     cluster.wait_completed(&jobs).await;
     cluster.check_runs();
 }
