Play workers that lose power and come back under their id

A worker that restarted behind the tests' cuts was seen by the leader at once, or its former connections were closed, so that no start reached the new incarnation unknown to the leader. PROTOCOL lets a start do so: Expect-Instance names the id, and until-ms of the former clock is cut to hold-max-ms from its arrival.

After a loss of power, a list that waits on a former connection gets no response, and a new request resets it. The matrix submits jobs until the new incarnation has a run, and cuts it off then. Jobs that fail are findings, too, with their log lines.

--- a/crates/coriandertack-standins/src/platform/link.rs
+++ b/crates/coriandertack-standins/src/platform/link.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
     time::Duration,
 };
 
@@ -12,7 +13,7 @@
     hyper_util::rt::TokioIo,
     tokio::{
         net::{TcpListener, TcpSocket, TcpStream},
-        sync::watch,
+        sync::{Notify, watch},
         task::{JoinHandle, JoinSet},
         time::timeout,
     },
@@ -48,6 +49,9 @@
     HalfReset,
     /// The accept queue is full, so that attempts to connect get no response.
     Full,
+    /// The host has lost power and is back: a request that waits on a connection from before gets no response, and a new
+    /// one resets it. New connections are served.
+    Renewed,
 }
 
 /// What happens on one connection.
@@ -56,15 +60,19 @@
     Serve,
     Silence,
     LoseAnswers,
+    /// Requests get no response, and a new one resets the connection.
+    Stale,
     Reset,
     Close,
 }
 
 impl Link {
-    /// Returns what happens on the connection that was accepted as the `number`-th.
-    const fn fate(self, number: u64) -> Fate {
+    /// Returns what happens on the connection that was accepted as the `number`-th, with the link `accepted`.
+    fn fate(self, number: u64, accepted: Self) -> Fate {
         let is_odd = number % 2 == 1;
         match self {
+            Self::Renewed if accepted != Self::Renewed => Fate::Stale,
+            Self::Renewed => Fate::Serve,
             Self::Open => Fate::Serve,
             Self::Reset => Fate::Reset,
             Self::Refuse | Self::Full | Self::Close => Fate::Close,
@@ -165,24 +173,34 @@
 ) where
     F: Future<Output = Reply> + Send + 'static,
 {
-    let calls = link.clone();
+    let (calls, accepted) = (link.clone(), *link.borrow());
+    let stale = Arc::new(Notify::new());
+    let is_stale = stale.clone();
     let handler = move |call| {
-        let (link, handler) = (calls.clone(), handler.clone());
-        let fate = move || link.borrow().fate(number);
+        let (link, handler, stale) = (calls.clone(), handler.clone(), stale.clone());
+        let fate = move || link.borrow().fate(number, accepted);
         async move {
-            if fate() == Fate::Silence {
-                return None;
+            match fate() {
+                Fate::Silence => return None,
+                Fate::Stale => {
+                    stale.notify_one();
+                    return None;
+                }
+                Fate::Serve | Fate::LoseAnswers | Fate::Reset | Fate::Close => {}
             }
             let reply = handler(call).await;
-            reply.filter(|_| !matches!(fate(), Fate::Silence | Fate::LoseAnswers))
+            reply.filter(|_| fate() == Fate::Serve)
         }
     };
     let service = service_fn(move |request| respond(handler.clone(), request));
     let mut connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    let breaks = |link: &Link| matches!(link.fate(number), Fate::Reset | Fate::Close);
+    let breaks = |link: &Link| matches!(link.fate(number, accepted), Fate::Reset | Fate::Close);
     let broken = tokio::select! {
         biased;
-        link = link.wait_for(breaks) => link.map(|link| link.fate(number)),
+        () = is_stale.notified() => Fate::Reset,
+        link = link.wait_for(breaks) => {
+            link.map_or(Fate::Close, |link| link.fate(number, accepted))
+        }
         served = &mut connection => {
             if let Err(error) = served {
                 log::debug!("event=connection_ended peer=platform error=\"{error}\"");
@@ -191,7 +209,7 @@
         }
     };
     let stream = connection.into_parts().io.into_inner();
-    if broken.is_ok_and(|fate| fate == Fate::Reset)
+    if broken == Fate::Reset
         && let Err(error) = stream.set_zero_linger()
     {
         log::error!("event=reset_failed peer=platform error=\"{error}\"");
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -434,6 +434,17 @@
         (status == 200).then(|| body["state"].as_str().unwrap_or_default().to_owned())
     }
 
+    /// Returns the state of a job that has ended by the report of some VM.
+    pub async fn final_state(&self, job: &str) -> Option<String> {
+        for vm in 0..self.vms.len() {
+            let state = self.state(vm, job).await;
+            if let Some(state) = state.filter(|state| state == "completed" || state == "failed") {
+                return Some(state);
+            }
+        }
+        None
+    }
+
     pub async fn queue_status(&self, vm: usize, prefix: &str) -> Option<u16> {
         self.call(vm, "GET", prefix, "").await.map(|(status, _)| status)
     }
--- a/crates/coriandertackd/tests/platform/cuts.rs
+++ b/crates/coriandertackd/tests/platform/cuts.rs
@@ -59,6 +59,9 @@
 /// Time for which these callers wait, in milliseconds.
 const CALLER_WAIT_MS: u64 = 500;
 
+/// Maximum time between the restart of a worker and its cut.
+const RESTART_LEAD: Duration = Duration::from_millis(800);
+
 /// Time for which the leader is paused, and for which the store is silent, in milliseconds.
 const PAUSE_MS: u64 = 2_500;
 const STORE_SILENCE_MS: u64 = 3_000;
@@ -72,7 +75,10 @@
 /// Default number of clusters that play at a time.
 const PARALLEL: usize = 8;
 
-/// Log lines that are printed for a task that ran twice.
+/// Time in which all jobs must be completed after a cut.
+const FINISH_TIME: Duration = Duration::from_secs(60);
+
+/// Maximum number of log lines that are printed for a job that failed or a task that ran twice.
 const MAX_LINES: usize = 60;
 
 /// When a worker starts again under its id.
@@ -93,7 +99,7 @@
     restart: Restart,
 }
 
-const KINDS: [Kind; 10] = [
+const KINDS: [Kind; 11] = [
     Kind { name: "refuse", link: Link::Refuse, restart: Restart::Never },
     Kind { name: "reset", link: Link::Reset, restart: Restart::Never },
     Kind { name: "close", link: Link::Close, restart: Restart::Never },
@@ -104,6 +110,7 @@
     Kind { name: "half-reset", link: Link::HalfReset, restart: Restart::Never },
     Kind { name: "reborn", link: Link::Refuse, restart: Restart::Behind },
     Kind { name: "reborn-before", link: Link::Silent, restart: Restart::Before },
+    Kind { name: "reborn-half", link: Link::HalfSilent, restart: Restart::Before },
 ];
 
 /// What the machines of the workers had before the workers joined.
@@ -209,7 +216,7 @@
     let length_ms = LENGTHS_MS[0];
     // Listings count only while a worker does not answer at all.
     let (cut, partly) = KINDS.split_at(6);
-    let of_events = partly.iter().zip(events());
+    let of_events = partly.iter().zip(events().into_iter().cycle());
     let of_listings = cut.iter().cycle().zip(listings());
     of_events.chain(of_listings).map(|(&kind, beside)| Cell { kind, length_ms, beside }).collect()
 }
@@ -265,6 +272,26 @@
     cluster.publish_entry(CUT[0]);
 }
 
+/// Restarts the workers that are cut off, and submits jobs until one of them runs in the new incarnation, which the
+/// leader has not seen yet. Returns the accepted jobs.
+async fn restart_and_start(cluster: &mut Cluster) -> Vec<String> {
+    let restarted_at = Instant::now();
+    CUT.iter().for_each(|index| cluster.workers[*index].set_link(Link::Renewed));
+    restart_workers(cluster);
+    let mut jobs = Vec::new();
+    while restarted_at.elapsed() < RESTART_LEAD {
+        for vm in 0..VMS {
+            jobs.extend(cluster.submit_running(vm, LONG_RUN_MS, CALLER_WAIT_MS).await);
+        }
+        sleep(Duration::from_millis(20)).await;
+        let mut runs = CUT.iter().flat_map(|index| cluster.workers[*index].recorded_runs());
+        if runs.any(|run| run.began > restarted_at) {
+            break;
+        }
+    }
+    jobs
+}
+
 async fn play(cell: &Cell) -> Outcome {
     let mut cluster = Cluster::start(VMS, REACHABLE).await;
     let machines = CUT.map(|index| format!("m-{index}"));
@@ -281,11 +308,10 @@
     for _ in CUT {
         cluster.add_worker().await;
     }
-    let jobs = submit_until_busy(&mut cluster).await;
+    let mut jobs = submit_until_busy(&mut cluster).await;
     let leader = cluster.leader().await;
     if cell.kind.restart == Restart::Before {
-        restart_workers(&cluster);
-        sleep(Duration::from_millis(150)).await;
+        jobs.extend(restart_and_start(&mut cluster).await);
     }
     let began = Instant::now();
     for index in CUT {
@@ -297,14 +323,35 @@
     cluster.machines.fail(machines::Faults::default());
     cluster.signal(leader, Signal::SIGCONT);
     cluster.start_stopped();
-    cluster.wait_completed(&jobs).await;
-    cluster.wait_completed(&later).await;
+    jobs.extend(later);
+    let mut broken = unfinished_jobs(&cluster, jobs).await;
     cluster.check_starts();
-    let double = cluster.double_runs();
-    Outcome {
-        broken: double.iter().map(|pair| describe(&cluster, pair, began)).collect(),
-        evidence: cluster.lost_workers(),
+    broken.extend(cluster.double_runs().iter().map(|pair| describe(&cluster, pair, began)));
+    Outcome { broken, evidence: cluster.lost_workers() }
+}
+
+/// Waits until each job is completed, and describes those that failed or were not completed in time.
+async fn unfinished_jobs(cluster: &Cluster, jobs: Vec<String>) -> Vec<String> {
+    let deadline = Instant::now() + FINISH_TIME;
+    let mut unfinished = Vec::new();
+    for job in jobs {
+        let state = loop {
+            match cluster.final_state(&job).await {
+                None if Instant::now() < deadline => sleep(Duration::from_millis(50)).await,
+                state => break state.unwrap_or_else(|| String::from("not completed in time")),
+            }
+        };
+        if state != "completed" {
+            let lines = cluster.log_lines(|line| line.contains(&job));
+            unfinished.push(format!("  job {job} is {state}\n{}", log_text(lines)));
+        }
     }
+    unfinished
+}
+
+/// Returns the first of some log lines as an indented text.
+fn log_text(lines: Vec<(usize, String)>) -> String {
+    lines.iter().take(MAX_LINES).map(|(vm, line)| format!("    vm-{vm}: {line}\n")).collect()
 }
 
 /// Submits jobs until each worker that is to be cut off runs a long task, and returns the accepted ones.
@@ -385,10 +432,7 @@
         let of_worker = workers.iter().any(|worker| line.contains(worker));
         line.contains(&pair[0].task) || of_worker && !line.contains(" task=")
     };
-    for (vm, line) in cluster.log_lines(names).into_iter().take(MAX_LINES) {
-        let _infallible = writeln!(text, "    vm-{vm}: {line}");
-    }
-    text
+    text + &log_text(cluster.log_lines(names))
 }
 
 /// Plays a cell on a runtime of its own. A check that fails counts as broken.
