Keep a job closed while its progress cannot be read

Cause: a progress record whose value could not be decoded, or whose item in a page of newest records could not, was skipped. The job was then known by its submission alone and looked as if nothing had started. An item without a value counted as the deletion of its key, so the job was unknown to callers, or was queued again if its submission was read later.

With an item without a value the job was not kept: "the record is not named".

The key names the job. Its view is marked, no leader admits it, and its state is shown as running until a readable record or a deletion follows. Keys of this project are plain, so an item without a readable key is not one of its records. A page goes on after the last key that was read, whether or not its value was.

Runs of such a job are still stopped as unknown and their ends acknowledged; that is decided where lists of runs are applied.

--- a/crates/coriandertack-jobs/src/replica.rs
+++ b/crates/coriandertack-jobs/src/replica.rs
@@ -42,6 +42,8 @@
     pub spec: Option<Arc<JobSpec>>,
     /// Latest progress; `None` until it is read.
     pub progress: Option<Arc<JobProgress>>,
+    /// Whether the latest progress record could not be decoded. Any task may have run or still run, so none is started.
+    pub unreadable: bool,
     /// Whether the caller cancelled the job.
     pub cancelled: bool,
     /// When this VM first saw the job in a final phase.
@@ -56,6 +58,8 @@
         match recorded {
             JobPhase::Completed | JobPhase::Failed => recorded,
             _ if self.cancelled => JobPhase::Cancelled,
+            // A leader records progress when it first binds a task.
+            JobPhase::Queued if self.unreadable => JobPhase::Running,
             _ => recorded,
         }
     }
@@ -78,6 +82,8 @@
     SubmissionDropped(JobId),
     /// The progress of a job was dropped, and with it everything known of the job.
     ProgressDropped(JobId),
+    /// The progress of a job could not be decoded.
+    ProgressUnreadable(JobId),
     /// The record could not be decoded and is ignored.
     Unreadable,
 }
@@ -113,9 +119,16 @@
                 let ended = view.progress.as_ref().is_some_and(|known| known.phase.is_final());
                 if !ended {
                     view.progress = Some(progress);
+                    view.unreadable = false;
                 }
                 id
             }
+            ReplicaRecord::ProgressUnreadable(id) => {
+                let view = self.jobs.entry(id).or_default();
+                view.unreadable =
+                    !view.progress.as_ref().is_some_and(|known| known.phase.is_final());
+                id
+            }
             ReplicaRecord::LeaderChanged(leader) => {
                 if self.leader.as_ref().is_none_or(|known| known.epoch <= leader.epoch) {
                     self.leader = Some(leader);
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -302,8 +302,12 @@
 
     /// Adds a job from the replica, with the progress that a previous leader recorded.
     ///
-    /// The submission may be read after the progress; until then the call has no effect.
+    /// The submission may be read after the progress; until then the call has no effect. Neither has it
+    /// one if the progress cannot be decoded: tasks of the job would run twice.
     pub fn admit_from_replica(&mut self, id: JobId, view: &JobView, now: BootTime, wall: WallTime) {
+        if view.unreadable {
+            return;
+        }
         if let Some(spec) = view.spec.clone() {
             let progress = view.progress.as_deref();
             self.admit(id, spec, progress, view.cancelled, now, wall);
--- a/crates/coriandertack-jobs/tests/sched/takeover.rs
+++ b/crates/coriandertack-jobs/tests/sched/takeover.rs
@@ -6,7 +6,8 @@
     boot_time::{BootTime, WallTime},
     config::Config,
     ids::JobId,
-    replica::JobView,
+    progress::JobPhase,
+    replica::{JobView, Replica, ReplicaRecord},
     report::{EndCause, RunList, WorkerEntry},
     sched::{Scheduler, WorkerCommand, WorkerKey},
     spec::JobSpec,
@@ -129,6 +130,30 @@
     assert_eq!(command_count(&mut next, cluster.now), 0, "the active run should be adopted");
 }
 
+/// Guards against tasks that run again because the record that they have run cannot be decoded.
+#[test]
+fn unreadable_progress_keeps_a_job_closed() {
+    let mut cluster = TestCluster::new(&[4]);
+    let spec = Arc::new(job(vec![step(1, 1)]));
+    let mut replica = Replica::default();
+    for record in [
+        ReplicaRecord::Submitted(JobId(1), spec.clone()),
+        ReplicaRecord::ProgressUnreadable(JobId(1)),
+        ReplicaRecord::Submitted(JobId(1), spec.clone()),
+    ] {
+        replica.apply(record, cluster.now);
+    }
+    assert_eq!(replica.phase(JobId(1)), Some(JobPhase::Running));
+    let view = &replica.jobs[&JobId(1)];
+    cluster.sched.admit_from_replica(JobId(1), view, cluster.now, WallTime(0));
+    assert_eq!(start_count(&mut cluster), 0);
+    let known = ReplicaRecord::Progressed(JobId(1), Arc::default());
+    replica.apply(known, cluster.now);
+    let view = &replica.jobs[&JobId(1)];
+    cluster.sched.admit_from_replica(JobId(1), view, cluster.now, WallTime(0));
+    assert_eq!(start_count(&mut cluster), 1);
+}
+
 /// Guards against a gang of which a successor adopts only some members.
 #[test]
 fn successor_stops_members_of_a_broken_gang() {
--- a/crates/coriandertack-log/src/jobs.rs
+++ b/crates/coriandertack-log/src/jobs.rs
@@ -89,15 +89,22 @@
     format!("{PROGRESS_PREFIX}{id}")
 }
 
-/// Decodes a record. A malformed record is logged and becomes [`ReplicaRecord::Unreadable`].
+/// Decodes a record. A malformed record is logged and becomes what [`decode_key`] returns.
 #[must_use]
 pub fn decode(key: &str, value: &[u8]) -> ReplicaRecord {
     decode_record(key, value).unwrap_or_else(|error| {
-        log::warn!("event=record_unreadable key={key} error=\"{error:#}\"");
-        ReplicaRecord::Unreadable
+        log::warn!("event=record_unreadable key={key:?} error=\"{error:#}\"");
+        decode_key(key)
     })
 }
 
+/// Returns what the key alone tells of a record whose value cannot be read.
+#[must_use]
+pub fn decode_key(key: &str) -> ReplicaRecord {
+    let id = key.strip_prefix(PROGRESS_PREFIX).and_then(|name| name.parse().ok());
+    id.map_or(ReplicaRecord::Unreadable, ReplicaRecord::ProgressUnreadable)
+}
+
 fn decode_record(key: &str, value: &[u8]) -> Result<ReplicaRecord> {
     if key == LEADER_KEY {
         let message = proto::Leader::decode(value)?;
--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -100,6 +100,8 @@
     topics: HashMap<String, Topic>,
     faults: Faults,
     appends: u64,
+    /// Items that replace those of some keys in pages of newest records.
+    replaced_items: HashMap<String, Value>,
 }
 
 /// A running store, which stops when the handle is dropped.
@@ -143,6 +145,11 @@
         lock(&self.state).faults = faults;
     }
 
+    /// Replaces the item of a key in pages of newest records.
+    pub fn replace_item(&self, key: &str, item: Value) {
+        lock(&self.state).replaced_items.insert(key.to_owned(), item);
+    }
+
     /// Drops the history of all topics. The newest record of each key stays available.
     pub fn forget_history(&self) {
         for topic in lock(&self.state).topics.values_mut() {
@@ -291,6 +298,7 @@
 fn newest(state: &Shared<State>, topic_name: &str, call: &ApiCall) -> Reply {
     let mut state = lock(state);
     let odd = state.faults.odd_items;
+    let replaced = state.replaced_items.clone();
     let topic = state.topics.entry(topic_name.to_owned()).or_default();
     let after = call.query_param("depends-on").map(|key| key.replace("%2F", "/"));
     let remaining =
@@ -298,7 +306,10 @@
     let items: Vec<_> = remaining
         .clone()
         .take(MAX_PAGE_KEYS)
-        .map(|(key, (offset, value))| json!({ "key": key, "value": base64(value), "offset": offset }))
+        .map(|(key, (offset, value))| {
+            let item = json!({ "key": key, "value": base64(value), "offset": offset });
+            replaced.get(key).cloned().unwrap_or(item)
+        })
         .collect();
     let more = remaining.count() > items.len();
     if odd {
--- a/crates/coriandertackd/src/fleet/leadership.rs
+++ b/crates/coriandertackd/src/fleet/leadership.rs
@@ -406,6 +406,7 @@
         ReplicaRecord::Progressed(..)
         | ReplicaRecord::LeaderChanged(_)
         | ReplicaRecord::VmAnnounced(..)
+        | ReplicaRecord::ProgressUnreadable(_)
         | ReplicaRecord::Unreadable => {}
     }
 }
--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -10,7 +10,7 @@
     coriandertack_log::jobs,
     coriandertack_platform::{
         operator,
-        store::{Page, ReadError, Record, Store, Topic},
+        store::{Newest, Page, ReadError, Record, Store, Topic},
     },
     tokio::{sync::watch, time::sleep},
 };
@@ -47,9 +47,28 @@
 /// Initial and maximum backoff after a failed call, in milliseconds.
 const RETRY_MS: (u64, u64) = (50, 400);
 
+/// What a read of a topic returned.
+#[derive(Debug)]
+pub enum Read {
+    /// The newest record of each key.
+    Newest(Newest),
+    /// Records that follow those read before.
+    Page(Page),
+}
+
+impl Read {
+    /// Returns the records that could be decoded, and logs the number of others.
+    pub fn into_records(self, topic: Topic) -> Vec<Record> {
+        match self {
+            Self::Newest(newest) => newest.records,
+            Self::Page(page) => readable(topic, page),
+        }
+    }
+}
+
 /// Reads a topic without end: first the newest record of each key, then the records that follow.
 ///
-/// `apply` gets the records of each read, and whether they are the newest records of all keys. `on_position` is called
+/// `apply` gets what each read returned. `on_position` is called
 /// after each read that reached the end of the topic, with the next offset, when the read began, and whether it
 /// returned records.
 pub async fn follow_topic(
@@ -57,7 +76,7 @@
     topic: Topic,
     wait_ms: impl Fn() -> u64,
     interval_ms: impl Fn() -> u64,
-    mut apply: impl FnMut(Vec<Record>, bool),
+    mut apply: impl FnMut(Read),
     mut on_position: impl FnMut(u64, BootTime, bool),
 ) {
     let mut store = Store::new(shared.settings.platform.store);
@@ -76,7 +95,7 @@
         };
         log_recovery(shared, topic, &mut unavailable);
         let mut next = newest.end;
-        apply(newest.records, true);
+        apply(Read::Newest(newest));
         on_position(next, began, true);
         loop {
             let began = clock::now();
@@ -90,7 +109,7 @@
                     let changed = !page.records.is_empty();
                     next = page.next;
                     let at_end = page.next >= page.end;
-                    apply(readable(topic, page), false);
+                    apply(Read::Page(page));
                     if at_end {
                         on_position(next, began, changed);
                     }
@@ -125,6 +144,17 @@
     records
 }
 
+/// Decodes the records of a read. A record whose value cannot be decoded is known by its key.
+fn decode_records(topic: Topic, mut read: Read) -> Vec<ReplicaRecord> {
+    let unreadable = match &mut read {
+        Read::Newest(newest) => std::mem::take(&mut newest.unreadable),
+        Read::Page(_) => Vec::new(),
+    };
+    let records = read.into_records(topic);
+    let decoded = records.iter().map(|record| jobs::decode(&record.key, &record.value));
+    decoded.chain(unreadable.iter().map(|key| jobs::decode_key(key))).collect()
+}
+
 fn log_failure(shared: &Shared, topic: Topic, error: &ReadError, unavailable: &mut bool) {
     Counters::count(&shared.counters.store_errors);
     if !std::mem::replace(unavailable, true) {
@@ -147,8 +177,8 @@
 
 /// Reads the operator topic: the configuration and maintenance waves.
 pub async fn operator(shared: Arc<Shared>) {
-    let apply = |records: Vec<Record>, _| {
-        for record in records {
+    let apply = |read: Read| {
+        for record in read.into_records(Topic::Operator) {
             if record.key == operator::CONFIG_KEY && !record.value.is_empty() {
                 apply_config(&shared, &record.value);
             } else if operator::is_wave_key(&record.key) && !record.value.is_empty() {
@@ -200,7 +230,7 @@
 pub async fn intake(shared: Arc<Shared>) {
     let interval =
         || if *shared.is_leader.borrow() { INTAKE_INTERVAL_MS.0 } else { INTAKE_INTERVAL_MS.1 };
-    let apply = |records: Vec<Record>, _| apply_intake(&shared, records);
+    let apply = |read: Read| apply_intake(&shared, read.into_records(Topic::Intake));
     let on_position = |next, began, changed| update_position(&shared.intake, next, began, changed);
     follow_topic(&shared, Topic::Intake, || INTAKE_WAIT_MS, interval, apply, on_position).await;
 }
@@ -223,11 +253,11 @@
 
 /// Reads the progress topic: the records of leaders.
 pub async fn progress(shared: Arc<Shared>) {
-    let apply = |records: Vec<Record>, _| {
+    let apply = |read: Read| {
         let now = clock::now();
         let mut replica = shared.replica();
-        for record in records {
-            match jobs::decode(&record.key, &record.value) {
+        for record in decode_records(Topic::Progress, read) {
+            match record {
                 ReplicaRecord::LeaderChanged(leader) => {
                     if replica.leader.as_ref().is_none_or(|current| current.epoch < leader.epoch) {
                         log::info!("event=leader_seen vm={} epoch={}", leader.vm, leader.epoch);
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -29,7 +29,8 @@
 use super::{
     clock,
     leadership::Leadership,
-    metrics, readers,
+    metrics,
+    readers::{self, Read},
     shared::{Counters, Shared},
 };
 
@@ -108,8 +109,9 @@
         addresses: HashMap::new(),
     };
     tasks.reconcile();
-    let apply = |records: Vec<Record>, complete: bool| {
-        apply_entries(&leadership, &records, complete);
+    let apply = |read: Read| {
+        let complete = matches!(read, Read::Newest(_));
+        apply_entries(&leadership, &read.into_records(Topic::Workers), complete);
         tasks.reconcile();
         leadership.shared.wake.notify_one();
     };
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -5,6 +5,7 @@
 
 mod cluster;
 mod entries;
+mod replicas;
 mod soak;
 
 use std::time::Duration;
