Forget jobs whose records were deleted while a VM read nothing

Cause: a VM that finds the records after its position deleted reads the newest record of each key, and applied them to what it knew. A job whose records were gone by then, after its retention time, stayed in the replica as it was last seen: queued, or with tasks at work. The leader adopted it. The class of fault: what a listing of all keys lacks was taken for unchanged.

The replica notes which stream a submission was read from. After the newest records of a stream, it forgets jobs whose progress or last submission the stream no longer has; a record that could not be decoded still counts as there, and what changes during the read follows it. A leader adopts only submissions that a stream has: it has read both to their ends by then.

--- a/crates/coriandertack-jobs/src/replica.rs
+++ b/crates/coriandertack-jobs/src/replica.rs
@@ -4,7 +4,11 @@
 //! progress that the leader records. Callers are answered from the replica, which lags the leader
 //! only briefly.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use crate::{
     boot_time::BootTime,
@@ -35,11 +39,44 @@
     pub vm: Arc<str>,
 }
 
+/// A stream of records that every VM follows. Submissions are in either.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stream {
+    /// Submissions and cancellations that VMs wrote themselves.
+    Intake,
+    /// Records of the leader, among them the submissions that VMs forwarded to it.
+    Progress,
+}
+
+/// The streams from which a submission was read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sources {
+    intake: bool,
+    progress: bool,
+}
+
+impl Sources {
+    /// Returns whether no stream has shown the submission, or each that had has been read again without it.
+    #[must_use]
+    pub const fn is_empty(self) -> bool {
+        !self.intake && !self.progress
+    }
+
+    const fn of(&mut self, stream: Stream) -> &mut bool {
+        match stream {
+            Stream::Intake => &mut self.intake,
+            Stream::Progress => &mut self.progress,
+        }
+    }
+}
+
 /// What the replica knows of a job.
 #[derive(Clone, Debug, Default)]
 pub struct JobView {
     /// The submission; `None` until it is read, or once it has been dropped.
     pub spec: Option<Arc<JobSpec>>,
+    /// Where the submission was read. This VM also knows submissions that it has accepted and not read yet.
+    pub sources: Sources,
     /// Latest progress; `None` until it is read.
     pub progress: Option<Arc<JobProgress>>,
     /// Whether the latest progress record could not be decoded. Any task may have run or still run, so none is started.
@@ -82,6 +119,8 @@
     SubmissionDropped(JobId),
     /// The progress of a job was dropped, and with it everything known of the job.
     ProgressDropped(JobId),
+    /// The submission of a job could not be decoded.
+    SubmissionUnreadable(JobId),
     /// The progress of a job could not be decoded.
     ProgressUnreadable(JobId),
     /// The record could not be decoded and is ignored.
@@ -100,6 +139,65 @@
 }
 
 impl Replica {
+    /// Applies a record that was read from a stream.
+    pub fn apply_from(&mut self, stream: Stream, record: ReplicaRecord, now: BootTime) {
+        if let ReplicaRecord::Submitted(id, _) = record {
+            *self.jobs.entry(id).or_default().sources.of(stream) = true;
+        }
+        self.apply(record, now);
+    }
+
+    /// Applies the newest records of a stream, whose read began at `began`, and forgets jobs that the stream no longer
+    /// has.
+    ///
+    /// Records that say so may have been deleted unread. A job that is kept after its records are gone looks as if it
+    /// had not ended, and a leader would run it again.
+    pub fn reload(
+        &mut self,
+        stream: Stream,
+        records: Vec<ReplicaRecord>,
+        began: BootTime,
+        now: BootTime,
+    ) {
+        let mut submitted = HashSet::new();
+        let mut progressed = HashSet::new();
+        for record in &records {
+            match record {
+                ReplicaRecord::Submitted(id, _) | ReplicaRecord::SubmissionUnreadable(id) => {
+                    submitted.insert(*id);
+                }
+                ReplicaRecord::Progressed(id, _) | ReplicaRecord::ProgressUnreadable(id) => {
+                    progressed.insert(*id);
+                }
+                _ => {}
+            }
+        }
+        let known = self.jobs.len();
+        if stream == Stream::Progress {
+            // The leader may have announced the end of a job whose first progress record follows this read.
+            let recent = |view: &JobView| view.ended_at.is_some_and(|at| at >= began);
+            self.jobs.retain(|id, view| {
+                let recorded = view.progress.is_some() || view.unreadable;
+                !recorded || progressed.contains(id) || recent(view)
+            });
+        }
+        let withdrawn = |(id, view): (&JobId, &mut JobView)| {
+            let listed = std::mem::replace(view.sources.of(stream), submitted.contains(id));
+            (listed && view.sources.is_empty()).then_some(*id)
+        };
+        let withdrawn: Vec<_> = self.jobs.iter_mut().filter_map(withdrawn).collect();
+        for id in withdrawn {
+            self.drop_submission(id);
+        }
+        let forgotten = known - self.jobs.len();
+        if forgotten > 0 {
+            log::info!("event=jobs_forgotten stream={stream:?} count={forgotten}");
+        }
+        for record in records {
+            self.apply_from(stream, record, now);
+        }
+    }
+
     /// Applies a record.
     pub fn apply(&mut self, record: ReplicaRecord, now: BootTime) {
         let job = match record {
@@ -147,7 +245,7 @@
                 self.jobs.remove(&id);
                 return;
             }
-            ReplicaRecord::Unreadable => return,
+            ReplicaRecord::SubmissionUnreadable(_) | ReplicaRecord::Unreadable => return,
         };
         if let Some(view) = self.jobs.get_mut(&job)
             && view.ended_at.is_none()
--- a/crates/coriandertack-jobs/tests/sched/replica.rs
+++ b/crates/coriandertack-jobs/tests/sched/replica.rs
@@ -6,7 +6,7 @@
     boot_time::BootTime,
     ids::JobId,
     progress::{JobPhase, JobProgress},
-    replica::{LinkInfo, Replica, ReplicaRecord},
+    replica::{LinkInfo, Replica, ReplicaRecord, Stream},
 };
 
 use crate::support::{job, step};
@@ -63,3 +63,45 @@
     replica.apply(ReplicaRecord::SubmissionDropped(JobId(8)), BootTime(2));
     assert!(replica.jobs.is_empty());
 }
+
+fn submitted() -> ReplicaRecord {
+    ReplicaRecord::Submitted(JobId(7), Arc::new(job(vec![step(1, 1)])))
+}
+
+/// Guards against a job that is run again because the records which say that it has ended, and that it was dropped,
+/// were deleted before this VM read them.
+#[test]
+fn jobs_that_a_stream_no_longer_has_are_forgotten() {
+    let (began, now) = (BootTime(10), BootTime(12));
+    let mut replica = Replica::default();
+    replica.apply_from(Stream::Intake, submitted(), BootTime(1));
+    replica.reload(Stream::Progress, Vec::new(), began, now);
+    assert_eq!(replica.phase(JobId(7)), Some(JobPhase::Queued), "the intake topic still has it");
+    replica.apply(progressed(JobPhase::Running), BootTime(2));
+    replica.reload(Stream::Progress, Vec::new(), began, now);
+    assert!(replica.jobs.is_empty());
+    replica.apply_from(Stream::Intake, submitted(), BootTime(3));
+    replica.reload(Stream::Intake, Vec::new(), began, now);
+    assert!(replica.jobs.is_empty());
+}
+
+/// Guards against jobs that are lost because a stream was read again: those whose records could not be decoded, and
+/// those that ended or were accepted meanwhile.
+#[test]
+fn reading_a_stream_again_loses_no_jobs() {
+    let (began, now) = (BootTime(10), BootTime(12));
+    let mut replica = Replica::default();
+    replica.apply_from(Stream::Intake, submitted(), BootTime(1));
+    replica.apply(progressed(JobPhase::Running), BootTime(2));
+    replica.reload(Stream::Progress, vec![ReplicaRecord::ProgressUnreadable(JobId(7))], began, now);
+    replica.reload(Stream::Intake, vec![ReplicaRecord::SubmissionUnreadable(JobId(7))], began, now);
+    assert_eq!(replica.phase(JobId(7)), Some(JobPhase::Running));
+    replica.apply(progressed(JobPhase::Completed), BootTime(11));
+    replica.reload(Stream::Progress, Vec::new(), began, now);
+    assert_eq!(replica.phase(JobId(7)), Some(JobPhase::Completed));
+    let mut replica = Replica::default();
+    replica.apply(submitted(), BootTime(1));
+    replica.reload(Stream::Progress, Vec::new(), began, now);
+    assert_eq!(replica.phase(JobId(7)), Some(JobPhase::Queued));
+    assert!(replica.jobs[&JobId(7)].sources.is_empty());
+}
--- a/crates/coriandertack-log/src/jobs.rs
+++ b/crates/coriandertack-log/src/jobs.rs
@@ -101,8 +101,14 @@
 /// Returns what the key alone tells of a record whose value cannot be read.
 #[must_use]
 pub fn decode_key(key: &str) -> ReplicaRecord {
-    let id = key.strip_prefix(PROGRESS_PREFIX).and_then(|name| name.parse().ok());
-    id.map_or(ReplicaRecord::Unreadable, ReplicaRecord::ProgressUnreadable)
+    let (kind, name) = key.split_at_checked(SUBMISSION_PREFIX.len()).unwrap_or_default();
+    match (kind, name.parse()) {
+        (SUBMISSION_PREFIX, Ok(id)) => ReplicaRecord::SubmissionUnreadable(id),
+        (PROGRESS_PREFIX, Ok(id)) => ReplicaRecord::ProgressUnreadable(id),
+        // A cancellation has no content.
+        (CANCELLATION_PREFIX, Ok(id)) => ReplicaRecord::Cancelled(id),
+        _ => ReplicaRecord::Unreadable,
+    }
 }
 
 fn decode_record(key: &str, value: &[u8]) -> Result<ReplicaRecord> {
--- a/crates/coriandertackd/src/fleet/leadership.rs
+++ b/crates/coriandertackd/src/fleet/leadership.rs
@@ -36,7 +36,9 @@
 use super::{
     advice::{self, Links},
     arrivals::{Arrival, Arrivals},
-    clock, election, handover, hosts, maintenance, metrics, readers, retention,
+    clock, election, handover, hosts, maintenance, metrics,
+    readers::{self, Read},
+    retention,
     shared::{Counters, Shared},
     workers,
 };
@@ -259,18 +261,21 @@
             Ok(page) => {
                 let at_end = page.next >= page.end;
                 next = page.next;
-                readers::apply_intake(shared, page.records.into_iter().flatten().collect());
+                readers::apply_intake(shared, Read::Page(page));
                 if at_end {
                     return true;
                 }
             }
-            Err(ReadError::Deleted { .. }) => match store.newest(Topic::Intake).await {
-                Ok(newest) => {
-                    next = newest.end;
-                    readers::apply_intake(shared, newest.records);
+            Err(ReadError::Deleted { .. }) => {
+                let began = clock::now();
+                match store.newest(Topic::Intake).await {
+                    Ok(newest) => {
+                        next = newest.end;
+                        readers::apply_intake(shared, Read::Newest(newest, began));
+                    }
+                    Err(error) => log::info!("event=takeover_waits error=\"{error}\""),
                 }
-                Err(error) => log::info!("event=takeover_waits error=\"{error}\""),
-            },
+            }
             Err(error) => {
                 log::info!("event=takeover_waits error=\"{error}\"");
                 sleep(Duration::from_millis(RETRY_MS)).await;
@@ -287,7 +292,8 @@
     let replica = shared.replica();
     *shared.arrivals.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender);
     let mut scheduler = leadership.scheduler();
-    for (&id, view) in &replica.jobs {
+    // A submission that no stream has may be of a job whose records are gone.
+    for (&id, view) in replica.jobs.iter().filter(|(_, view)| !view.sources.is_empty()) {
         scheduler.admit_from_replica(id, view, now, wall);
     }
     log::info!(
@@ -406,6 +412,7 @@
         ReplicaRecord::Progressed(..)
         | ReplicaRecord::LeaderChanged(_)
         | ReplicaRecord::VmAnnounced(..)
+        | ReplicaRecord::SubmissionUnreadable(_)
         | ReplicaRecord::ProgressUnreadable(_)
         | ReplicaRecord::Unreadable => {}
     }
--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -1,12 +1,16 @@
 //! Tasks that read the store's topics and apply their records.
 
 use std::{
+    mem,
     sync::{Arc, PoisonError},
     time::Duration,
 };
 
 use {
-    coriandertack_jobs::{boot_time::BootTime, replica::ReplicaRecord},
+    coriandertack_jobs::{
+        boot_time::BootTime,
+        replica::{Replica, ReplicaRecord, Stream},
+    },
     coriandertack_log::jobs,
     coriandertack_platform::{
         operator,
@@ -50,8 +54,8 @@
 /// What a read of a topic returned.
 #[derive(Debug)]
 pub enum Read {
-    /// The newest record of each key.
-    Newest(Newest),
+    /// The newest record of each key, and when the read began.
+    Newest(Newest, BootTime),
     /// Records that follow those read before.
     Page(Page),
 }
@@ -60,7 +64,7 @@
     /// Returns the records that could be decoded, and logs the number of others.
     pub fn into_records(self, topic: Topic) -> Vec<Record> {
         match self {
-            Self::Newest(newest) => newest.records,
+            Self::Newest(newest, _) => newest.records,
             Self::Page(page) => readable(topic, page),
         }
     }
@@ -95,7 +99,7 @@
         };
         log_recovery(shared, topic, &mut unavailable);
         let mut next = newest.end;
-        apply(Read::Newest(newest));
+        apply(Read::Newest(newest, began));
         on_position(next, began, true);
         loop {
             let began = clock::now();
@@ -144,27 +148,42 @@
     records
 }
 
-/// Decodes the records of a read. A record whose value cannot be decoded is known by its key.
-fn decode_records(topic: Topic, mut read: Read) -> Vec<ReplicaRecord> {
-    let unreadable = match &mut read {
-        Read::Newest(newest) => std::mem::take(&mut newest.unreadable),
-        Read::Page(_) => Vec::new(),
+/// Decodes the records of a read. A record whose value cannot be decoded is known by its key. For the newest records of
+/// all keys, also returns when the read began.
+fn decode_records(topic: Topic, mut read: Read) -> (Option<BootTime>, Vec<ReplicaRecord>) {
+    let (began, unreadable) = match &mut read {
+        Read::Newest(newest, began) => (Some(*began), mem::take(&mut newest.unreadable)),
+        Read::Page(_) => (None, Vec::new()),
     };
     let records = read.into_records(topic);
     let decoded = records.iter().map(|record| jobs::decode(&record.key, &record.value));
-    decoded.chain(unreadable.iter().map(|key| jobs::decode_key(key))).collect()
+    (began, decoded.chain(unreadable.iter().map(|key| jobs::decode_key(key))).collect())
+}
+
+/// Applies the records of a read. `reload` is when it began if they are the newest records of all keys.
+fn apply_records(
+    replica: &mut Replica,
+    stream: Stream,
+    reload: Option<BootTime>,
+    records: Vec<ReplicaRecord>,
+) {
+    let now = clock::now();
+    match reload {
+        Some(began) => replica.reload(stream, records, began, now),
+        None => records.into_iter().for_each(|record| replica.apply_from(stream, record, now)),
+    }
 }
 
 fn log_failure(shared: &Shared, topic: Topic, error: &ReadError, unavailable: &mut bool) {
     Counters::count(&shared.counters.store_errors);
-    if !std::mem::replace(unavailable, true) {
+    if !mem::replace(unavailable, true) {
         shared.store_health().record_failure(topic, clock::now());
         log::warn!("event=dependency_lost dependency=store topic={topic:?} error=\"{error}\"");
     }
 }
 
 fn log_recovery(shared: &Shared, topic: Topic, unavailable: &mut bool) {
-    if std::mem::replace(unavailable, false) {
+    if mem::replace(unavailable, false) {
         shared.store_health().record_response(topic);
         log::info!("event=dependency_regained dependency=store topic={topic:?}");
     }
@@ -230,42 +249,35 @@
 pub async fn intake(shared: Arc<Shared>) {
     let interval =
         || if *shared.is_leader.borrow() { INTAKE_INTERVAL_MS.0 } else { INTAKE_INTERVAL_MS.1 };
-    let apply = |read: Read| apply_intake(&shared, read.into_records(Topic::Intake));
+    let apply = |read: Read| apply_intake(&shared, read);
     let on_position = |next, began, changed| update_position(&shared.intake, next, began, changed);
     follow_topic(&shared, Topic::Intake, || INTAKE_WAIT_MS, interval, apply, on_position).await;
 }
 
-/// Applies records of the intake topic to the replica, and sends them to the leader's main loop if this VM leads.
-pub fn apply_intake(shared: &Shared, records: Vec<Record>) {
-    let now = clock::now();
+/// Applies a read of the intake topic to the replica, and sends its records to the leader's main loop if this VM leads.
+pub fn apply_intake(shared: &Shared, read: Read) {
+    let (reload, records) = decode_records(Topic::Intake, read);
     let mut replica = shared.replica();
     let arrivals = shared.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
-    for record in records {
-        let record = jobs::decode(&record.key, &record.value);
+    for record in &records {
         if let Some(arrivals) = arrivals.as_ref()
             && arrivals.send(Arrival::Read(record.clone())).is_ok()
         {
             shared.wake.notify_one();
         }
-        replica.apply(record, now);
     }
+    apply_records(&mut replica, Stream::Intake, reload, records);
 }
 
 /// Reads the progress topic: the records of leaders.
 pub async fn progress(shared: Arc<Shared>) {
     let apply = |read: Read| {
-        let now = clock::now();
+        let (reload, records) = decode_records(Topic::Progress, read);
         let mut replica = shared.replica();
-        for record in decode_records(Topic::Progress, read) {
-            match record {
-                ReplicaRecord::LeaderChanged(leader) => {
-                    if replica.leader.as_ref().is_none_or(|current| current.epoch < leader.epoch) {
-                        log::info!("event=leader_seen vm={} epoch={}", leader.vm, leader.epoch);
-                    }
-                    replica.apply(ReplicaRecord::LeaderChanged(leader), now);
-                }
-                record => replica.apply(record, now),
-            }
+        let former = replica.leader.as_ref().map_or(0, |leader| leader.epoch);
+        apply_records(&mut replica, Stream::Progress, reload, records);
+        if let Some(leader) = replica.leader.as_ref().filter(|leader| leader.epoch > former) {
+            log::info!("event=leader_seen vm={} epoch={}", leader.vm, leader.epoch);
         }
     };
     let on_position =
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -110,7 +110,7 @@
     };
     tasks.reconcile();
     let apply = |read: Read| {
-        let complete = matches!(read, Read::Newest(_));
+        let complete = matches!(read, Read::Newest(..));
         apply_entries(&leadership, &read.into_records(Topic::Workers), complete);
         tasks.reconcile();
         leadership.shared.wake.notify_one();
--- a/crates/coriandertackd/tests/platform/replicas.rs
+++ b/crates/coriandertackd/tests/platform/replicas.rs
@@ -6,6 +6,57 @@
 
 use crate::cluster::Cluster;
 
+/// Waits until a VM reports each job as completed.
+async fn wait_completed_at(cluster: &mut Cluster, vm: usize, jobs: &[String]) {
+    for job in jobs {
+        let what = format!("job {job} is completed at VM {vm}");
+        let completed = async |cluster: &mut Cluster| {
+            cluster.state(vm, job).await.as_deref() == Some("completed")
+        };
+        cluster.wait_until(&what, completed).await;
+    }
+}
+
+/// Deletes the records of ended jobs, as leaders do after the retention time.
+fn delete_records(cluster: &Cluster, jobs: &[String]) {
+    for topic in ["keyed.intake", "keyed.progress"] {
+        for job in jobs {
+            for kind in ["j", "c", "s"] {
+                cluster.store.put(topic, &format!("{kind}/{job}"), b"");
+            }
+        }
+    }
+}
+
+/// Guards against tasks that run again after a VM was suspended until their jobs had ended and all records of them were
+/// gone.
+#[tokio::test]
+async fn vm_that_missed_the_deletion_of_jobs_does_not_run_them_again() {
+    let mut cluster = Cluster::start(3, 4).await;
+    let leader = cluster.leader().await;
+    let late = (leader + 1) % 3;
+    let mut jobs = cluster.submit_at(leader, 6).await;
+    sleep(Duration::from_millis(500)).await;
+    // This VM knows of the last jobs before it reads them.
+    jobs.extend(cluster.submit_at(late, 3).await);
+    cluster.signal(late, Signal::SIGSTOP);
+    wait_completed_at(&mut cluster, leader, &jobs).await;
+    sleep(Duration::from_millis(500)).await;
+    delete_records(&cluster, &jobs);
+    cluster.store.forget_history();
+    for vm in (0..3).filter(|vm| *vm != late) {
+        cluster.kill(vm);
+    }
+    cluster.signal(late, Signal::SIGCONT);
+    cluster
+        .wait_until("the VM leads", async |cluster| cluster.log_contains("event=takeover epoch=2"))
+        .await;
+    sleep(Duration::from_millis(3_000)).await;
+    cluster.check_runs();
+    let jobs = cluster.submit_at(late, 2).await;
+    wait_completed_at(&mut cluster, late, &jobs).await;
+}
+
 /// Restarts all VMs after `change` was applied to the progress record of a job whose tasks have run, and checks that
 /// these do not run again and that other jobs are completed.
 async fn restart_with_unreadable_record(change: impl Fn(&Cluster, &str)) {
