Delete the progress of a job only after its submission

Seen by callers: not yet; found by reading.

Cause: after the retention time the leader deletes a job's records in the intake topic and then those in the progress topic, also if the store had refused the first call. The job was then gone from all replicas, so no later round deleted the submission. A VM that starts reads it, finds no progress, and takes the job for one that has not started.

Progress is deleted last, once the store has confirmed the rest. Until then the job stays in the replica, and the next round tries again.

--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -42,6 +42,8 @@
     pub page_ms: u64,
     /// Pages of newest records end with items that no reader can decode.
     pub odd_items: bool,
+    /// Appends to this topic are rejected with 503.
+    pub refused_topic: Option<&'static str>,
 }
 
 /// Items that no reader can decode: a key that is not UTF-8, fields of other types, a value that is not
@@ -215,6 +217,9 @@
 
 fn append(state: &Shared<State>, changed: &Notify, topic_name: &str, call: &ApiCall) -> Reply {
     let mut state = lock(state);
+    if state.faults.refused_topic == Some(topic_name) {
+        return json_reply(503, &json!({}));
+    }
     state.appends += 1;
     let drop_reply =
         state.faults.lost_every > 0 && state.appends.is_multiple_of(state.faults.lost_every);
--- a/crates/coriandertackd/src/fleet/retention.rs
+++ b/crates/coriandertackd/src/fleet/retention.rs
@@ -37,14 +37,23 @@
         if jobs.is_empty() {
             continue;
         }
-        // A submission is in the intake topic if a VM appended it, and in the progress topic if the leader did.
-        let mut keys = request_keys(&jobs);
-        delete_records(shared, &mut store, Topic::Intake, keys.clone()).await;
-        keys.extend(progress_keys(&jobs));
-        delete_records(shared, &mut store, Topic::Progress, keys).await;
+        delete_jobs(shared, &mut store, &jobs).await;
     }
 }
 
+/// Deletes the records of jobs, their progress last: a job that is known by its submission alone is run again.
+///
+/// After a failure, the next round tries again.
+pub async fn delete_jobs(shared: &Shared, store: &mut Store, jobs: &[JobId]) {
+    // A submission is in the intake topic if a VM appended it, and in the progress topic if the leader did.
+    let mut keys = request_keys(jobs);
+    if !delete_records(shared, store, Topic::Intake, keys.clone()).await {
+        return;
+    }
+    keys.extend(progress_keys(jobs));
+    delete_records(shared, store, Topic::Progress, keys).await;
+}
+
 fn progress_keys(ids: &[JobId]) -> Vec<String> {
     ids.iter().map(|id| jobs::progress_key(*id)).collect()
 }
@@ -53,12 +62,19 @@
     ids.iter().flat_map(|id| jobs::request_keys(*id)).collect()
 }
 
-async fn delete_records(shared: &Shared, store: &mut Store, topic: Topic, keys: Vec<String>) {
+/// Deletes keys of a topic, and returns whether the store has confirmed it.
+async fn delete_records(
+    shared: &Shared,
+    store: &mut Store,
+    topic: Topic,
+    keys: Vec<String>,
+) -> bool {
     let records: Vec<Record> =
         keys.into_iter().map(|key| Record { key, value: Bytes::new() }).collect();
     Counters::count(&shared.counters.appends);
-    // After a failure, the next round tries again.
-    if let Err(error) = store.append(topic, &records, None, None).await {
+    let result = store.append(topic, &records, None, None).await;
+    if let Err(error) = &result {
         log::info!("event=forget_failed topic={topic:?} error=\"{error}\"");
     }
+    result.is_ok()
 }
--- a/crates/coriandertackd/tests/platform/replicas.rs
+++ b/crates/coriandertackd/tests/platform/replicas.rs
@@ -1,8 +1,16 @@
 //! Takeovers by VMs that have not read all records of former leaders.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use {nix::sys::signal::Signal, serde_json::json, tokio::time::sleep};
+use {
+    coriandertack_jobs::ids::JobId,
+    coriandertack_platform::store::Store as StoreClient,
+    coriandertack_standins::platform::store::{Faults, Store},
+    coriandertackd::fleet::{retention, settings, shared::Shared},
+    nix::sys::signal::Signal,
+    serde_json::json,
+    tokio::time::sleep,
+};
 
 use crate::cluster::Cluster;
 
@@ -99,3 +107,30 @@
     };
     restart_with_unreadable_record(replace).await;
 }
+
+/// Returns the state of a VM that has read nothing, whose tasks do not run.
+fn idle_vm(store: &Store) -> Shared {
+    let text = format!(
+        "[vm]\nname = \"vm\"\nzone = \"split\"\ncallers = \"127.0.0.1:1\"\n\
+         ready = \"127.0.0.1:2\"\nlink = \"127.0.0.1:3\"\n\n[platform]\nstore = \"{}\"\n",
+        store.address()
+    );
+    Shared::new(Arc::new(settings::parse(&text).unwrap())).unwrap().0
+}
+
+/// Guards against an ended job that is run again because its submission outlived its progress: the store had refused the
+/// deletion of the former.
+#[tokio::test]
+async fn progress_is_kept_until_the_submission_is_deleted() {
+    let store = Store::start().await.unwrap();
+    let shared = idle_vm(&store);
+    let mut client = StoreClient::new(store.address());
+    store.put("keyed.intake", "j/0000000000000007", b"1");
+    store.put("keyed.progress", "s/0000000000000007", b"1");
+    store.fail(Faults { refused_topic: Some("keyed.intake"), ..Default::default() });
+    retention::delete_jobs(&shared, &mut client, &[JobId(7)]).await;
+    assert_eq!(store.keys("keyed.progress"), ["s/0000000000000007"]);
+    store.fail(Faults::default());
+    retention::delete_jobs(&shared, &mut client, &[JobId(7)]).await;
+    assert!(store.keys("keyed.intake").is_empty() && store.keys("keyed.progress").is_empty());
+}
