Apply each record of the intake topic once

Seen by callers: not yet; found by reading.

Cause: a new leader reads the topic to its end itself, beside the task that follows it. The task may apply an older page afterwards. A submission on it comes back after its deletion was applied, and its progress is gone as well, so that the job looks as if it had not started: for the adoption, and for the leader's main loop, to which the task passes it on.

Evidence, with the check of the offset taken out: lagging_reader_does_not_bring_back_a_deleted_submission: a page brought the job back

Both readers note the offset that has been applied. Records before it are skipped, and so are newest records whose end is before it.

--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -61,6 +61,23 @@
 }
 
 impl Read {
+    /// Returns the offset after the last record.
+    const fn next(&self) -> u64 {
+        match self {
+            Self::Newest(newest, _) => newest.end,
+            Self::Page(page) => page.next,
+        }
+    }
+
+    /// Removes records before an offset, and returns whether the read reached it.
+    fn skip_before(&mut self, offset: u64) -> bool {
+        if let Self::Page(page) = self {
+            let known = offset.saturating_sub(page.next - page.records.len() as u64) as usize;
+            page.records.drain(..known.min(page.records.len()));
+        }
+        self.next() >= offset
+    }
+
     /// Returns the records that could be decoded, and logs the number of others.
     pub fn into_records(self, topic: Topic) -> Vec<Record> {
         match self {
@@ -255,7 +272,15 @@
 }
 
 /// Applies a read of the intake topic to the replica, and sends its records to the leader's main loop if this VM leads.
-pub fn apply_intake(shared: &Shared, read: Read) {
+///
+/// A candidate reads the topic to its end beside the task that follows it. Records that the other reader has applied
+/// are skipped: a submission must not come back after its deletion was read.
+pub fn apply_intake(shared: &Shared, mut read: Read) {
+    let mut applied = shared.intake_applied();
+    if !read.skip_before(*applied) {
+        return;
+    }
+    *applied = read.next();
     let (reload, records) = decode_records(Topic::Intake, read);
     let mut replica = shared.replica();
     let arrivals = shared.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -189,6 +189,8 @@
     pub waves: watch::Sender<BTreeMap<u64, MaintenanceWave>>,
     /// Position in the intake topic.
     pub intake: watch::Sender<ReadPosition>,
+    /// Offset in the intake topic up to which its records have been applied.
+    intake_applied: Mutex<u64>,
     /// Position in the progress topic.
     pub progress: watch::Sender<ReadPosition>,
     /// Queue of records to append to the intake topic.
@@ -234,6 +236,7 @@
             config: watch::Sender::default(),
             waves: watch::Sender::default(),
             intake: watch::Sender::default(),
+            intake_applied: Mutex::default(),
             progress: watch::Sender::default(),
             submissions,
             leader_link: Mutex::default(),
@@ -256,6 +259,12 @@
         self.replica.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the offset in the intake topic up to which its records have been applied. It is locked before the replica,
+    /// and must not be held across an await point.
+    pub fn intake_applied(&self) -> MutexGuard<'_, u64> {
+        self.intake_applied.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the record of topics that cannot be read. The guard must not be held across an await point.
     pub fn store_health(&self) -> MutexGuard<'_, StoreHealth> {
         self.store_health.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/coriandertackd/tests/platform/replicas.rs
+++ b/crates/coriandertackd/tests/platform/replicas.rs
@@ -3,10 +3,19 @@
 use std::{sync::Arc, time::Duration};
 
 use {
-    coriandertack_jobs::ids::JobId,
-    coriandertack_platform::store::Store as StoreClient,
+    coriandertack_jobs::{
+        boot_time::{BootTime, WallTime},
+        ids::JobId,
+        spec::{JobSpec, StepSpec},
+    },
+    coriandertack_log::jobs,
+    coriandertack_platform::store::{Store as StoreClient, Topic},
     coriandertack_standins::platform::store::{Faults, Store},
-    coriandertackd::fleet::{retention, settings, shared::Shared},
+    coriandertackd::fleet::{
+        readers::{self, Read},
+        retention, settings,
+        shared::Shared,
+    },
     nix::sys::signal::Signal,
     serde_json::json,
     tokio::time::sleep,
@@ -134,3 +143,34 @@
     retention::delete_jobs(&shared, &mut client, &[JobId(7)]).await;
     assert!(store.keys("keyed.intake").is_empty() && store.keys("keyed.progress").is_empty());
 }
+
+/// Guards against a job that is run again because a reader that lags behind another one applies its submission after its
+/// deletion.
+#[tokio::test]
+async fn lagging_reader_does_not_bring_back_a_deleted_submission() {
+    let store = Store::start().await.unwrap();
+    let shared = idle_vm(&store);
+    let mut client = StoreClient::new(store.address());
+    let spec = JobSpec {
+        route: Arc::default(),
+        payload: "plan".into(),
+        steps: vec![StepSpec { count: 1, ..StepSpec::default() }],
+        repeat: None,
+        accepted_at: WallTime(0),
+    };
+    let (key, value) = jobs::submission(JobId(7), &spec);
+    store.put("keyed.intake", &key, &value);
+    let lagging = client.read(Topic::Intake, 0, Duration::ZERO).await.unwrap();
+    let listed = client.newest(Topic::Intake).await.unwrap();
+    store.put("keyed.intake", &key, b"");
+    let all = client.read(Topic::Intake, 0, Duration::ZERO).await.unwrap();
+    readers::apply_intake(&shared, Read::Page(all));
+    readers::apply_intake(&shared, Read::Page(lagging));
+    assert!(shared.replica().jobs.is_empty(), "a page brought the job back");
+    readers::apply_intake(&shared, Read::Newest(listed, BootTime(0)));
+    assert!(shared.replica().jobs.is_empty(), "the newest records brought the job back");
+    store.put("keyed.intake", &key, &value);
+    let again = client.read(Topic::Intake, 1, Duration::ZERO).await.unwrap();
+    readers::apply_intake(&shared, Read::Page(again));
+    assert_eq!(shared.replica().jobs.len(), 1);
+}
