--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -44,6 +44,8 @@
     pub odd_items: bool,
     /// Appends to this topic are rejected with 503.
     pub refused_topic: Option<&'static str>,
+    /// Pages of newest records after the first are answered with 404.
+    pub single_pages: bool,
 }
 
 /// Items that no reader can decode: a key that is not UTF-8, fields of other types, a value that is not
@@ -302,10 +304,13 @@
 
 fn newest(state: &Shared<State>, topic_name: &str, call: &ApiCall) -> Reply {
     let mut state = lock(state);
-    let odd = state.faults.odd_items;
+    let Faults { odd_items: odd, single_pages, .. } = state.faults;
     let replaced = state.replaced_items.clone();
     let topic = state.topics.entry(topic_name.to_owned()).or_default();
     let after = call.query_param("depends-on").map(|key| key.replace("%2F", "/"));
+    if single_pages && after.is_some() {
+        return json_reply(404, &json!({}));
+    }
     let remaining =
         topic.newest.iter().filter(|(key, _)| after.as_ref().is_none_or(|after| *key > after));
     let items: Vec<_> = remaining
--- a/crates/coriandertackd/tests/platform/replicas.rs
+++ b/crates/coriandertackd/tests/platform/replicas.rs
@@ -174,3 +174,18 @@
     readers::apply_intake(&shared, Read::Page(again));
     assert_eq!(shared.replica().jobs.len(), 1);
 }
+
+/// Guards against jobs that are forgotten because a listing that broke off counts as complete.
+#[tokio::test]
+async fn listing_without_its_last_page_is_an_error() {
+    let store = Store::start().await.unwrap();
+    let mut client = StoreClient::new(store.address());
+    assert!(client.newest(Topic::Progress).await.unwrap().records.is_empty());
+    for key in 0..501 {
+        store.put("keyed.progress", &format!("s/{key:016x}"), b"1");
+    }
+    store.fail(Faults { single_pages: true, ..Default::default() });
+    assert!(client.newest(Topic::Progress).await.is_err());
+    store.fail(Faults::default());
+    assert_eq!(client.newest(Topic::Progress).await.unwrap().records.len(), 501);
+}
