--- a/crates/coriandertackd/src/fleet/leadership.rs
+++ b/crates/coriandertackd/src/fleet/leadership.rs
@@ -289,6 +289,8 @@
 fn adopt_jobs(leadership: &Leadership, sender: mpsc::UnboundedSender<Arrival>) {
     let shared = &leadership.shared;
     let (now, wall) = (clock::now(), clock::wall());
+    // The replica may have more records by the time it is locked, but no fewer.
+    let (progress, intake) = (shared.progress.borrow().next, *shared.intake_applied());
     let replica = shared.replica();
     *shared.arrivals.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender);
     let mut scheduler = leadership.scheduler();
@@ -296,8 +298,9 @@
     for (&id, view) in replica.jobs.iter().filter(|(_, view)| !view.sources.is_empty()) {
         scheduler.admit_from_replica(id, view, now, wall);
     }
+    let closed = replica.jobs.values().filter(|view| view.unreadable).count();
     log::info!(
-        "event=takeover epoch={} jobs={} workers={}",
+        "event=takeover epoch={} jobs={} workers={} progress={progress} intake={intake} closed={closed}",
         leadership.epoch,
         scheduler.open_job_count(),
         scheduler.worker_keys().len()
--- a/crates/coriandertackd/tests/platform/replicas.rs
+++ b/crates/coriandertackd/tests/platform/replicas.rs
@@ -89,6 +89,7 @@
     cluster.wait_completed(&jobs).await;
     cluster.check_runs();
     assert!(cluster.log_contains(&format!("s/{hidden}")), "the record is not named");
+    assert!(cluster.log_contains(" closed=1"), "the takeover does not tell of the closed job");
     assert_eq!(cluster.state(0, &hidden).await.as_deref(), Some("running"));
 }
 
