Conclude no absence from a VM list with an item that has no name

Seen by callers: not yet; found by reading. In the product's own interface the tasks of a worker run again when two lists of VMs lack it.

Cause: an item that cannot be decoded keeps its VM if its name can be read. Otherwise it was skipped, although it may be the item of any VM that seems to be missing.

Evidence, before the change (a worker whose item is null, twice): thread 'items_without_a_name_prove_no_absence' panicked at crates/coriandertack-vms/tests/poll.rs:241:9: null

Such a list still adds and changes VMs, but none counts as missing.

--- a/crates/coriandertack-vms/src/diff.rs
+++ b/crates/coriandertack-vms/src/diff.rs
@@ -17,6 +17,8 @@
     pub workers: BTreeMap<String, WorkerInfo>,
     /// Names of VMs with an item that cannot be decoded.
     pub unreadable: BTreeSet<String>,
+    /// Whether some item has no readable name, so that no VM is known to be missing.
+    pub incomplete: bool,
 }
 
 /// Names that were missing from the last response.
@@ -43,7 +45,7 @@
 impl AbsenceTracker {
     /// Compares a response with the state and remembers the missing names.
     pub fn compare(&mut self, state: &State, listing: &VmListing) -> Differences {
-        let is_unreadable = |name: &str| listing.unreadable.contains(name);
+        let is_unreadable = |name: &str| listing.incomplete || listing.unreadable.contains(name);
         let known = state.worker_names.keys();
         let absent =
             missing(known, |name| listing.workers.contains_key(name) || is_unreadable(name));
--- a/crates/coriandertack-vms/src/wire.rs
+++ b/crates/coriandertack-vms/src/wire.rs
@@ -61,7 +61,7 @@
 /// Converts the items of a response; VMs of other kinds are left out.
 ///
 /// Each item is decoded on its own, because one that another writer left must not hide the others. Odd items are logged,
-/// and their names are kept: such a VM is not gone.
+/// and their names are kept: such a VM is not gone. Without a name, an item may be any of those that seem to be missing.
 pub(crate) fn to_listing(items: &[Box<RawValue>]) -> VmListing {
     let mut listing = VmListing::default();
     for item in items {
@@ -70,8 +70,10 @@
             Err(error) => {
                 let text: String = item.get().chars().take(LOGGED_CHARS).collect();
                 log::warn!("event=vm_unreadable item={text:?} error=\"{error:#}\"");
-                let named = serde_json::from_str::<Named>(item.get());
-                listing.unreadable.extend(named.map(|named| named.name));
+                match serde_json::from_str::<Named>(item.get()) {
+                    Ok(named) => drop(listing.unreadable.insert(named.name)),
+                    Err(_) => listing.incomplete = true,
+                }
                 continue;
             }
         };
--- a/crates/coriandertack-vms/tests/poll.rs
+++ b/crates/coriandertack-vms/tests/poll.rs
@@ -228,3 +228,18 @@
     harness.list.set_odd(Vec::new());
     assert_eq!(harness.next_records().await, [Record::WorkersGone(vec!["w1".into()])]);
 }
+
+/// Guards against a worker whose tasks run again because the name of its item cannot be read.
+#[tokio::test]
+async fn items_without_a_name_prove_no_absence() {
+    let mut harness = Harness::start(1, Lag::default()).await;
+    harness.list.add_workers(&[start_worker("w1").await]);
+    harness.next_records().await;
+    for item in ["null", "{}", r#"{"name":7,"kind":"worker"}"#] {
+        harness.list.remove("w1");
+        harness.list.set_odd(vec![item.into()]);
+        assert!(harness.submits_nothing().await, "{item}");
+    }
+    harness.list.set_odd(Vec::new());
+    assert_eq!(harness.next_records().await, [Record::WorkersGone(vec!["w1".into()])]);
+}
