--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -46,6 +46,8 @@
     pub refused_topic: Option<&'static str>,
     /// Pages of newest records after the first are answered with 404.
     pub single_pages: bool,
+    /// The last page of newest records is followed by the first one.
+    pub circular_pages: bool,
 }
 
 /// Items that no reader can decode: a key that is not UTF-8, fields of other types, a value that is not
@@ -304,10 +306,12 @@
 
 fn newest(state: &Shared<State>, topic_name: &str, call: &ApiCall) -> Reply {
     let mut state = lock(state);
-    let Faults { odd_items: odd, single_pages, .. } = state.faults;
+    let Faults { odd_items: odd, single_pages, circular_pages, .. } = state.faults;
     let replaced = state.replaced_items.clone();
     let topic = state.topics.entry(topic_name.to_owned()).or_default();
+    let last = topic.newest.keys().next_back().filter(|_| circular_pages);
     let after = call.query_param("depends-on").map(|key| key.replace("%2F", "/"));
+    let after = after.filter(|after| Some(after) != last);
     if single_pages && after.is_some() {
         return json_reply(404, &json!({}));
     }
@@ -321,7 +325,7 @@
             replaced.get(key).cloned().unwrap_or(item)
         })
         .collect();
-    let more = remaining.count() > items.len();
+    let more = circular_pages || remaining.count() > items.len();
     if odd {
         let items: Vec<String> = items.iter().map(Value::to_string).chain([odd_items()]).collect();
         let (items, end) = (items.join(","), topic.end());
--- a/crates/coriandertackd/tests/platform/replicas.rs
+++ b/crates/coriandertackd/tests/platform/replicas.rs
@@ -18,7 +18,7 @@
     },
     nix::sys::signal::Signal,
     serde_json::json,
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 use crate::cluster::Cluster;
@@ -190,3 +190,33 @@
     store.fail(Faults::default());
     assert_eq!(client.newest(Topic::Progress).await.unwrap().records.len(), 501);
 }
+
+/// Guards against a listing that reads repeated pages without end.
+#[tokio::test]
+async fn listing_whose_pages_repeat_is_an_error() {
+    let store = Store::start().await.unwrap();
+    let mut client = StoreClient::new(store.address());
+    for key in 0..501 {
+        store.put("keyed.progress", &format!("s/{key:016x}"), b"1");
+    }
+    store.fail(Faults { circular_pages: true, ..Default::default() });
+    let listing = timeout(Duration::from_secs(5), client.newest(Topic::Progress)).await;
+    assert!(listing.expect("the listing does not end").is_err());
+}
+
+/// Guards against records that are skipped because the item before them, the last of a page, cannot be decoded.
+#[tokio::test]
+async fn odd_item_at_the_end_of_a_page_hides_no_others() {
+    let store = Store::start().await.unwrap();
+    let mut client = StoreClient::new(store.address());
+    for key in 0..502 {
+        store.put("keyed.progress", &format!("s/{key:016x}"), b"1");
+    }
+    let last = format!("s/{:016x}", 499);
+    for item in [json!(null), json!({ "key": last, "value": 7 })] {
+        store.replace_item(&last, item.clone());
+        let listed = client.newest(Topic::Progress).await.unwrap();
+        assert_eq!(listed.records.len(), 501, "{item}");
+        assert_eq!(listed.unreadable.len(), usize::from(!item.is_null()), "{item}");
+    }
+}
