--- a/crates/coriandertack-log/src/jobs.rs
+++ b/crates/coriandertack-log/src/jobs.rs
@@ -89,15 +89,28 @@
     format!("{PROGRESS_PREFIX}{id}")
 }
 
-/// Decodes a record. A malformed record is logged and becomes [`ReplicaRecord::Unreadable`].
+/// Decodes a record. A malformed record is logged and becomes what [`decode_key`] returns.
 #[must_use]
 pub fn decode(key: &str, value: &[u8]) -> ReplicaRecord {
     decode_record(key, value).unwrap_or_else(|error| {
-        log::warn!("event=record_unreadable key={key} error=\"{error:#}\"");
-        ReplicaRecord::Unreadable
+        log::warn!("event=record_unreadable key={key:?} error=\"{error:#}\"");
+        decode_key(key)
     })
 }
 
+/// Returns what the key alone tells of a record whose value cannot be read.
+#[must_use]
+pub fn decode_key(key: &str) -> ReplicaRecord {
+    let (kind, name) = key.split_at_checked(SUBMISSION_PREFIX.len()).unwrap_or_default();
+    match (kind, name.parse()) {
+        (SUBMISSION_PREFIX, Ok(id)) => ReplicaRecord::SubmissionUnreadable(id),
+        (PROGRESS_PREFIX, Ok(id)) => ReplicaRecord::ProgressUnreadable(id),
+        // A cancellation has no content.
+        (CANCELLATION_PREFIX, Ok(id)) => ReplicaRecord::Cancelled(id),
+        _ => ReplicaRecord::Unreadable,
+    }
+}
+
 fn decode_record(key: &str, value: &[u8]) -> Result<ReplicaRecord> {
     if key == LEADER_KEY {
         let message = proto::Leader::decode(value)?;
--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -42,6 +42,12 @@
     pub page_ms: u64,
     /// Pages of newest records end with items that no reader can decode.
     pub odd_items: bool,
+    /// Appends to this topic are rejected with 503.
+    pub refused_topic: Option<&'static str>,
+    /// Pages of newest records after the first are answered with 404.
+    pub single_pages: bool,
+    /// The last page of newest records is followed by the first one.
+    pub circular_pages: bool,
 }
 
 /// Items that no reader can decode: a key that is not UTF-8, fields of other types, a value that is not
@@ -100,6 +106,8 @@
     topics: HashMap<String, Topic>,
     faults: Faults,
     appends: u64,
+    /// Items that replace those of some keys in pages of newest records.
+    replaced_items: HashMap<String, Value>,
 }
 
 /// A running store, which stops when the handle is dropped.
@@ -143,6 +151,11 @@
         lock(&self.state).faults = faults;
     }
 
+    /// Replaces the item of a key in pages of newest records.
+    pub fn replace_item(&self, key: &str, item: Value) {
+        lock(&self.state).replaced_items.insert(key.to_owned(), item);
+    }
+
     /// Drops the history of all topics. The newest record of each key stays available.
     pub fn forget_history(&self) {
         for topic in lock(&self.state).topics.values_mut() {
@@ -208,6 +221,9 @@
 
 fn append(state: &Shared<State>, changed: &Notify, topic_name: &str, call: &ApiCall) -> Reply {
     let mut state = lock(state);
+    if state.faults.refused_topic == Some(topic_name) {
+        return json_reply(503, &json!({}));
+    }
     state.appends += 1;
     let drop_reply =
         state.faults.lost_every > 0 && state.appends.is_multiple_of(state.faults.lost_every);
@@ -290,17 +306,26 @@
 
 fn newest(state: &Shared<State>, topic_name: &str, call: &ApiCall) -> Reply {
     let mut state = lock(state);
-    let odd = state.faults.odd_items;
+    let Faults { odd_items: odd, single_pages, circular_pages, .. } = state.faults;
+    let replaced = state.replaced_items.clone();
     let topic = state.topics.entry(topic_name.to_owned()).or_default();
+    let last = topic.newest.keys().next_back().filter(|_| circular_pages);
     let after = call.query_param("depends-on").map(|key| key.replace("%2F", "/"));
+    let after = after.filter(|after| Some(after) != last);
+    if single_pages && after.is_some() {
+        return json_reply(404, &json!({}));
+    }
     let remaining =
         topic.newest.iter().filter(|(key, _)| after.as_ref().is_none_or(|after| *key > after));
     let items: Vec<_> = remaining
         .clone()
         .take(MAX_PAGE_KEYS)
-        .map(|(key, (offset, value))| json!({ "key": key, "value": base64(value), "offset": offset }))
+        .map(|(key, (offset, value))| {
+            let item = json!({ "key": key, "value": base64(value), "offset": offset });
+            replaced.get(key).cloned().unwrap_or(item)
+        })
         .collect();
-    let more = remaining.count() > items.len();
+    let more = circular_pages || remaining.count() > items.len();
     if odd {
         let items: Vec<String> = items.iter().map(Value::to_string).chain([odd_items()]).collect();
         let (items, end) = (items.join(","), topic.end());
--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -1,16 +1,20 @@
 //! Tasks that read the store's topics and apply their records.
 
 use std::{
+    mem,
     sync::{Arc, PoisonError},
     time::Duration,
 };
 
 use {
-    coriandertack_jobs::{boot_time::BootTime, replica::ReplicaRecord},
+    coriandertack_jobs::{
+        boot_time::BootTime,
+        replica::{Replica, ReplicaRecord, Stream},
+    },
     coriandertack_log::jobs,
     coriandertack_platform::{
         operator,
-        store::{Page, ReadError, Record, Store, Topic},
+        store::{Newest, Page, ReadError, Record, Store, Topic},
     },
     tokio::{sync::watch, time::sleep},
 };
@@ -47,9 +51,45 @@
 /// Initial and maximum backoff after a failed call, in milliseconds.
 const RETRY_MS: (u64, u64) = (50, 400);
 
+/// What a read of a topic returned.
+#[derive(Debug)]
+pub enum Read {
+    /// The newest record of each key, and when the read began.
+    Newest(Newest, BootTime),
+    /// Records that follow those read before.
+    Page(Page),
+}
+
+impl Read {
+    /// Returns the offset after the last record.
+    const fn next(&self) -> u64 {
+        match self {
+            Self::Newest(newest, _) => newest.end,
+            Self::Page(page) => page.next,
+        }
+    }
+
+    /// Removes records before an offset, and returns whether the read reached it.
+    fn skip_before(&mut self, offset: u64) -> bool {
+        if let Self::Page(page) = self {
+            let known = offset.saturating_sub(page.next - page.records.len() as u64) as usize;
+            page.records.drain(..known.min(page.records.len()));
+        }
+        self.next() >= offset
+    }
+
+    /// Returns the records that could be decoded, and logs the number of others.
+    pub fn into_records(self, topic: Topic) -> Vec<Record> {
+        match self {
+            Self::Newest(newest, _) => newest.records,
+            Self::Page(page) => readable(topic, page),
+        }
+    }
+}
+
 /// Reads a topic without end: first the newest record of each key, then the records that follow.
 ///
-/// `apply` gets the records of each read, and whether they are the newest records of all keys. `on_position` is called
+/// `apply` gets what each read returned. `on_position` is called
 /// after each read that reached the end of the topic, with the next offset, when the read began, and whether it
 /// returned records.
 pub async fn follow_topic(
@@ -57,7 +97,7 @@
     topic: Topic,
     wait_ms: impl Fn() -> u64,
     interval_ms: impl Fn() -> u64,
-    mut apply: impl FnMut(Vec<Record>, bool),
+    mut apply: impl FnMut(Read),
     mut on_position: impl FnMut(u64, BootTime, bool),
 ) {
     let mut store = Store::new(shared.settings.platform.store);
@@ -76,7 +116,7 @@
         };
         log_recovery(shared, topic, &mut unavailable);
         let mut next = newest.end;
-        apply(newest.records, true);
+        apply(Read::Newest(newest, began));
         on_position(next, began, true);
         loop {
             let began = clock::now();
@@ -90,7 +130,7 @@
                     let changed = !page.records.is_empty();
                     next = page.next;
                     let at_end = page.next >= page.end;
-                    apply(readable(topic, page), false);
+                    apply(Read::Page(page));
                     if at_end {
                         on_position(next, began, changed);
                     }
@@ -125,16 +165,42 @@
     records
 }
 
+/// Decodes the records of a read. A record whose value cannot be decoded is known by its key. For the newest records of
+/// all keys, also returns when the read began.
+fn decode_records(topic: Topic, mut read: Read) -> (Option<BootTime>, Vec<ReplicaRecord>) {
+    let (began, unreadable) = match &mut read {
+        Read::Newest(newest, began) => (Some(*began), mem::take(&mut newest.unreadable)),
+        Read::Page(_) => (None, Vec::new()),
+    };
+    let records = read.into_records(topic);
+    let decoded = records.iter().map(|record| jobs::decode(&record.key, &record.value));
+    (began, decoded.chain(unreadable.iter().map(|key| jobs::decode_key(key))).collect())
+}
+
+/// Applies the records of a read. `reload` is when it began if they are the newest records of all keys.
+fn apply_records(
+    replica: &mut Replica,
+    stream: Stream,
+    reload: Option<BootTime>,
+    records: Vec<ReplicaRecord>,
+) {
+    let now = clock::now();
+    match reload {
+        Some(began) => replica.reload(stream, records, began, now),
+        None => records.into_iter().for_each(|record| replica.apply_from(stream, record, now)),
+    }
+}
+
 fn log_failure(shared: &Shared, topic: Topic, error: &ReadError, unavailable: &mut bool) {
     Counters::count(&shared.counters.store_errors);
-    if !std::mem::replace(unavailable, true) {
+    if !mem::replace(unavailable, true) {
         shared.store_health().record_failure(topic, clock::now());
         log::warn!("event=dependency_lost dependency=store topic={topic:?} error=\"{error}\"");
     }
 }
 
 fn log_recovery(shared: &Shared, topic: Topic, unavailable: &mut bool) {
-    if std::mem::replace(unavailable, false) {
+    if mem::replace(unavailable, false) {
         shared.store_health().record_response(topic);
         log::info!("event=dependency_regained dependency=store topic={topic:?}");
     }
@@ -147,8 +213,8 @@
 
 /// Reads the operator topic: the configuration and maintenance waves.
 pub async fn operator(shared: Arc<Shared>) {
-    let apply = |records: Vec<Record>, _| {
-        for record in records {
+    let apply = |read: Read| {
+        for record in read.into_records(Topic::Operator) {
             if record.key == operator::CONFIG_KEY && !record.value.is_empty() {
                 apply_config(&shared, &record.value);
             } else if operator::is_wave_key(&record.key) && !record.value.is_empty() {
@@ -200,42 +266,43 @@
 pub async fn intake(shared: Arc<Shared>) {
     let interval =
         || if *shared.is_leader.borrow() { INTAKE_INTERVAL_MS.0 } else { INTAKE_INTERVAL_MS.1 };
-    let apply = |records: Vec<Record>, _| apply_intake(&shared, records);
+    let apply = |read: Read| apply_intake(&shared, read);
     let on_position = |next, began, changed| update_position(&shared.intake, next, began, changed);
     follow_topic(&shared, Topic::Intake, || INTAKE_WAIT_MS, interval, apply, on_position).await;
 }
 
-/// Applies records of the intake topic to the replica, and sends them to the leader's main loop if this VM leads.
-pub fn apply_intake(shared: &Shared, records: Vec<Record>) {
-    let now = clock::now();
+/// Applies a read of the intake topic to the replica, and sends its records to the leader's main loop if this VM leads.
+///
+/// A candidate reads the topic to its end beside the task that follows it. Records that the other reader has applied
+/// are skipped: a submission must not come back after its deletion was read.
+pub fn apply_intake(shared: &Shared, mut read: Read) {
+    let mut applied = shared.intake_applied();
+    if !read.skip_before(*applied) {
+        return;
+    }
+    *applied = read.next();
+    let (reload, records) = decode_records(Topic::Intake, read);
     let mut replica = shared.replica();
     let arrivals = shared.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
-    for record in records {
-        let record = jobs::decode(&record.key, &record.value);
+    for record in &records {
         if let Some(arrivals) = arrivals.as_ref()
             && arrivals.send(Arrival::Read(record.clone())).is_ok()
         {
             shared.wake.notify_one();
         }
-        replica.apply(record, now);
     }
+    apply_records(&mut replica, Stream::Intake, reload, records);
 }
 
 /// Reads the progress topic: the records of leaders.
 pub async fn progress(shared: Arc<Shared>) {
-    let apply = |records: Vec<Record>, _| {
-        let now = clock::now();
+    let apply = |read: Read| {
+        let (reload, records) = decode_records(Topic::Progress, read);
         let mut replica = shared.replica();
-        for record in records {
-            match jobs::decode(&record.key, &record.value) {
-                ReplicaRecord::LeaderChanged(leader) => {
-                    if replica.leader.as_ref().is_none_or(|current| current.epoch < leader.epoch) {
-                        log::info!("event=leader_seen vm={} epoch={}", leader.vm, leader.epoch);
-                    }
-                    replica.apply(ReplicaRecord::LeaderChanged(leader), now);
-                }
-                record => replica.apply(record, now),
-            }
+        let former = replica.leader.as_ref().map_or(0, |leader| leader.epoch);
+        apply_records(&mut replica, Stream::Progress, reload, records);
+        if let Some(leader) = replica.leader.as_ref().filter(|leader| leader.epoch > former) {
+            log::info!("event=leader_seen vm={} epoch={}", leader.vm, leader.epoch);
         }
     };
     let on_position =
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod cuts;
 mod entries;
+mod replicas;
 mod soak;
 
 use std::time::Duration;
