Wait for leases that calls for a former incarnation extended

What callers saw: a task ran twice at the same time. Its worker had started again under its name, got the task, and was cut off within seconds; the leader started the task elsewhere while it ran on.

Cause: `until-ms` is a time on the worker's clock, and a call names the worker but not its incarnation. A poll or start that was sent around the restart carries an end on the former clock, far ahead on the new one. The worker cuts it to the longest lease that it accepts, 10 s from its arrival, and the lease never shortens. The leader made a new `Worker` whose lease ended now, granted 5 s and gave it up after 5.1 s. The same holds after a takeover, for calls of the former leader.

The end of the leases is now kept by name when a worker is removed, and covers a call that is carried out up to 3 s later and cut to the longest lease. An idle worker has no call under way, so for it the time counts from its last grant. A successor assumes the longest lease on a worker whose clock shows that it is young, if it lists it while calls of the former leader may still arrive; its list raises the fencing token, which ends that. The longest lease comes from the settings. A worker that has not started lately is given up as before. Later than before are given up: within 11 s of a takeover, one that has been up for less than 21 s (10.2 s after its first list instead of 5.1 s); and one that cannot be reached after a takeover, where the longest lease is 10 s (15.8 s instead of 13.8 s).

--- /dev/null
+++ b/crates/coriandertack-jobs/src/sched/leases.rs
@@ -0,0 +1,73 @@
+//! Leases that a call for a former incarnation of a worker may have extended.
+//!
+//! A call names the worker, but not its incarnation, and gives the end of the lease on the worker's
+//! clock. A worker that has started again under its name takes the end on its former clock for a time
+//! far ahead, and shortens the lease to the longest that it accepts. Its lease may then last twice as
+//! long as the leader granted. See docs/design.md, "When a run has ended".
+
+use std::sync::Arc;
+
+use super::{MAX_CLOCK_DRIFT_PERMILLE, MAX_RENEWAL_MS, Scheduler, Worker};
+
+use crate::boot_time::BootTime;
+
+/// Longest lease that workers accept unless the settings tell another, in milliseconds.
+pub const DEFAULT_LEASE_LIMIT_MS: u64 = 10_000;
+
+/// How long after it was sent a call may still be carried out, in milliseconds. The protocol speaks of
+/// seconds (section "Running tasks").
+pub(super) const MAX_CALL_DELAY_MS: u64 = 3_000;
+
+/// Returns the longest time that `ms` milliseconds on a worker's clock take.
+pub(super) const fn slowest_ms(ms: u64) -> u64 {
+    ms * 1_000 / (1_000 - MAX_CLOCK_DRIFT_PERMILLE) + 1
+}
+
+impl Scheduler {
+    /// Sets the longest lease that workers accept, in milliseconds.
+    pub fn set_lease_limit(&mut self, limit_ms: u64) {
+        self.lease_limit_ms = limit_ms;
+    }
+
+    /// Records that a former leader may have led until `now`, and may not know it yet.
+    pub fn succeed_leader(&mut self, now: BootTime) {
+        self.former_calls_end = now.plus_ms(MAX_RENEWAL_MS + MAX_CALL_DELAY_MS);
+    }
+
+    /// Returns when the lease has expired that a worker cut to the longest that it accepts at `arrival`.
+    pub(super) fn longest_lease_end(&self, arrival: BootTime) -> BootTime {
+        arrival.plus_ms(slowest_ms(self.lease_limit_ms))
+    }
+
+    /// Keeps the end of the leases of a worker that is removed for the next incarnation of its name.
+    ///
+    /// If the worker is idle, no call to it is under way, and the last one with a lease was sent when
+    /// the lease was granted.
+    pub(super) fn keep_lease_end(&mut self, worker: &Worker, now: BootTime) {
+        self.lease_ends.retain(|_, end| *end > now);
+        let Some(granted_at) = worker.granted_at else { return };
+        let sent = if worker.is_idle() { granted_at } else { now };
+        let end = self.longest_lease_end(sent.plus_ms(MAX_CALL_DELAY_MS)).max(worker.lease_end());
+        if end > now {
+            self.lease_ends.insert(Arc::clone(&worker.name), end);
+        }
+    }
+
+    /// Returns when the leases have expired that a worker of this name may hold before this leader
+    /// grants it any.
+    pub(super) fn kept_lease_end(&self, name: &str, now: BootTime) -> BootTime {
+        self.lease_ends.get(name).map_or(now, |end| now.max(*end))
+    }
+
+    /// Returns when the leases have expired that calls of a former leader may have extended on a worker
+    /// that returns its first list now. The request raised the worker's fencing token, so that no later
+    /// call of a former leader is carried out.
+    ///
+    /// `clock_ms` is the age of the incarnation. An old one has no lease from the clock of its
+    /// predecessor.
+    pub(super) fn former_lease_end(&self, clock_ms: u64, now: BootTime) -> Option<BootTime> {
+        let oldest_ms = MAX_RENEWAL_MS + MAX_CALL_DELAY_MS + self.lease_limit_ms;
+        let may_be_owed = now < self.former_calls_end && clock_ms < oldest_ms;
+        may_be_owed.then(|| self.longest_lease_end(now))
+    }
+}
--- a/crates/coriandertack-jobs/src/sched/lost.rs
+++ b/crates/coriandertack-jobs/src/sched/lost.rs
@@ -162,6 +162,7 @@
         let Some(worker) = self.workers.remove(key) else { return };
         self.worker_index.remove(&worker.name);
         self.acks.remove(&key);
+        self.keep_lease_end(&worker, now);
         let successor = worker.entry.clone().filter(|_| worker.has_new_entry() && !worker.absent);
         let name = Arc::clone(&worker.name);
         self.lose_runs(key, worker, cause, now);
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -17,6 +17,7 @@
 mod evacuate;
 mod fit;
 mod health;
+mod leases;
 mod lost;
 mod place;
 mod queue;
@@ -51,6 +52,7 @@
     advice::{AdviceCall, Ticket},
     advice_vms::AdviceVm,
     commands::{StartCommand, StartOutcome, WorkerCommand},
+    leases::DEFAULT_LEASE_LIMIT_MS,
     lost::LossCause,
     place::PassResult,
     queue::Rank,
@@ -209,6 +211,12 @@
     /// Estimated share of named workers that the policy allows, by route name.
     allowed_shares: HashMap<Arc<str>, f64>,
     crash_history: CrashHistory,
+    /// Longest lease that workers accept, in milliseconds.
+    lease_limit_ms: u64,
+    /// When no lease of a removed worker can last any longer, by its name.
+    lease_ends: HashMap<Arc<str>, BootTime>,
+    /// When no call of a former leader can be carried out any more.
+    former_calls_end: BootTime,
     /// Current delay between binding a task and its record being durable, in milliseconds.
     record_ms: u64,
     /// Counters since the last call of [`Scheduler::take_stats`].
@@ -219,7 +227,7 @@
     /// Creates a scheduler without jobs or workers.
     #[must_use]
     pub fn new(config: Arc<Config>) -> Self {
-        Self { config, ..Self::default() }
+        Self { config, lease_limit_ms: DEFAULT_LEASE_LIMIT_MS, ..Self::default() }
     }
 
     /// Applies a configuration, unless its revision is older than that of the current one.
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -26,7 +26,11 @@
         }
         worker.born = worker.born.or(run_list.born);
         self.lose_former_runs(key, now);
+        let former_lease_end = self.former_lease_end(run_list.clock_ms, now);
         let worker = self.workers.get_mut(key)?;
+        if let Some(end) = former_lease_end.filter(|_| !worker.listed) {
+            worker.inherit_leases(end);
+        }
         worker.record_answer(now);
         worker.record_clock(run_list.clock_ms, now);
         worker.listed = true;
--- a/crates/coriandertack-jobs/src/sched/takeover.rs
+++ b/crates/coriandertack-jobs/src/sched/takeover.rs
@@ -10,8 +10,8 @@
 //! do not tell it: they may have been read before the worker started again.
 
 use super::{
-    JobKey, LEADERSHIP_TERM_MS, MAX_CLOCK_DRIFT_PERMILLE, MAX_LEASE_MS, MAX_RENEWAL_MS, Placement,
-    Scheduler,
+    JobKey, LEADERSHIP_TERM_MS, MAX_LEASE_MS, MAX_RENEWAL_MS, Placement, Scheduler,
+    leases::{MAX_CALL_DELAY_MS, slowest_ms},
     worker::{Run, Worker},
 };
 
@@ -22,13 +22,26 @@
 ///
 /// A leader sends starts for [`LEADERSHIP_TERM_MS`] after its leadership was last confirmed and
 /// renews leases for [`MAX_RENEWAL_MS`]. The last lease then expires on a clock that may run slow.
-pub const MAX_INHERITED_LEASE_MS: u64 = {
+const MAX_INHERITED_LEASE_MS: u64 = {
     let active_ms =
         if MAX_RENEWAL_MS > LEADERSHIP_TERM_MS { MAX_RENEWAL_MS } else { LEADERSHIP_TERM_MS };
-    (active_ms + MAX_LEASE_MS) * 1_000 / (1_000 - MAX_CLOCK_DRIFT_PERMILLE) + 500
+    slowest_ms(active_ms + MAX_LEASE_MS) + INHERITED_MARGIN_MS
 };
 
+/// Allowance for the time between the confirmation of a leadership and the call that it permits, in
+/// milliseconds.
+const INHERITED_MARGIN_MS: u64 = 500;
+
 impl Scheduler {
+    /// Returns when the leases of a previous leader have expired on a worker that cannot be reached.
+    ///
+    /// The last start of that leader may have been meant for a former incarnation of the worker, and
+    /// extend the lease to the longest that the worker accepts.
+    fn inherited_lease_end(&self, now: BootTime) -> BootTime {
+        let arrival = now.plus_ms(LEADERSHIP_TERM_MS + MAX_CALL_DELAY_MS + INHERITED_MARGIN_MS);
+        now.plus_ms(MAX_INHERITED_LEASE_MS).max(self.longest_lease_end(arrival))
+    }
+
     /// Restores the state of a job from its recorded progress.
     pub(super) fn restore_progress(&mut self, key: JobKey, known: &JobProgress, now: BootTime) {
         // An occurrence of which no task had started has no task in the record, but may precede one
@@ -49,13 +62,14 @@
                 (None, false) => Placement::Waiting,
                 (Some(worker), false) => {
                     let worker = self.inherit_worker(worker, now);
+                    let lease_end = self.inherited_lease_end(now);
                     let charge = Some(step.capacity_charge());
                     let mut run = Run::new(charge, self.run_profile(task_id), now);
                     run.confirmed_at = Some(now);
                     run.sent_at = Some(now);
                     run.born = task.born;
                     if let Some(worker) = self.workers.get_mut(worker) {
-                        worker.inherit_leases(now.plus_ms(MAX_INHERITED_LEASE_MS));
+                        worker.inherit_leases(lease_end);
                         worker.add_run(task_id, task.attempt, run);
                     }
                     Placement::Bound(worker)
@@ -91,13 +105,12 @@
 
     /// Returns the key of a worker that a record names, adding the worker if it is unknown.
     ///
-    /// An added worker is assumed to hold leases of a previous leader for the longest time possible,
-    /// [`MAX_INHERITED_LEASE_MS`].
+    /// An added worker is assumed to hold leases of a previous leader for the longest time possible.
     fn inherit_worker(&mut self, name: &std::sync::Arc<str>, now: BootTime) -> super::WorkerKey {
         if let Some(&key) = self.worker_index.get(name) {
             return key;
         }
-        let worker = Worker::new(name.clone(), now.plus_ms(MAX_INHERITED_LEASE_MS));
+        let worker = Worker::new(name.clone(), self.inherited_lease_end(now));
         let key = self.workers.insert(worker);
         self.worker_index.insert(name.clone(), key);
         key
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -4,7 +4,7 @@
 
 use {coriandertack_core::resources::Resources, slotmap::new_key_type};
 
-use super::{LossCause, MAX_CLOCK_DRIFT_PERMILLE, MAX_LEASE_MS, Scheduler, speed::Speed};
+use super::{LossCause, MAX_LEASE_MS, Scheduler, leases::slowest_ms, speed::Speed};
 
 use crate::{boot_time::BootTime, ids::TaskId, report::WorkerEntry, spec::StepSpec};
 
@@ -165,6 +165,8 @@
     pub(super) runs: HashMap<(TaskId, u32), Run>,
     /// When every lease on the worker has expired, unless one is extended again.
     lease_end: BootTime,
+    /// When a lease was last granted.
+    pub(super) granted_at: Option<BootTime>,
     /// Last reading of the worker's clock in milliseconds, and when it arrived.
     clock: Option<(u64, BootTime)>,
     /// When the worker last answered a request.
@@ -205,6 +207,7 @@
             probations: 0,
             runs: HashMap::new(),
             lease_end,
+            granted_at: None,
             clock: None,
             answered_at: BootTime(0),
             silent_since: None,
@@ -343,6 +346,12 @@
         self.runs.len()
     }
 
+    /// Returns true if nothing is expected from the worker, so that its list need not be requested.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.run_count() == 0 && self.listed && !self.has_ends_to_acknowledge()
+    }
+
     /// Returns true if ends were processed that the worker keeps listing because they are not
     /// acknowledged yet.
     #[must_use]
@@ -391,12 +400,12 @@
     pub fn grant_lease(&mut self, now: BootTime) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
         let term_ms = now.ms_since(at) + MAX_LEASE_MS;
-        let max_term_ms = term_ms * 1_000 / (1_000 - MAX_CLOCK_DRIFT_PERMILLE) + 1;
-        self.lease_end = self.lease_end.max(at.plus_ms(max_term_ms));
+        self.lease_end = self.lease_end.max(at.plus_ms(slowest_ms(term_ms)));
+        self.granted_at = Some(now);
         Some(clock_ms + term_ms)
     }
 
-    /// Records that a previous leader may have granted leases until `end`.
+    /// Records that the worker may hold leases until `end` that this leader did not grant.
     pub(super) fn inherit_leases(&mut self, end: BootTime) {
         self.lease_end = self.lease_end.max(end);
     }
@@ -446,7 +455,7 @@
                 return key;
             }
         }
-        let mut worker = Worker::new(Arc::clone(name), now);
+        let mut worker = Worker::new(Arc::clone(name), self.kept_lease_end(name, now));
         worker.absent = false;
         log_joined(name, &entry);
         self.crash_history.record_join(&entry.service);
--- a/crates/coriandertackd/src/fleet/leadership.rs
+++ b/crates/coriandertackd/src/fleet/leadership.rs
@@ -206,12 +206,17 @@
         return;
     }
     let Some(config) = shared.config() else { return };
+    let mut scheduler = Scheduler::new(config);
+    scheduler.set_lease_limit(shared.settings.bounds.hold_max_ms);
+    if epoch > 1 {
+        scheduler.succeed_leader(clock::now());
+    }
     let (sender, arrivals) = mpsc::unbounded_channel();
     let leadership = Arc::new(Leadership {
         shared: shared.clone(),
         epoch,
         began: clock::now(),
-        scheduler: Mutex::new(Scheduler::new(config)),
+        scheduler: Mutex::new(scheduler),
         links: Mutex::default(),
         confirmed_at: AtomicU64::new(0),
         deposed: watch::Sender::default(),
--- a/crates/coriandertackd/src/fleet/settings.rs
+++ b/crates/coriandertackd/src/fleet/settings.rs
@@ -25,6 +25,7 @@
 
 use {
     anyhow::{Context, Result},
+    coriandertack_jobs::sched::DEFAULT_LEASE_LIMIT_MS,
     log::LevelFilter,
     serde::{Deserialize, Deserializer, de::Error},
 };
@@ -92,11 +93,13 @@
     pub status_s: u64,
     /// Time for which one holder's command for a machine excludes those of other holders, in milliseconds.
     pub lease_ms: u64,
+    /// Longest lease that workers accept, in milliseconds.
+    pub hold_max_ms: u64,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self { status_s: 120, lease_ms: 3_000 }
+        Self { status_s: 120, lease_ms: 3_000, hold_max_ms: DEFAULT_LEASE_LIMIT_MS }
     }
 }
 
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -328,7 +328,7 @@
         let request = {
             let mut scheduler = leadership.scheduler();
             let Some(state) = scheduler.worker_mut(key) else { return };
-            let idle = state.run_count() == 0 && state.listed && !state.has_ends_to_acknowledge();
+            let idle = state.is_idle();
             // A lease is renewed only while answers arrive. A worker whose answers are lost ends its runs when the
             // lease expires, so that they can run elsewhere.
             let lease = (answered && leadership.can_renew_leases())
