Keep runs that the next incarnation of a worker may hold

What callers saw: a task ran twice at the same time after its worker had started again under its name. Its start had been sent around the restart, and the next incarnation carried it out.

Cause: a command names the worker but not its incarnation, and the answer to a start does not tell it. The first list with another `born` counted as the end of all runs, even of those that it showed as active, and even of starts that had no answer yet. Their tasks waited again at once. A takeover did the same with runs that the record had for the former incarnation.

Evidence, before the change, with the caller's removal of the worker after such a list: run_that_the_next_incarnation_lists_is_kept: after Some(Started), left: (0, 1), right: (0, 0) (a stop for the run that was at work; the task waited again) start_that_was_answered_after_the_list_was_requested_is_kept: left: None, right: Some("w0") unanswered_start_is_barred_on_the_next_incarnation: nothing bars the start yet, left: 1, right: 0 successor_adopts_a_run_that_the_next_incarnation_lists: left: (0, 1), right: (0, 0)

A list of another incarnation now ends a run only if the run is not in the list and if its start was answered before the list was requested: then it was on the former incarnation, or the list would show it or its end. The others move to the next incarnation. A start without an answer is stopped there, as a stop that the former incarnation answered bars nothing on the next one, and its task waits until a later list omits it. A start that was never sent is lost at once, as before.

new_incarnation_loses_the_runs_of_the_previous_one requested the list in the same millisecond in which the start was answered, which no longer proves the order. It now does so a millisecond later; its assertions are unchanged.

--- a/crates/coriandertack-jobs/src/sched/lost.rs
+++ b/crates/coriandertack-jobs/src/sched/lost.rs
@@ -7,9 +7,16 @@
 
 use std::{collections::HashSet, sync::Arc};
 
-use super::{Scheduler, Worker, WorkerKey, worker::Run};
+use super::{
+    Scheduler, Worker, WorkerKey,
+    worker::{Run, RunId},
+};
 
-use crate::{boot_time::BootTime, hosts::Hosts};
+use crate::{
+    boot_time::BootTime,
+    hosts::Hosts,
+    report::{RunList, WorkerEntry},
+};
 
 /// Consecutive refused connections after which a worker without runs is removed. A single one can
 /// come from a full accept queue.
@@ -67,6 +74,11 @@
         self.born.is_some_and(|born| listed.is_some_and(|listed| listed != born))
     }
 
+    /// Returns the entry of the next incarnation, if it has been read.
+    pub(super) fn successor(&self) -> Option<Arc<WorkerEntry>> {
+        self.entry.clone().filter(|_| self.has_new_entry() && !self.absent)
+    }
+
     /// Returns true if the worker has runs and does not answer.
     fn is_silent(&self) -> bool {
         self.silent_since.is_some() && self.run_count() > 0
@@ -157,13 +169,19 @@
         self.workers.values().any(Worker::is_silent)
     }
 
-    /// Removes a worker whose runs can no longer exist. Its tasks wait again.
-    pub fn remove_lost_worker(&mut self, key: WorkerKey, cause: LossCause, now: BootTime) {
-        let Some(worker) = self.workers.remove(key) else { return };
+    /// Removes a worker, whose runs remain bound to it.
+    pub(super) fn detach_worker(&mut self, key: WorkerKey, now: BootTime) -> Option<Worker> {
+        let worker = self.workers.remove(key)?;
         self.worker_index.remove(&worker.name);
         self.acks.remove(&key);
         self.keep_lease_end(&worker, now);
-        let successor = worker.entry.clone().filter(|_| worker.has_new_entry() && !worker.absent);
+        Some(worker)
+    }
+
+    /// Removes a worker whose runs can no longer exist. Its tasks wait again.
+    pub fn remove_lost_worker(&mut self, key: WorkerKey, cause: LossCause, now: BootTime) {
+        let Some(worker) = self.detach_worker(key, now) else { return };
+        let successor = worker.successor();
         let name = Arc::clone(&worker.name);
         self.lose_runs(key, worker, cause, now);
         if let Some(entry) = successor {
@@ -173,12 +191,23 @@
 
     /// Removes the runs that were recorded for another incarnation of a worker than the one that
     /// returned its list. Their tasks wait again.
-    pub(super) fn lose_former_runs(&mut self, key: WorkerKey, now: BootTime) {
+    ///
+    /// A run that the list shows is there: its start may have been sent around the restart.
+    pub(super) fn lose_former_runs(&mut self, key: WorkerKey, run_list: &RunList, now: BootTime) {
+        if run_list.truncated {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(key) else { return };
         let Some(born) = worker.born else { return };
-        let is_former = |run: &Run| run.born.is_some_and(|known| known != born);
-        let former: Vec<_> =
-            worker.runs.iter().filter(|(_, run)| is_former(run)).map(|(id, _)| *id).collect();
+        let is_former = |id: RunId, run: &Run| {
+            run.born.is_some_and(|known| known != born) && !run_list.mentions(id)
+        };
+        let former: Vec<_> = worker
+            .runs
+            .iter()
+            .filter(|(id, run)| is_former(**id, run))
+            .map(|(id, _)| *id)
+            .collect();
         if former.is_empty() {
             return;
         }
@@ -194,7 +223,13 @@
     }
 
     /// Returns the tasks of a lost worker to the waiting state, and counts the loss against them.
-    fn lose_runs(&mut self, key: WorkerKey, worker: Worker, cause: LossCause, now: BootTime) {
+    pub(super) fn lose_runs(
+        &mut self,
+        key: WorkerKey,
+        worker: Worker,
+        cause: LossCause,
+        now: BootTime,
+    ) {
         let failed_at = worker.silent_since.unwrap_or(now);
         log::info!(
             "event=worker_lost worker={} cause={cause} runs={} silent_ms={} answered_ms={}",
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -17,6 +17,7 @@
 mod evacuate;
 mod fit;
 mod health;
+mod incarnations;
 mod leases;
 mod lost;
 mod place;
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -12,7 +12,7 @@
 
 impl Scheduler {
     /// Applies a list of runs that was requested at `sent`. Returns `None` if the list is from
-    /// another incarnation of the worker.
+    /// another incarnation, which has then replaced the worker.
     pub fn apply_run_list(
         &mut self,
         key: WorkerKey,
@@ -22,10 +22,11 @@
     ) -> Option<()> {
         let worker = self.workers.get_mut(key)?;
         if worker.born.is_some_and(|born| run_list.born.is_some_and(|listed| listed != born)) {
+            self.replace_incarnation(key, sent, run_list, now);
             return None;
         }
         worker.born = worker.born.or(run_list.born);
-        self.lose_former_runs(key, now);
+        self.lose_former_runs(key, run_list, now);
         let former_lease_end = self.former_lease_end(run_list.clock_ms, now);
         let worker = self.workers.get_mut(key)?;
         if let Some(end) = former_lease_end.filter(|_| !worker.listed) {
@@ -67,7 +68,9 @@
             run.born = worker.born;
             worker.add_run(task, attempt, run);
         }
+        let born = worker.born;
         let Some(run) = worker.runs.get_mut(&(task, attempt)) else { return };
+        run.born = born;
         run.started = true;
         if run.confirmed_at.is_none() {
             run.confirm(now);
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -33,6 +33,9 @@
 /// Predictions are off by about a fifth.
 const URGENT_LIST_PERCENT: u64 = 60;
 
+/// Task and attempt of a run.
+pub(super) type RunId = (TaskId, u32);
+
 /// Properties of a task that matter while it runs.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunProfile {
@@ -162,7 +165,7 @@
     unsized_runs: u32,
     /// Number of runs that began on probation.
     pub(super) probations: u32,
-    pub(super) runs: HashMap<(TaskId, u32), Run>,
+    pub(super) runs: HashMap<RunId, Run>,
     /// When every lease on the worker has expired, unless one is extended again.
     lease_end: BootTime,
     /// When a lease was last granted.
--- a/crates/coriandertack-jobs/tests/sched/commands.rs
+++ b/crates/coriandertack-jobs/tests/sched/commands.rs
@@ -95,6 +95,7 @@
     cluster.sched.upsert_worker(&name, Arc::new(restarted), cluster.now);
     cluster.run_pass();
     assert_eq!(cluster.starts.len(), 1, "an entry alone does not end the run");
+    cluster.now = cluster.now.plus_ms(1);
     let list = empty_run_list(NEXT_INCARNATION);
     let former = cluster.keys[0];
     assert!(cluster.sched.apply_run_list(former, cluster.now, &list, cluster.now).is_none());
--- /dev/null
+++ b/crates/coriandertack-jobs/tests/sched/incarnations.rs
@@ -0,0 +1,165 @@
+//! Workers that start again under their names, and the runs that their next incarnation holds.
+
+use std::sync::Arc;
+
+use coriandertack_jobs::{
+    boot_time::WallTime,
+    config::Config,
+    ids::JobId,
+    progress::JobPhase,
+    report::{EndCause, WorkerEntry},
+    sched::{Scheduler, StartOutcome, WorkerCommand, WorkerKey},
+};
+
+use crate::support::{
+    FakeWorker, INCARNATION, NEXT_INCARNATION, TestCluster, job, step, task, worker_entry,
+};
+
+/// Returns a cluster with one worker, to which the start of one task is about to be sent.
+fn cluster_with_bound_task() -> (TestCluster, WorkerKey) {
+    let mut cluster = TestCluster::new(&[4]);
+    cluster.admit(1, job(vec![step(1, 1)]));
+    cluster.now = cluster.now.plus_ms(20);
+    cluster.sched.place(cluster.now);
+    let batch = cluster.sched.take_batch();
+    assert_eq!(batch.commands.len(), 1);
+    cluster.record(&batch);
+    let key = cluster.keys[0];
+    assert!(cluster.sched.prepare_start(key, task(1, 0, 0), 1, cluster.now));
+    (cluster, key)
+}
+
+fn record_start(cluster: &mut TestCluster, key: WorkerKey, outcome: StartOutcome) {
+    cluster.sched.record_start_outcome(key, task(1, 0, 0), 1, outcome, cluster.now);
+}
+
+/// Requests the list of the next incarnation at the address of the former one.
+fn discover(cluster: &mut TestCluster, former: WorkerKey, next: &FakeWorker) {
+    let sent = cluster.now.plus_ms(1);
+    cluster.now = sent.plus_ms(1);
+    let list = next.run_list(NEXT_INCARNATION);
+    assert!(cluster.sched.apply_run_list(former, sent, &list, cluster.now).is_none());
+    assert!(cluster.sched.worker(former).is_none());
+}
+
+/// Applies the entry of the next incarnation and its list, and returns its key.
+fn list_next(cluster: &mut TestCluster, next: &FakeWorker) -> WorkerKey {
+    let entry = WorkerEntry { born: NEXT_INCARNATION, ..worker_entry(4) };
+    let key = cluster.sched.upsert_worker(&"w0".into(), Arc::new(entry), cluster.now);
+    let sent = cluster.now.plus_ms(1);
+    cluster.now = sent.plus_ms(1);
+    let list = next.run_list(NEXT_INCARNATION);
+    assert!(cluster.sched.apply_run_list(key, sent, &list, cluster.now).is_some());
+    key
+}
+
+/// Runs a scheduling pass. Returns the numbers of starts and of stops.
+fn commands(cluster: &mut TestCluster) -> (usize, usize) {
+    cluster.now = cluster.now.plus_ms(20);
+    cluster.sched.place(cluster.now);
+    let batch = cluster.sched.take_batch();
+    cluster.record(&batch);
+    let is_start = |command: &&WorkerCommand| matches!(command, WorkerCommand::Start(_));
+    let starts = batch.commands.iter().filter(is_start).count();
+    (starts, batch.commands.len() - starts)
+}
+
+/// Guards against a second run of a task whose start reached the next incarnation of its worker: the
+/// first list of that incarnation counted as the end of all runs, even of those that it showed.
+#[test]
+fn run_that_the_next_incarnation_lists_is_kept() {
+    for outcome in [Some(StartOutcome::Started), Some(StartOutcome::Unanswered), None] {
+        let (mut cluster, former) = cluster_with_bound_task();
+        if let Some(outcome) = outcome {
+            record_start(&mut cluster, former, outcome);
+        }
+        cluster.sched.take_batch();
+        let mut next = FakeWorker::default();
+        next.running.insert((task(1, 0, 0), 1), (Arc::default(), 0));
+        discover(&mut cluster, former, &next);
+        assert_eq!(commands(&mut cluster), (0, 0), "after {outcome:?}");
+        list_next(&mut cluster, &next);
+        assert_eq!(commands(&mut cluster), (0, 0), "after {outcome:?}");
+        next.end(task(1, 0, 0), 1, EndCause::Done);
+        list_next(&mut cluster, &next);
+        assert_eq!(commands(&mut cluster), (0, 0), "after {outcome:?}");
+        assert_eq!(cluster.phase(1), Some(JobPhase::Completed), "after {outcome:?}");
+    }
+}
+
+/// Guards against a second run of a task whose start the next incarnation carried out after it had
+/// returned its first list.
+#[test]
+fn start_that_was_answered_after_the_list_was_requested_is_kept() {
+    let (mut cluster, former) = cluster_with_bound_task();
+    let sent = cluster.now.plus_ms(1);
+    cluster.now = sent.plus_ms(5);
+    record_start(&mut cluster, former, StartOutcome::Started);
+    let list = FakeWorker::default().run_list(NEXT_INCARNATION);
+    cluster.now = cluster.now.plus_ms(1);
+    assert!(cluster.sched.apply_run_list(former, sent, &list, cluster.now).is_none());
+    assert_eq!(commands(&mut cluster), (0, 0));
+    assert_eq!(cluster.records[&JobId(1)].tasks[0].worker.as_deref(), Some("w0"));
+    list_next(&mut cluster, &FakeWorker::default());
+    assert_eq!(commands(&mut cluster), (1, 0), "the next list omits the run as well");
+}
+
+/// Guards against a second run of a task whose start is carried out late, by the next incarnation of
+/// its worker: a stop there has to bar it first.
+#[test]
+fn unanswered_start_is_barred_on_the_next_incarnation() {
+    for stopped in [false, true] {
+        let (mut cluster, former) = cluster_with_bound_task();
+        record_start(&mut cluster, former, StartOutcome::Unanswered);
+        assert_eq!(commands(&mut cluster), (0, 1));
+        if stopped {
+            cluster.sched.record_stop(former, task(1, 0, 0), 1, cluster.now);
+        }
+        let next = FakeWorker::default();
+        discover(&mut cluster, former, &next);
+        assert_eq!(commands(&mut cluster).0, 0);
+        let key = list_next(&mut cluster, &next);
+        assert_eq!(commands(&mut cluster).0, 0, "nothing bars the start yet");
+        cluster.sched.record_stop(key, task(1, 0, 0), 1, cluster.now);
+        assert_eq!(list_next(&mut cluster, &next), key);
+        assert_eq!(commands(&mut cluster).0, 1);
+    }
+}
+
+/// Guards against a start that was never sent and keeps its task from another worker.
+#[test]
+fn start_that_was_not_sent_is_lost_with_the_incarnation() {
+    let mut cluster = TestCluster::new(&[4]);
+    cluster.admit(1, job(vec![step(1, 1)]));
+    cluster.sched.place(cluster.now);
+    let _unsent = cluster.sched.take_batch();
+    let former = cluster.keys[0];
+    discover(&mut cluster, former, &FakeWorker::default());
+    list_next(&mut cluster, &FakeWorker::default());
+    assert_eq!(commands(&mut cluster), (1, 0));
+}
+
+/// Guards against a second run of a task whose start by the former leader reached the next incarnation
+/// of the worker that the record names.
+#[test]
+fn successor_adopts_a_run_that_the_next_incarnation_lists() {
+    let mut cluster = TestCluster::new(&[4]);
+    let spec = job(vec![step(2, 1)]);
+    cluster.admit(1, spec.clone());
+    cluster.run_pass();
+    let mut next = FakeWorker::default();
+    next.running.insert((task(1, 0, 0), 1), (Arc::default(), 0));
+    next.end(task(1, 0, 1), 1, EndCause::Done);
+    let mut sched = Scheduler::new(Arc::new(Config::default()));
+    let key = sched.upsert_worker(&"w0".into(), Arc::new(worker_entry(4)), cluster.now);
+    let progress = cluster.records.get(&JobId(1));
+    assert!(progress.unwrap().tasks.iter().all(|task| task.born == INCARNATION));
+    sched.admit(JobId(1), Arc::new(spec), progress, false, cluster.now, WallTime(0));
+    cluster.sched = sched;
+    let sent = cluster.now.plus_ms(1);
+    cluster.now = sent.plus_ms(1);
+    let list = next.run_list(NEXT_INCARNATION);
+    assert!(cluster.sched.apply_run_list(key, sent, &list, cluster.now).is_some());
+    assert_eq!(commands(&mut cluster), (0, 0));
+    assert_eq!(cluster.records[&JobId(1)].tasks.iter().filter(|task| task.crashes > 0).count(), 0);
+}
--- a/crates/coriandertack-jobs/tests/sched/main.rs
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod ends;
 mod gangs;
+mod incarnations;
 mod leases;
 mod liveness;
 mod load;
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -364,7 +364,7 @@
                     (pending, known, delay_ms)
                 };
                 if !known {
-                    remove_worker(&leadership, key, LossCause::Replaced);
+                    leadership.shared.wake.notify_one();
                     return;
                 }
                 if !run_list.ended.is_empty() || !answered {
@@ -408,9 +408,3 @@
         pause = (pause * 2).min(RETRY_MS.1);
     }
 }
-
-/// Removes a worker that is lost, so that its tasks can run elsewhere.
-fn remove_worker(leadership: &Leadership, key: WorkerKey, cause: LossCause) {
-    leadership.scheduler().remove_lost_worker(key, cause, clock::now());
-    leadership.shared.wake.notify_one();
-}
