Withhold a start that was stopped while it was recorded

What callers saw: a task that was done ran again, for as long as its stop took.

Cause: a start is sent once its record is durable. Meanwhile a worker that was given up may answer again and list that an earlier run of the task is done. The task is then done and its new run is stopped, but the stop goes out with the next batch, after the start.

Evidence: start_that_was_stopped_before_it_was_sent_is_withheld failed before: assertion failed: !cluster.sched.prepare_start(start.worker, start.task, start.attempt, now)

A start is now withheld if its run has been stopped or removed.

list_requested_before_an_answer_proves_no_absence plays lists that overtake the answers to a start and to a stop; it passed before as well.

--- a/crates/coriandertack-jobs/src/sched/commands.rs
+++ b/crates/coriandertack-jobs/src/sched/commands.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Scheduler, WorkerKey, advice::Ticket};
+use super::{Scheduler, WorkerKey, advice::Ticket, worker::Run};
 
 use crate::{boot_time::BootTime, ids::TaskId, report::StartRefusal};
 
@@ -66,8 +66,9 @@
 }
 
 impl Scheduler {
-    /// Returns true if a start that is about to be sent still fits on its worker, and records that
-    /// it is sent. The worker may have shrunk while the start was recorded.
+    /// Returns true if a start that is about to be sent is still wanted and fits on its worker, and
+    /// records that it is sent. While the start was recorded, the worker may have shrunk, and a list
+    /// may have shown that the task is done.
     #[must_use]
     pub fn prepare_start(
         &mut self,
@@ -85,9 +86,12 @@
             );
             return false;
         }
-        if let Some(run) = worker.runs.get_mut(&(task, attempt)) {
-            run.sent_at = Some(now);
-        }
+        let wanted = |run: &&mut Run| run.stopped_at.is_none();
+        let Some(run) = worker.runs.get_mut(&(task, attempt)).filter(wanted) else {
+            log::info!("event=start_unwanted task={task} attempt={attempt} worker={}", worker.name);
+            return false;
+        };
+        run.sent_at = Some(now);
         true
     }
 
--- a/crates/coriandertack-jobs/tests/sched/lost.rs
+++ b/crates/coriandertack-jobs/tests/sched/lost.rs
@@ -6,10 +6,10 @@
     hosts::{HostReader, Hosts},
     maintenance::{Machine, MachineState},
     report::EndCause,
-    sched::LossCause,
+    sched::{LossCause, StartOutcome, WorkerCommand},
 };
 
-use crate::support::{INCARNATION, TestCluster, job, step, task, worker_entry};
+use crate::support::{FakeWorker, INCARNATION, TestCluster, job, step, task, worker_entry};
 
 /// Time between two refused connections, in milliseconds.
 const RETRY_MS: u64 = 150;
@@ -191,3 +191,53 @@
         assert!(lease_ms >= longest_ms, "{lease_ms} ms, but up to {longest_ms} ms");
     }
 }
+
+/// Guards against a second run of a task that is done: the end of a former run was listed while the
+/// next start was being recorded, and the start was sent all the same.
+#[test]
+fn start_that_was_stopped_before_it_was_sent_is_withheld() {
+    let mut cluster = TestCluster::new(&[4, 4]);
+    cluster.admit(1, job(vec![step(1, 1)]));
+    cluster.run_pass();
+    let cut = cluster.workers_running(task(1, 0, 0))[0];
+    let mut worker = cluster.workers.remove(&cut).unwrap();
+    let name = cluster.sched.worker(cut).unwrap().name.clone();
+    cluster.keys.retain(|key| *key != cut);
+    cluster.sched.remove_lost_worker(cut, LossCause::LeaseExpired, cluster.now);
+    cluster.sched.place(cluster.now);
+    let batch = cluster.sched.take_batch();
+    let [WorkerCommand::Start(start)] = &batch.commands[..] else { panic!("one start") };
+    assert_ne!(start.worker, cut);
+
+    worker.end(task(1, 0, 0), 1, EndCause::Done);
+    let back = cluster.sched.upsert_worker(&name, Arc::new(worker_entry(4)), cluster.now);
+    let list = worker.run_list(INCARNATION);
+    cluster.sched.apply_run_list(back, cluster.now, &list, cluster.now.plus_ms(1));
+    let now = cluster.now.plus_ms(2);
+    assert!(!cluster.sched.prepare_start(start.worker, start.task, start.attempt, now));
+}
+
+/// Guards against a run that is taken for ended because a list was requested before the worker answered
+/// its start, or its stop, and arrived afterwards.
+#[test]
+fn list_requested_before_an_answer_proves_no_absence() {
+    for (outcome, stopped) in [(StartOutcome::Started, false), (StartOutcome::Unanswered, true)] {
+        let mut cluster = TestCluster::new(&[4]);
+        cluster.admit(1, job(vec![step(1, 1)]));
+        cluster.sched.place(cluster.now);
+        let _sent = cluster.sched.take_batch();
+        let (key, id) = (cluster.keys[0], task(1, 0, 0));
+        assert!(cluster.sched.prepare_start(key, id, 1, cluster.now));
+        let answered_at = cluster.now.plus_ms(10);
+        cluster.sched.record_start_outcome(key, id, 1, outcome, answered_at);
+        if stopped {
+            cluster.sched.record_stop(key, id, 1, answered_at);
+        }
+        let list = FakeWorker::default().run_list(INCARNATION);
+        let now = answered_at.plus_ms(5);
+        for (sent, runs) in [(cluster.now, 1), (answered_at, 1), (answered_at.plus_ms(1), 0)] {
+            cluster.sched.apply_run_list(key, sent, &list, now);
+            assert_eq!(cluster.sched.worker(key).unwrap().run_count(), runs, "after {outcome:?}");
+        }
+    }
+}
