Acknowledge ends once, not with each request

What callers saw: a task that was done ran again after its worker had started again under its name.

Cause: each request for a list carried the number of the last recorded end. A request that is sent around the restart reaches the next incarnation, which numbers its ends from 1: it forgets an end of its own that no list has shown. The next list omits the run, and its task waits again, although the end counts as noted.

A request now acknowledges ends only until one that did so was answered. This makes the order rarer but does not exclude it: a request with a new acknowledgement can still be sent around the restart.

--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -362,6 +362,16 @@
         self.processed_end > self.acknowledged_end
     }
 
+    /// Returns the number of the last end to acknowledge with the next request for a list; 0 if there
+    /// is none.
+    ///
+    /// The request may reach the next incarnation, which numbers its ends anew and would forget those
+    /// up to this number before any list has shown them.
+    #[must_use]
+    pub const fn end_to_acknowledge(&self) -> u64 {
+        if self.recorded_end > self.acknowledged_end { self.recorded_end } else { 0 }
+    }
+
     /// Returns true if ends were processed whose records are not durable yet.
     #[must_use]
     pub const fn has_unrecorded_ends(&self) -> bool {
--- a/crates/coriandertack-jobs/tests/sched/incarnations.rs
+++ b/crates/coriandertack-jobs/tests/sched/incarnations.rs
@@ -163,3 +163,31 @@
     assert_eq!(commands(&mut cluster), (0, 0));
     assert_eq!(cluster.records[&JobId(1)].tasks.iter().filter(|task| task.crashes > 0).count(), 0);
 }
+
+/// Guards against a second run of a task that is done: its worker had started again, and forgot the end
+/// with a request that repeated an acknowledgement of the former incarnation.
+#[test]
+fn acknowledgement_is_not_repeated_to_the_next_incarnation() {
+    let mut cluster = TestCluster::new(&[4]);
+    let former = cluster.keys[0];
+    cluster.admit(1, job(vec![step(1, 1)]));
+    cluster.run_pass();
+    cluster.end_runs(task(1, 0, 0), EndCause::Done);
+    cluster.run_pass();
+    let worker = cluster.sched.worker_mut(former).unwrap();
+    assert_eq!(worker.end_to_acknowledge(), 1);
+    worker.acknowledged_end = 1;
+
+    cluster.admit(2, job(vec![step(1, 1)]));
+    cluster.run_pass();
+    assert_eq!(cluster.starts.len(), 2);
+    let mut next = FakeWorker::default();
+    next.running.insert((task(2, 0, 0), 1), (Arc::default(), 0));
+    next.end(task(2, 0, 0), 1, EndCause::Done);
+    let acknowledged = cluster.sched.worker(former).unwrap().end_to_acknowledge();
+    next.ended.retain(|end| end.number > acknowledged);
+    discover(&mut cluster, former, &next);
+    list_next(&mut cluster, &next);
+    assert_eq!(commands(&mut cluster).0, 0);
+    assert_eq!(cluster.phase(2), Some(JobPhase::Completed));
+}
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -336,7 +336,7 @@
                 .flatten();
             // Without runs, the list is needed only to acknowledge ends.
             let wait = if answered && state.run_count() > 0 { state.list_wait_ms() } else { 0 };
-            (!idle).then_some((state.recorded_end, lease, Duration::from_millis(wait)))
+            (!idle).then_some((state.end_to_acknowledge(), lease, Duration::from_millis(wait)))
         };
         let Some((acknowledged, lease, wait)) = request else {
             wake.notified().await;
