Ignore a list that does not tell its incarnation

What callers would have seen: a task that ran twice. No worker is known to have sent such a list; the protocol says that every list has `born`.

Cause: a list without `born` was applied to whichever incarnation the leader knew, with its clock, the numbers of its ends and the absence of runs.

Evidence: list_without_incarnation_ends_no_runs failed before: left: 0, right: 1 (the run was removed)

Such a list now has no effect once the worker has told its incarnation, and counts as no answer, so that the lease is not renewed. A worker that never tells one is used as before.

--- a/crates/coriandertack-jobs/src/sched/incarnations.rs
+++ b/crates/coriandertack-jobs/src/sched/incarnations.rs
@@ -33,6 +33,14 @@
     }
 }
 
+impl Worker {
+    /// Returns true if a list tells its incarnation, or if the worker has never told one.
+    #[must_use]
+    pub const fn can_attribute(&self, run_list: &RunList) -> bool {
+        self.born.is_none() || run_list.born.is_some()
+    }
+}
+
 impl Run {
     /// Returns what a list of another incarnation, requested at `sent`, says about the run.
     fn whereabouts(&self, id: RunId, sent: BootTime, run_list: &RunList) -> Whereabouts {
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -12,7 +12,8 @@
 
 impl Scheduler {
     /// Applies a list of runs that was requested at `sent`. Returns `None` if the list is from
-    /// another incarnation, which has then replaced the worker.
+    /// another incarnation, which has then replaced the worker. A list that does not tell its
+    /// incarnation has no effect, unless the worker has never told one.
     pub fn apply_run_list(
         &mut self,
         key: WorkerKey,
@@ -21,6 +22,9 @@
         now: BootTime,
     ) -> Option<()> {
         let worker = self.workers.get_mut(key)?;
+        if !worker.can_attribute(run_list) {
+            return Some(());
+        }
         if worker.born.is_some_and(|born| run_list.born.is_some_and(|listed| listed != born)) {
             self.replace_incarnation(key, sent, run_list, now);
             return None;
--- a/crates/coriandertack-jobs/tests/sched/incarnations.rs
+++ b/crates/coriandertack-jobs/tests/sched/incarnations.rs
@@ -191,3 +191,20 @@
     assert_eq!(commands(&mut cluster).0, 0);
     assert_eq!(cluster.phase(2), Some(JobPhase::Completed));
 }
+
+/// Guards against a list without its incarnation that is taken for one of the incarnation that holds the
+/// runs, and against a worker that never reports any and could not be used.
+#[test]
+fn list_without_incarnation_ends_no_runs() {
+    let (mut cluster, key) = cluster_with_bound_task();
+    record_start(&mut cluster, key, StartOutcome::Started);
+    let sent = cluster.now.plus_ms(1);
+    let list = FakeWorker::default().run_list(None);
+    assert!(!cluster.sched.worker(key).unwrap().can_attribute(&list));
+    cluster.sched.apply_run_list(key, sent, &list, sent.plus_ms(1));
+    assert_eq!(cluster.sched.worker(key).unwrap().run_count(), 1);
+
+    let other = cluster.sched.upsert_worker(&"w1".into(), Arc::new(worker_entry(4)), cluster.now);
+    cluster.sched.apply_run_list(other, sent, &list, sent.plus_ms(1));
+    assert!(cluster.sched.worker(other).unwrap().listed);
+}
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -343,7 +343,12 @@
             continue;
         };
         Counters::count(&leadership.shared.counters.lists);
-        let response = worker.list(leadership.epoch, acknowledged, lease, wait).await;
+        let mut response = worker.list(leadership.epoch, acknowledged, lease, wait).await;
+        if let Ok(run_list) = &response
+            && leadership.scheduler().worker(key).is_some_and(|w| !w.can_attribute(run_list))
+        {
+            response = Err(ListError::Unreadable);
+        }
         let received = clock::now();
         let replaced = matches!(response, Err(ListError::Refused(StartRefusal::Replaced)));
         let refused = matches!(response, Err(ListError::Call(CallError::Refused)));
