Test the leases of refused starts and of workers that come back

lease_of_a_worker_that_comes_back_is_waited_for plays an idle worker that was removed and came back in the same incarnation.

--- a/crates/coriandertack-jobs/tests/sched/leases.rs
+++ b/crates/coriandertack-jobs/tests/sched/leases.rs
@@ -6,11 +6,11 @@
     boot_time::{BootTime, WallTime},
     config::Config,
     ids::JobId,
-    report::{RunList, WorkerEntry},
-    sched::{LEADERSHIP_TERM_MS, LossCause, MAX_LEASE_MS, Scheduler, WorkerKey},
+    report::{RunList, StartRefusal, WorkerEntry},
+    sched::{LEADERSHIP_TERM_MS, LossCause, MAX_LEASE_MS, Scheduler, StartOutcome, WorkerKey},
 };
 
-use crate::support::{INCARNATION, NEXT_INCARNATION, TestCluster, job, step, worker_entry};
+use crate::support::{INCARNATION, NEXT_INCARNATION, TestCluster, job, step, task, worker_entry};
 
 /// Longest lease that a worker accepts, in milliseconds.
 const LEASE_LIMIT_MS: u64 = 10_000;
@@ -164,3 +164,56 @@
         assert!(lost_at >= lease.expiry(), "after {stood_still_ms} ms");
     }
 }
+
+/// Guards against a lease that is not waited for because the start that extended it was refused, was not
+/// answered or ended at once.
+#[test]
+fn lease_of_a_refused_start_is_waited_for() {
+    let outcomes = [
+        StartOutcome::Refused(StartRefusal::Superseded),
+        StartOutcome::Refused(StartRefusal::NoRoom),
+        StartOutcome::Unanswered,
+        StartOutcome::NotSent,
+    ];
+    for outcome in outcomes {
+        let mut cluster = TestCluster::new(&[4]);
+        let (key, born) = (cluster.keys[0], cluster.now);
+        cluster.sched.apply_run_list(key, born, &empty_list(1, INCARNATION), born);
+        cluster.admit(1, job(vec![step(1, 1)]));
+        cluster.run_pass();
+        cluster.now = cluster.now.plus_ms(4_000);
+        cluster.admit(2, job(vec![step(1, 1)]));
+        cluster.sched.place(cluster.now);
+        let _start = cluster.sched.take_batch();
+        let until_ms = grant(&mut cluster, key);
+        let mut lease = SlowLease { born, end_ms: 0 };
+        lease.extend(until_ms, cluster.now);
+        cluster.sched.record_start_outcome(key, task(2, 0, 0), 1, outcome, cluster.now);
+        let lost_at = time_of_loss(&mut cluster, key);
+        assert!(lost_at >= lease.expiry(), "after {outcome:?}");
+    }
+}
+
+/// Guards against a second run of the tasks of a worker that was removed while it had none, and came
+/// back: a lease that was granted by an old reading of its slow clock outlasts the next one.
+#[test]
+fn lease_of_a_worker_that_comes_back_is_waited_for() {
+    let mut cluster = TestCluster::new(&[4]);
+    let (key, born) = (cluster.keys[0], cluster.now);
+    cluster.sched.apply_run_list(key, born, &empty_list(1, INCARNATION), born);
+    cluster.now = born.plus_ms(200_000);
+    let until_ms = grant(&mut cluster, key);
+    let mut lease = SlowLease { born, end_ms: 0 };
+    lease.extend(until_ms, cluster.now);
+    while cluster.sched.record_list_failure(key, cluster.now, true, cluster.now) {}
+    let entry = Arc::new(worker_entry(4));
+    let key = cluster.sched.upsert_worker(&"w0".into(), entry, cluster.now);
+    let clock_ms = cluster.now.ms_since(born) * 98 / 100;
+    let list = empty_list(clock_ms, INCARNATION);
+    cluster.sched.apply_run_list(key, cluster.now, &list, cluster.now);
+    cluster.admit(1, job(vec![step(1, 1)]));
+    cluster.run_pass();
+    let lost_at = time_of_loss(&mut cluster, key);
+    let expiry = lease.expiry();
+    assert!(lost_at >= expiry, "given up {} ms before its lease expires", expiry.ms_since(lost_at));
+}
