Count a lease from the earliest time that the worker's clock can show

What callers could see: a task that ran twice after a takeover. The former leader had started a task on a worker that had been idle for a while, and the worker was cut off soon after the takeover.

Cause: the end of a lease was computed from the last reading of the worker's clock, as if that had run at the leader's speed since. On a clock that is 2% slow, the lease is longer than others by 2% of the time since the reading. The leader that granted it counted this; its successor could not. It also made the leader wait longer for the tasks of a worker that crashed soon after such a start.

Evidence: lease_by_an_old_reading_of_the_clock_is_no_longer_than_others failed before: 5510 ms after 20000 ms (the longest allowed is 5103 ms)

The lease now counts from the earliest time that the clock can show. On a clock that is not slow it is shorter by up to 3 s until the first list, at most 0.25 s later, renews it. For workers that were idle for more than 150 s a part of the fault remains, as the lease would otherwise expire at once.

--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -4,7 +4,9 @@
 
 use {coriandertack_core::resources::Resources, slotmap::new_key_type};
 
-use super::{LossCause, MAX_LEASE_MS, Scheduler, leases::slowest_ms, speed::Speed};
+use super::{
+    LossCause, MAX_CLOCK_DRIFT_PERMILLE, MAX_LEASE_MS, Scheduler, leases::slowest_ms, speed::Speed,
+};
 
 use crate::{boot_time::BootTime, ids::TaskId, report::WorkerEntry, spec::StepSpec};
 
@@ -36,6 +38,10 @@
 /// Task and attempt of a run.
 pub(super) type RunId = (TaskId, u32);
 
+/// Maximum time by which a lease is shortened because of an old reading of the worker's clock, in
+/// milliseconds.
+const MAX_LEASE_CUT_MS: u64 = 3_000;
+
 /// Properties of a task that matter while it runs.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunProfile {
@@ -408,11 +414,15 @@
     /// Returns the expiry of a lease granted now, on the worker's clock, and records how long the
     /// lease may last. Returns `None` while the worker's clock is unknown.
     ///
-    /// The worker's clock is taken to show its last reading plus the time since then. It may run
-    /// slow, so the lease can last longer on the leader's clock.
+    /// The worker's clock may have run slow since its last reading. The lease counts from the earliest
+    /// time that it can show, so that it is no longer than other leases; if the worker has been idle,
+    /// the first list renews it. Beyond [`MAX_LEASE_CUT_MS`] the lease would expire at once on a clock
+    /// that is not slow, and can last longer on the leader's clock instead.
     pub fn grant_lease(&mut self, now: BootTime) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
-        let term_ms = now.ms_since(at) + MAX_LEASE_MS;
+        let since_ms = now.ms_since(at);
+        let lag_ms = since_ms * MAX_CLOCK_DRIFT_PERMILLE / 1_000;
+        let term_ms = since_ms + MAX_LEASE_MS - lag_ms.min(MAX_LEASE_CUT_MS);
         self.lease_end = self.lease_end.max(at.plus_ms(slowest_ms(term_ms)));
         self.granted_at = Some(now);
         Some(clock_ms + term_ms)
--- a/crates/coriandertack-jobs/tests/sched/leases.rs
+++ b/crates/coriandertack-jobs/tests/sched/leases.rs
@@ -217,3 +217,22 @@
     let expiry = lease.expiry();
     assert!(lost_at >= expiry, "given up {} ms before its lease expires", expiry.ms_since(lost_at));
 }
+
+/// Guards against a first lease, after a worker was idle, that is longer than the others by what its slow
+/// clock lags behind: a successor does not know of it.
+#[test]
+fn lease_by_an_old_reading_of_the_clock_is_no_longer_than_others() {
+    for idle_ms in [0, 20_000, 100_000, 150_000] {
+        let mut cluster = TestCluster::new(&[4]);
+        let (key, born) = (cluster.keys[0], cluster.now);
+        cluster.sched.apply_run_list(key, born, &empty_list(0, INCARNATION), born);
+        cluster.now = born.plus_ms(idle_ms);
+        let until_ms = grant(&mut cluster, key);
+        assert!(until_ms >= idle_ms + 2_000, "it expires at once on a clock that is not slow");
+        let mut lease = SlowLease { born, end_ms: 0 };
+        lease.extend(until_ms, cluster.now);
+        let lease_ms = lease.expiry().ms_since(cluster.now);
+        assert!(lease_ms <= MAX_LEASE_MS * 100 / 98 + 1, "{lease_ms} ms after {idle_ms} ms");
+        assert!(cluster.sched.worker(key).unwrap().lease_end() >= lease.expiry());
+    }
+}
