--- a/crates/coriandertack-jobs/src/sched/lost.rs
+++ b/crates/coriandertack-jobs/src/sched/lost.rs
@@ -7,11 +7,15 @@
 
 use std::sync::Arc;
 
-use super::{Scheduler, Worker, WorkerKey, worker::Run};
+use super::{
+    Scheduler, Worker, WorkerKey,
+    worker::{Run, RunId},
+};
 
 use crate::{
     boot_time::{BootTime, WallTime},
     hosts::{Departure, Hosts},
+    report::{RunList, WorkerEntry},
 };
 
 /// Consecutive refused connections after which a worker without runs is removed. A single one can
@@ -55,11 +59,11 @@
 
 /// What a conclusion that runs have ended rests on.
 #[derive(Clone, Copy, Debug)]
-struct Evidence {
-    cause: LossCause,
+pub(super) struct Evidence {
+    pub(super) cause: LossCause,
     /// The time that the evidence speaks of: when the listing was requested, when the leases expired,
-    /// or when the answer arrived.
-    as_of: BootTime,
+    /// or when the list was requested or the answer arrived.
+    pub(super) as_of: BootTime,
 }
 
 impl Worker {
@@ -94,6 +98,11 @@
         latest.into_iter().max()
     }
 
+    /// Returns the entry of the next incarnation, if it has been read.
+    pub(super) fn successor(&self) -> Option<Arc<WorkerEntry>> {
+        self.entry.clone().filter(|_| self.has_new_entry() && !self.absent)
+    }
+
     /// Returns true if the worker has runs and does not answer.
     fn is_silent(&self) -> bool {
         self.silent_since.is_some() && self.run_count() > 0
@@ -202,16 +211,23 @@
         self.workers.values().any(Worker::is_silent)
     }
 
+    /// Removes a worker, whose runs remain bound to it.
+    pub(super) fn detach_worker(&mut self, key: WorkerKey, now: BootTime) -> Option<Worker> {
+        let worker = self.workers.remove(key)?;
+        self.worker_index.remove(&worker.name);
+        self.acks.remove(&key);
+        self.keep_lease_end(&worker, now);
+        Some(worker)
+    }
+
     /// Removes a worker whose runs can no longer exist, as known from now on. Its tasks wait again.
     pub fn remove_lost_worker(&mut self, key: WorkerKey, cause: LossCause, now: BootTime) {
         self.remove_on_evidence(key, Evidence { cause, as_of: now }, now);
     }
 
     fn remove_on_evidence(&mut self, key: WorkerKey, evidence: Evidence, now: BootTime) {
-        let Some(worker) = self.workers.remove(key) else { return };
-        self.worker_index.remove(&worker.name);
-        self.acks.remove(&key);
-        let successor = worker.entry.clone().filter(|_| worker.has_new_entry() && !worker.absent);
+        let Some(worker) = self.detach_worker(key, now) else { return };
+        let successor = worker.successor();
         let name = Arc::clone(&worker.name);
         self.lose_runs(key, worker, evidence, now);
         if let Some(entry) = successor {
@@ -221,12 +237,23 @@
 
     /// Removes the runs that were recorded for another incarnation of a worker than the one that
     /// returned its list. Their tasks wait again.
-    pub(super) fn lose_former_runs(&mut self, key: WorkerKey, now: BootTime) {
+    ///
+    /// A run that the list shows is there: its start may have been sent around the restart.
+    pub(super) fn lose_former_runs(&mut self, key: WorkerKey, run_list: &RunList, now: BootTime) {
+        if run_list.truncated {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(key) else { return };
         let Some(born) = worker.born else { return };
-        let is_former = |run: &Run| run.born.is_some_and(|known| known != born);
-        let former: Vec<_> =
-            worker.runs.iter().filter(|(_, run)| is_former(run)).map(|(id, _)| *id).collect();
+        let is_former = |id: RunId, run: &Run| {
+            run.born.is_some_and(|known| known != born) && !run_list.mentions(id)
+        };
+        let former: Vec<_> = worker
+            .runs
+            .iter()
+            .filter(|(id, run)| is_former(**id, run))
+            .map(|(id, _)| *id)
+            .collect();
         if former.is_empty() {
             return;
         }
@@ -244,7 +271,13 @@
     }
 
     /// Returns the tasks of a lost worker to the waiting state, and counts the loss against them.
-    fn lose_runs(&mut self, key: WorkerKey, worker: Worker, evidence: Evidence, now: BootTime) {
+    pub(super) fn lose_runs(
+        &mut self,
+        key: WorkerKey,
+        worker: Worker,
+        evidence: Evidence,
+        now: BootTime,
+    ) {
         let Evidence { cause, as_of } = evidence;
         let failed_at = worker.silent_since.unwrap_or(now);
         log::info!(
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -4,7 +4,9 @@
 
 use {coriandertack_core::resources::Resources, slotmap::new_key_type};
 
-use super::{LossCause, MAX_CLOCK_DRIFT_PERMILLE, MAX_LEASE_MS, Scheduler, speed::Speed};
+use super::{
+    LossCause, MAX_CLOCK_DRIFT_PERMILLE, MAX_LEASE_MS, Scheduler, leases::slowest_ms, speed::Speed,
+};
 
 use crate::{boot_time::BootTime, ids::TaskId, report::WorkerEntry, spec::StepSpec};
 
@@ -33,6 +35,13 @@
 /// Predictions are off by about a fifth.
 const URGENT_LIST_PERCENT: u64 = 60;
 
+/// Task and attempt of a run.
+pub(super) type RunId = (TaskId, u32);
+
+/// Maximum time by which a lease is shortened because of an old reading of the worker's clock, in
+/// milliseconds.
+const MAX_LEASE_CUT_MS: u64 = 3_000;
+
 /// Properties of a task that matter while it runs.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunProfile {
@@ -162,9 +171,11 @@
     unsized_runs: u32,
     /// Number of runs that began on probation.
     pub(super) probations: u32,
-    pub(super) runs: HashMap<(TaskId, u32), Run>,
+    pub(super) runs: HashMap<RunId, Run>,
     /// When every lease on the worker has expired, unless one is extended again.
     lease_end: BootTime,
+    /// When a lease was last granted.
+    pub(super) granted_at: Option<BootTime>,
     /// Last reading of the worker's clock in milliseconds, and when it arrived.
     clock: Option<(u64, BootTime)>,
     /// When the worker last answered a request.
@@ -205,6 +216,7 @@
             probations: 0,
             runs: HashMap::new(),
             lease_end,
+            granted_at: None,
             clock: None,
             answered_at: BootTime(0),
             silent_since: None,
@@ -343,6 +355,12 @@
         self.runs.len()
     }
 
+    /// Returns true if nothing is expected from the worker, so that its list need not be requested.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.run_count() == 0 && self.listed && !self.has_ends_to_acknowledge()
+    }
+
     /// Returns true if ends were processed that the worker keeps listing because they are not
     /// acknowledged yet.
     #[must_use]
@@ -350,6 +368,16 @@
         self.processed_end > self.acknowledged_end
     }
 
+    /// Returns the number of the last end to acknowledge with the next request for a list; 0 if there
+    /// is none.
+    ///
+    /// The request may reach the next incarnation, which numbers its ends anew and would forget those
+    /// up to this number before any list has shown them.
+    #[must_use]
+    pub const fn end_to_acknowledge(&self) -> u64 {
+        if self.recorded_end > self.acknowledged_end { self.recorded_end } else { 0 }
+    }
+
     /// Returns true if ends were processed whose records are not durable yet.
     #[must_use]
     pub const fn has_unrecorded_ends(&self) -> bool {
@@ -386,17 +414,21 @@
     /// Returns the expiry of a lease granted now, on the worker's clock, and records how long the
     /// lease may last. Returns `None` while the worker's clock is unknown.
     ///
-    /// The worker's clock is taken to show its last reading plus the time since then. It may run
-    /// slow, so the lease can last longer on the leader's clock.
+    /// The worker's clock may have run slow since its last reading. The lease counts from the earliest
+    /// time that it can show, so that it is no longer than other leases; if the worker has been idle,
+    /// the first list renews it. Beyond [`MAX_LEASE_CUT_MS`] the lease would expire at once on a clock
+    /// that is not slow, and can last longer on the leader's clock instead.
     pub fn grant_lease(&mut self, now: BootTime) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
-        let term_ms = now.ms_since(at) + MAX_LEASE_MS;
-        let max_term_ms = term_ms * 1_000 / (1_000 - MAX_CLOCK_DRIFT_PERMILLE) + 1;
-        self.lease_end = self.lease_end.max(at.plus_ms(max_term_ms));
+        let since_ms = now.ms_since(at);
+        let lag_ms = since_ms * MAX_CLOCK_DRIFT_PERMILLE / 1_000;
+        let term_ms = since_ms + MAX_LEASE_MS - lag_ms.min(MAX_LEASE_CUT_MS);
+        self.lease_end = self.lease_end.max(at.plus_ms(slowest_ms(term_ms)));
+        self.granted_at = Some(now);
         Some(clock_ms + term_ms)
     }
 
-    /// Records that a previous leader may have granted leases until `end`.
+    /// Records that the worker may hold leases until `end` that this leader did not grant.
     pub(super) fn inherit_leases(&mut self, end: BootTime) {
         self.lease_end = self.lease_end.max(end);
     }
@@ -446,7 +478,7 @@
                 return key;
             }
         }
-        let mut worker = Worker::new(Arc::clone(name), now);
+        let mut worker = Worker::new(Arc::clone(name), self.kept_lease_end(name, now));
         worker.absent = false;
         log_joined(name, &entry);
         self.crash_history.record_join(&entry.service);
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -330,7 +330,7 @@
         let request = {
             let mut scheduler = leadership.scheduler();
             let Some(state) = scheduler.worker_mut(key) else { return };
-            let idle = state.run_count() == 0 && state.listed && !state.has_ends_to_acknowledge();
+            let idle = state.is_idle();
             // A lease is renewed only while answers arrive. A worker whose answers are lost ends its runs when the
             // lease expires, so that they can run elsewhere.
             let lease = (answered && leadership.can_renew_leases())
@@ -338,14 +338,19 @@
                 .flatten();
             // Without runs, the list is needed only to acknowledge ends.
             let wait = if answered && state.run_count() > 0 { state.list_wait_ms() } else { 0 };
-            (!idle).then_some((state.recorded_end, lease, Duration::from_millis(wait)))
+            (!idle).then_some((state.end_to_acknowledge(), lease, Duration::from_millis(wait)))
         };
         let Some((acknowledged, lease, wait)) = request else {
             wake.notified().await;
             continue;
         };
         Counters::count(&leadership.shared.counters.lists);
-        let response = worker.list(leadership.epoch, acknowledged, lease, wait).await;
+        let mut response = worker.list(leadership.epoch, acknowledged, lease, wait).await;
+        if let Ok(run_list) = &response
+            && leadership.scheduler().worker(key).is_some_and(|w| !w.can_attribute(run_list))
+        {
+            response = Err(ListError::Unreadable);
+        }
         let received = clock::now();
         let replaced = matches!(response, Err(ListError::Refused(StartRefusal::Replaced)));
         let refused = matches!(response, Err(ListError::Call(CallError::Refused)));
@@ -366,7 +371,7 @@
                     (pending, known, delay_ms)
                 };
                 if !known {
-                    remove_worker(&leadership, key, LossCause::Replaced);
+                    leadership.shared.wake.notify_one();
                     return;
                 }
                 if !run_list.ended.is_empty() || !answered {
@@ -410,9 +415,3 @@
         pause = (pause * 2).min(RETRY_MS.1);
     }
 }
-
-/// Removes a worker that is lost, so that its tasks can run elsewhere.
-fn remove_worker(leadership: &Leadership, key: WorkerKey, cause: LossCause) {
-    leadership.scheduler().remove_lost_worker(key, cause, clock::now());
-    leadership.shared.wake.notify_one();
-}
