Store cancellations of unknown jobs before they are acknowledged

Callers saw: a job starts seconds after its cancellation was answered 410.

Cause: 410 was answered from what had been read and recorded nowhere, so no VM knew of it when the submission arrived. The replica and the scheduler keep a cancellation that precedes its submission, but none was handed in.

Change: every cancellation of a job that has not ended is durable before it is answered, 200 if the job is known and 410 if not. A submission read after it is cancelled on every leader, since a new one reads both topics before it leads. It is kept for status_s + 30 s, an append of a submission is retried for 10 s. A VM that knows 10,000 cancellations without a submission refuses others with 503. Up to 1,000 expired jobs are deleted in a round, and the leader's scheduler forgets them with the response.

--- a/crates/coriandertack-jobs/src/replica.rs
+++ b/crates/coriandertack-jobs/src/replica.rs
@@ -17,6 +17,10 @@
 /// change of leader costs about a second without decisions, so a small difference is not worth it.
 const HANDOVER_THRESHOLD_PERCENT: u32 = 150;
 
+/// Maximum number of cancellations that are kept for jobs whose submission has not been read. Callers
+/// can cancel any number of jobs that do not exist.
+pub const MAX_EARLY_CANCELS: usize = 10_000;
+
 /// Address and size of an entry VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LinkInfo {
@@ -49,6 +53,11 @@
 }
 
 impl JobView {
+    /// Returns whether all that is known of the job is that its caller cancelled it.
+    const fn is_early_cancel(&self) -> bool {
+        self.cancelled && self.spec.is_none() && self.progress.is_none()
+    }
+
     /// Returns the phase that callers see.
     #[must_use]
     pub fn phase(&self) -> JobPhase {
@@ -98,12 +107,13 @@
     pub fn apply(&mut self, record: ReplicaRecord, now: BootTime) {
         let job = match record {
             ReplicaRecord::Submitted(id, spec) => {
+                let view = self.early_or_default(id);
                 // A repeated submission refers to the same job; the first one read is kept.
-                self.jobs.entry(id).or_default().spec.get_or_insert(spec);
+                view.spec.get_or_insert(spec);
                 id
             }
             ReplicaRecord::Cancelled(id) => {
-                self.jobs.entry(id).or_default().cancelled = true;
+                self.early_or_default(id).cancelled = true;
                 id
             }
             ReplicaRecord::Progressed(id, progress) => {
@@ -144,6 +154,25 @@
         }
     }
 
+    /// Returns what is known of a job to which a caller's record is to be added. The retention time of
+    /// an early cancellation starts anew: the job is shown, or stays cancelled, for the whole of it.
+    fn early_or_default(&mut self, id: JobId) -> &mut JobView {
+        let view = self.jobs.entry(id).or_default();
+        if view.is_early_cancel() {
+            view.ended_at = None;
+        }
+        view
+    }
+
+    /// Returns whether a cancellation of a job whose submission has not been read can be kept.
+    #[must_use]
+    pub fn can_keep_early_cancel(&self, id: JobId) -> bool {
+        let early = || self.jobs.values().filter(|view| view.is_early_cancel()).count();
+        self.jobs.len() < MAX_EARLY_CANCELS
+            || self.jobs.contains_key(&id)
+            || early() < MAX_EARLY_CANCELS
+    }
+
     /// Discards the submission of a job, and the whole job unless its phase is final.
     fn drop_submission(&mut self, id: JobId) {
         let Some(view) = self.jobs.get_mut(&id) else { return };
--- a/crates/coriandertack-jobs/tests/sched/replica.rs
+++ b/crates/coriandertack-jobs/tests/sched/replica.rs
@@ -6,7 +6,7 @@
     boot_time::BootTime,
     ids::JobId,
     progress::{JobPhase, JobProgress},
-    replica::{LinkInfo, Replica, ReplicaRecord},
+    replica::{LinkInfo, MAX_EARLY_CANCELS, Replica, ReplicaRecord},
 };
 
 use crate::support::{job, step};
@@ -63,3 +63,53 @@
     replica.apply(ReplicaRecord::SubmissionDropped(JobId(8)), BootTime(2));
     assert!(replica.jobs.is_empty());
 }
+
+/// Guards against a submission that is read after its cancellation and is shown, or kept, as another job.
+#[test]
+fn submission_after_its_cancellation_stays_cancelled() {
+    let id = JobId(8);
+    let submitted = || ReplicaRecord::Submitted(id, Arc::new(job(vec![step(1, 1)])));
+    let mut replica = Replica::default();
+    replica.apply(ReplicaRecord::Cancelled(id), BootTime(1));
+    assert_eq!(replica.phase(id), None);
+    replica.apply(submitted(), BootTime(5));
+    assert_eq!(replica.phase(id), Some(JobPhase::Cancelled));
+    replica.apply(submitted(), BootTime(9));
+    assert_eq!(replica.expired_jobs(BootTime(5), 10), []);
+    assert_eq!(replica.expired_jobs(BootTime(6), 10), [id]);
+}
+
+/// Guards against a repeated cancellation that is acknowledged and dropped soon after.
+#[test]
+fn repeated_early_cancellation_is_kept_for_the_whole_time() {
+    let mut replica = Replica::default();
+    replica.apply(ReplicaRecord::Cancelled(JobId(8)), BootTime(1));
+    replica.apply(ReplicaRecord::Cancelled(JobId(8)), BootTime(5));
+    assert_eq!(replica.expired_jobs(BootTime(5), 10), []);
+    assert_eq!(replica.expired_jobs(BootTime(6), 10), [JobId(8)]);
+}
+
+/// Guards against cancellations of unknown jobs that fill the memory, and against a limit that counts submitted jobs or
+/// is never left again.
+#[test]
+fn early_cancellations_are_limited() {
+    let mut replica = Replica::default();
+    let cancelled = |number: usize| ReplicaRecord::Cancelled(JobId(number as u64));
+    let spec = Arc::new(job(vec![step(1, 1)]));
+    for number in 0..MAX_EARLY_CANCELS {
+        let id = JobId(1 << 32 | number as u64);
+        replica.apply(ReplicaRecord::Submitted(id, spec.clone()), BootTime(1));
+    }
+    for number in 0..MAX_EARLY_CANCELS {
+        assert!(replica.can_keep_early_cancel(JobId(number as u64)));
+        replica.apply(cancelled(number), BootTime(1));
+    }
+    let further = JobId(MAX_EARLY_CANCELS as u64);
+    assert!(!replica.can_keep_early_cancel(further));
+    assert!(replica.can_keep_early_cancel(JobId(0)));
+    for id in replica.expired_jobs(BootTime(2), MAX_EARLY_CANCELS) {
+        replica.apply(ReplicaRecord::SubmissionDropped(id), BootTime(2));
+    }
+    assert_eq!(replica.jobs.len(), MAX_EARLY_CANCELS);
+    assert!(replica.can_keep_early_cancel(further));
+}
--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -117,6 +117,34 @@
     }
 }
 
+/// A further address of a store, whose clients can lose their way to it while others keep theirs. It
+/// closes when the handle is dropped.
+#[derive(Debug)]
+pub struct Gateway {
+    address: SocketAddr,
+    silent: Shared<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Gateway {
+    /// Returns the address that the gateway listens on.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets whether requests are lost on their way to the store.
+    pub fn set_silent(&self, silent: bool) {
+        *lock(&self.silent) = silent;
+    }
+}
+
 impl Store {
     /// Starts an empty store on a free port of 127.0.0.1.
     ///
@@ -132,6 +160,23 @@
         Ok(Self { address, state, changed, task })
     }
 
+    /// Opens a further address of the store on a free port of 127.0.0.1.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn open_gateway(&self) -> Result<Gateway> {
+        let silent = Shared::<bool>::default();
+        let (lost, state, notify) = (silent.clone(), self.state.clone(), self.changed.clone());
+        let handler = move |call| {
+            let lost = *lock(&lost);
+            let (state, notify) = (state.clone(), notify.clone());
+            async move { if lost { None } else { handle(state, notify, call).await } }
+        };
+        let (address, task) = serve(handler).await?;
+        Ok(Gateway { address, silent, task })
+    }
+
     /// Returns the address that the store listens on.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
--- a/crates/coriandertackd/src/fleet/caller_api.rs
+++ b/crates/coriandertackd/src/fleet/caller_api.rs
@@ -8,7 +8,8 @@
 use {
     bytes::Bytes,
     coriandertack_jobs::{
-        config::Route, ids::JobId, progress::JobPhase, replica::ReplicaRecord, return_time,
+        boot_time::BootTime, config::Route, ids::JobId, progress::JobPhase, replica::ReplicaRecord,
+        return_time,
     },
     coriandertack_log::jobs,
     coriandertack_platform::callers,
@@ -206,45 +207,59 @@
     }
 }
 
+/// Makes a cancellation durable, also one of an unknown job: a VM may still be storing its submission, although its
+/// caller was told that the outcome is unknown. See docs/notes/platform.md.
 async fn cancel(shared: &Shared, id: JobId, wait_ms: Option<u64>) -> Reply {
     let asked = clock::now();
-    let mut phase = shared.replica().phase(id);
-    if phase.is_none() {
-        // Another VM may have accepted the job since the last read.
-        let fresh_read = async {
-            for position in [&shared.progress, &shared.intake] {
-                let mut position = position.subscribe();
-                // The sender lives as long as the process, so an error cannot occur.
-                let _closed =
-                    position.wait_for(|position| position.started_at >= asked).await.is_err();
-            }
-        };
-        let fresh = timeout(Duration::from_millis(FRESH_READ_WAIT_MS), fresh_read).await.is_ok();
-        phase = shared.replica().phase(id);
-        if phase.is_none() && !fresh {
-            return unavailable(shared, "the records are out of date", wait_ms);
-        }
-    }
+    let (phase, can_keep) = {
+        let replica = shared.replica();
+        (replica.phase(id), replica.can_keep_early_cancel(id))
+    };
     match phase {
-        None => text(StatusCode::GONE, "no such job"),
         Some(JobPhase::Completed | JobPhase::Failed | JobPhase::Cancelled) => {
-            text(StatusCode::OK, "ended")
+            return text(StatusCode::OK, "ended");
         }
-        Some(JobPhase::Queued | JobPhase::Running) => {
-            let (key, value) = jobs::cancellation(id);
-            let stored = intake::persist(shared, key, value, wait_ms).await;
-            log::info!("event=cancel_asked job={id} stored={stored:?}");
-            match stored {
-                Outcome::Done => text(StatusCode::OK, "cancelled"),
-                Outcome::NotRun => {
-                    unavailable(shared, "the store is unavailable; nothing was cancelled", wait_ms)
-                }
-                Outcome::Unknown => text(StatusCode::GATEWAY_TIMEOUT, "the outcome is unknown"),
-            }
+        None if !can_keep => {
+            return unavailable_since(u64::MAX, "too many cancellations of unknown jobs", wait_ms);
+        }
+        Some(JobPhase::Queued | JobPhase::Running) | None => {}
+    }
+    let (key, value) = jobs::cancellation(id);
+    let stored = intake::persist(shared, key, value, wait_ms).await;
+    log::info!("event=cancel_asked job={id} known={} stored={stored:?}", phase.is_some());
+    match stored {
+        Outcome::Done => {}
+        Outcome::NotRun => {
+            return unavailable(shared, "the store is unavailable; nothing was cancelled", wait_ms);
         }
+        Outcome::Unknown => return text(StatusCode::GATEWAY_TIMEOUT, "the outcome is unknown"),
+    }
+    shared.replica().apply(ReplicaRecord::Cancelled(id), clock::now());
+    // Another VM may have accepted the job since the last read. If that cannot be found out, the job is cancelled all
+    // the same.
+    let exists = phase.is_some()
+        || !is_read_anew(shared, asked).await
+        || shared.replica().phase(id).is_some();
+    match exists {
+        true => text(StatusCode::OK, "cancelled"),
+        false => text(StatusCode::GONE, "no such job"),
     }
 }
 
+/// Waits until both topics with records of jobs have been read by reads that began after `asked`. Returns false on
+/// timeout.
+async fn is_read_anew(shared: &Shared, asked: BootTime) -> bool {
+    let read = async {
+        for position in [&shared.progress, &shared.intake] {
+            let mut position = position.subscribe();
+            // The sender lives as long as the process, so an error cannot occur.
+            let _closed = position.wait_for(|position| position.started_at >= asked).await.is_err();
+        }
+    };
+    let until = asked.plus_ms(FRESH_READ_WAIT_MS);
+    timeout(Duration::from_millis(until.ms_since(clock::now())), read).await.is_ok()
+}
+
 fn job_state(shared: &Shared, id: JobId, wait_ms: Option<u64>) -> Reply {
     match shared.replica().phase(id) {
         Some(phase) => json(callers::encode_state(phase).to_owned()),
@@ -272,11 +287,17 @@
     reply
 }
 
-/// Refuses a request that has not run. `wait_ms` is the time for which its caller waits, if the request says so.
+/// Refuses a request that has not run because the store is away, or soon may be.
 fn unavailable(shared: &Shared, message: &str, wait_ms: Option<u64>) -> Reply {
     let now = clock::now();
     let since = shared.store_health().outage_since(now);
-    let pause_s = return_time::pause_s(since.map_or(0, |since| now.ms_since(since)), wait_ms);
+    unavailable_since(since.map_or(0, |since| now.ms_since(since)), message, wait_ms)
+}
+
+/// Refuses a request that has not run, for a reason that has lasted for `outage_ms`. `wait_ms` is the time for which its
+/// caller waits, if the request says so.
+fn unavailable_since(outage_ms: u64, message: &str, wait_ms: Option<u64>) -> Reply {
+    let pause_s = return_time::pause_s(outage_ms, wait_ms);
     let mut reply = text(StatusCode::SERVICE_UNAVAILABLE, message);
     reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from(pause_s));
     reply
--- a/crates/coriandertackd/src/fleet/intake.rs
+++ b/crates/coriandertackd/src/fleet/intake.rs
@@ -46,7 +46,7 @@
 const RETRY_MS: u64 = 60;
 
 /// Age at which an append with an unknown outcome is abandoned, in milliseconds. Its callers have submitted the same
-/// job again by then.
+/// job again by then, or cancelled it: a cancellation of an unknown job is kept for far longer (see `retention`).
 const MAX_RETRY_MS: u64 = 10_000;
 
 /// Maximum number of records of one append. A record has a few KiB.
--- a/crates/coriandertackd/src/fleet/retention.rs
+++ b/crates/coriandertackd/src/fleet/retention.rs
@@ -19,8 +19,9 @@
 /// Time for which the records of an ended job are kept beyond `bounds.status_s`, in milliseconds.
 const RETENTION_MARGIN_MS: u64 = 30_000;
 
-/// Maximum number of jobs whose records are deleted in one round.
-const MAX_EXPIRED_JOBS: usize = 100;
+/// Maximum number of jobs whose records are deleted in one round: a few records of about 20 bytes for each. All early
+/// cancellations that may be kept are deleted within a minute.
+const MAX_EXPIRED_JOBS: usize = 1_000;
 
 /// Interval between two rounds, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 5_000;
@@ -39,9 +40,13 @@
         }
         // A submission is in the intake topic if a VM appended it, and in the progress topic if the leader did.
         let mut keys = request_keys(&jobs);
-        delete_records(shared, &mut store, Topic::Intake, keys.clone()).await;
+        let deleted = delete_records(shared, &mut store, Topic::Intake, keys.clone()).await;
         keys.extend(progress_keys(&jobs));
-        delete_records(shared, &mut store, Topic::Progress, keys).await;
+        if delete_records(shared, &mut store, Topic::Progress, keys).await && deleted {
+            // The scheduler would miss the deletion if the history of the topic were dropped before it is read.
+            let mut scheduler = leadership.scheduler();
+            jobs.into_iter().for_each(|id| scheduler.forget_job(id));
+        }
     }
 }
 
@@ -53,12 +58,19 @@
     ids.iter().flat_map(|id| jobs::request_keys(*id)).collect()
 }
 
-async fn delete_records(shared: &Shared, store: &mut Store, topic: Topic, keys: Vec<String>) {
+/// Deletes records. Returns whether the store confirmed it; otherwise the next round tries again.
+async fn delete_records(
+    shared: &Shared,
+    store: &mut Store,
+    topic: Topic,
+    keys: Vec<String>,
+) -> bool {
     let records: Vec<Record> =
         keys.into_iter().map(|key| Record { key, value: Bytes::new() }).collect();
     Counters::count(&shared.counters.appends);
-    // After a failure, the next round tries again.
-    if let Err(error) = store.append(topic, &records, None, None).await {
+    let deleted = store.append(topic, &records, None, None).await;
+    if let Err(error) = deleted {
         log::info!("event=forget_failed topic={topic:?} error=\"{error}\"");
     }
+    deleted.is_ok()
 }
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -20,7 +20,7 @@
     coriandertack_standins::platform::{
         advice::Advice,
         machines::Machines,
-        store::Store,
+        store::{Gateway, Store},
         worker::{CRASH_PREFIX, RecordedRun, Worker},
     },
     nix::{
@@ -74,6 +74,8 @@
     pub workers: Vec<Worker>,
     pub vms: Vec<Vm>,
     pub machines: Machines,
+    /// Address of the store for each VM that was there from the start.
+    pub gateways: Vec<Gateway>,
     advice: Advice,
     directory: PathBuf,
     next_id: u64,
@@ -136,6 +138,7 @@
             workers: Vec::new(),
             vms: Vec::new(),
             machines: Machines::start().await.unwrap(),
+            gateways: Vec::new(),
             advice,
             directory,
             next_id: 1,
@@ -148,6 +151,7 @@
             cluster.workers.push(worker);
         }
         for index in 0..vms {
+            cluster.gateways.push(cluster.store.open_gateway().await.unwrap());
             cluster.add_vm(index, 0.0);
         }
         cluster.start_all().await;
@@ -158,13 +162,13 @@
     pub fn add_vm(&mut self, index: usize, cores: f64) {
         let ip = unique_address();
         let callers = SocketAddr::from((ip, CALLERS_PORT));
+        let store = self.gateways.get(index).map_or(self.store.address(), Gateway::address);
         let text = format!(
             "[vm]\nname = \"vm-{index}\"\nzone = \"split\"\ncallers = \"{callers}\"\n\
              ready = \"{ip}:{READY_PORT}\"\nlink = \"{ip}:{LINK_PORT}\"\ncores = {cores:.2}\nconnections = {MAX_CONNECTIONS}\n\
              metrics = \"{ip}:{METRICS_PORT}\"\n\n\
-             [platform]\nstore = \"{}\"\nadvice = \"{}\"\nmachines = \"{}\"\n\n\
+             [platform]\nstore = \"{store}\"\nadvice = \"{}\"\nmachines = \"{}\"\n\n\
              [bounds]\nlease_ms = 300\n",
-            self.store.address(),
             self.advice.address(),
             self.machines.address(),
         );
@@ -383,6 +387,42 @@
         answer.map(|(status, _)| status)
     }
 
+    /// Submits new jobs to a VM once, each at an interval after the one before, and returns those whose outcome is unknown.
+    pub async fn submit_unanswered(
+        &mut self,
+        vm: usize,
+        count: usize,
+        interval: Duration,
+    ) -> Vec<String> {
+        let address = self.vms[vm].callers;
+        let mut answers = Vec::new();
+        for _ in 0..count {
+            let (job, id) = self.new_job();
+            answers.push(tokio::spawn(async move {
+                let body = Self::job_body(id);
+                let answer = call(address, "POST", &format!("/plans/{job}"), &body).await;
+                (answer.map(|(status, _)| status) == Some(504)).then_some(job)
+            }));
+            sleep(interval).await;
+        }
+        let mut jobs = Vec::new();
+        for answer in answers {
+            jobs.extend(answer.await.unwrap());
+        }
+        jobs
+    }
+
+    /// Cancels a job once. Returns the status.
+    pub async fn cancel(&self, vm: usize, job: &str) -> Option<u16> {
+        let answer = self.call(vm, "DELETE", &format!("/plans/{job}"), "").await;
+        answer.map(|(status, _)| status)
+    }
+
+    /// Returns the name of a job that has not been submitted.
+    pub fn unused_job(&mut self) -> String {
+        self.new_job().0
+    }
+
     /// Submits a new job once, with the time for which the caller waits. Returns the status.
     pub async fn submit_with_deadline(&mut self, vm: usize, wait_ms: u64) -> Option<u16> {
         let (job, id) = self.new_job();
@@ -469,9 +509,16 @@
         jobs
     }
 
-    /// Writes a submission to the intake topic, like a VM without a link to the leader.
+    /// Writes the submission of a new job to the intake topic, like a VM without a link to the leader.
     pub fn put_in_intake(&mut self) -> String {
-        let (job, id) = self.new_job();
+        let (job, _) = self.new_job();
+        self.put_submission(&job);
+        job
+    }
+
+    /// Writes the submission of a job to the intake topic.
+    pub fn put_submission(&self, job: &str) {
+        let id = u64::from_str_radix(job, 16).unwrap();
         let route = Arc::new(Route {
             name: "plans".into(),
             service: "vans".into(),
@@ -483,7 +530,6 @@
         let spec = callers::decode_submission(body.as_bytes(), &route, WallTime(0)).unwrap();
         let (key, value) = jobs::submission(job.parse().unwrap(), &spec);
         self.store.put("keyed.intake", &key, &value);
-        job
     }
 
     /// Returns whether a task of a job has started.
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -3,6 +3,7 @@
 //! Faults are injected by signals to the processes, and by stand-ins that refuse calls, do not respond or respond late.
 //! At the end, the tests check that every accepted job is completed and that no task ran twice.
 
+mod cancellations;
 mod cluster;
 mod entries;
 mod soak;
