--- a/crates/coriandertackd/tests/platform/cancellations.rs
+++ b/crates/coriandertackd/tests/platform/cancellations.rs
@@ -119,3 +119,25 @@
     cluster.wait_completed(&known[1..]).await;
     cluster.check_runs();
 }
+
+/// Guards against cancellations of unknown jobs that the store, a VM or the leader's scheduler keeps forever.
+#[tokio::test]
+async fn early_cancellations_are_deleted_after_their_retention_time() {
+    let mut cluster = Cluster::start_with(2, 3, "status_s = 1").await;
+    let jobs = [cluster.unused_job(), cluster.unused_job()];
+    for (vm, job) in jobs.iter().enumerate() {
+        assert_eq!(cancel(&mut cluster, vm, job).await, 410);
+    }
+    let records = |cluster: &Cluster| {
+        let keys = ["keyed.intake", "keyed.progress"].map(|topic| cluster.store.keys(topic));
+        keys.into_iter().flatten().filter(|key| key.starts_with("c/")).count()
+    };
+    assert_eq!(records(&cluster), jobs.len());
+    cluster.wait_until("no record is left", async |cluster| records(cluster) == 0).await;
+    sleep(START_TIME).await;
+    for job in &jobs {
+        cluster.put_submission(job);
+    }
+    cluster.wait_completed(&jobs).await;
+    cluster.check_runs();
+}
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -76,6 +76,7 @@
     pub machines: Machines,
     /// Address of the store for each VM that was there from the start.
     pub gateways: Vec<Gateway>,
+    bounds: &'static str,
     advice: Advice,
     directory: PathBuf,
     next_id: u64,
@@ -122,6 +123,11 @@
 
 impl Cluster {
     pub async fn start(vms: usize, workers: usize) -> Self {
+        Self::start_with(vms, workers, "").await
+    }
+
+    /// Starts a cluster whose VMs have further settings in their section `bounds`.
+    pub async fn start_with(vms: usize, workers: usize, bounds: &'static str) -> Self {
         let store = Store::start().await.unwrap();
         let advice = Advice::start().await.unwrap();
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
@@ -139,6 +145,7 @@
             vms: Vec::new(),
             machines: Machines::start().await.unwrap(),
             gateways: Vec::new(),
+            bounds,
             advice,
             directory,
             next_id: 1,
@@ -168,9 +175,10 @@
              ready = \"{ip}:{READY_PORT}\"\nlink = \"{ip}:{LINK_PORT}\"\ncores = {cores:.2}\nconnections = {MAX_CONNECTIONS}\n\
              metrics = \"{ip}:{METRICS_PORT}\"\n\n\
              [platform]\nstore = \"{store}\"\nadvice = \"{}\"\nmachines = \"{}\"\n\n\
-             [bounds]\nlease_ms = 300\n",
+             [bounds]\nlease_ms = 300\n{}\n",
             self.advice.address(),
             self.machines.address(),
+            self.bounds,
         );
         let settings = self.directory.join(format!("vm-{index}.toml"));
         fs::write(&settings, text).unwrap();
