Merge cancellations that arrive before their submission

The retention round forgets a job in the scheduler once the store has confirmed all deletions, in the order of the merged reads.

--- a/crates/coriandertackd/src/fleet/retention.rs
+++ b/crates/coriandertackd/src/fleet/retention.rs
@@ -19,8 +19,9 @@
 /// Time for which the records of an ended job are kept beyond `bounds.status_s`, in milliseconds.
 const RETENTION_MARGIN_MS: u64 = 30_000;
 
-/// Maximum number of jobs whose records are deleted in one round.
-const MAX_EXPIRED_JOBS: usize = 100;
+/// Maximum number of jobs whose records are deleted in one round: a few records of about 20 bytes for each. All early
+/// cancellations that may be kept are deleted within a minute.
+const MAX_EXPIRED_JOBS: usize = 1_000;
 
 /// Interval between two rounds, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 5_000;
@@ -37,21 +38,25 @@
         if jobs.is_empty() {
             continue;
         }
-        delete_jobs(shared, &mut store, &jobs).await;
+        if delete_jobs(shared, &mut store, &jobs).await {
+            // The scheduler would miss the deletion if the history of the topic were dropped before it is read.
+            let mut scheduler = leadership.scheduler();
+            jobs.into_iter().for_each(|id| scheduler.forget_job(id));
+        }
     }
 }
 
 /// Deletes the records of jobs, their progress last: a job that is known by its submission alone is run again.
 ///
-/// After a failure, the next round tries again.
-pub async fn delete_jobs(shared: &Shared, store: &mut Store, jobs: &[JobId]) {
+/// Returns whether the store has confirmed all of it. After a failure, the next round tries again.
+pub async fn delete_jobs(shared: &Shared, store: &mut Store, jobs: &[JobId]) -> bool {
     // A submission is in the intake topic if a VM appended it, and in the progress topic if the leader did.
     let mut keys = request_keys(jobs);
     if !delete_records(shared, store, Topic::Intake, keys.clone()).await {
-        return;
+        return false;
     }
     keys.extend(progress_keys(jobs));
-    delete_records(shared, store, Topic::Progress, keys).await;
+    delete_records(shared, store, Topic::Progress, keys).await
 }
 
 fn progress_keys(ids: &[JobId]) -> Vec<String> {
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -25,7 +25,7 @@
     coriandertack_standins::platform::{
         advice::Advice,
         machines::Machines,
-        store::Store,
+        store::{Gateway, Store},
         worker::{CRASH_PREFIX, RUN_PREFIX, RecordedRun, Worker},
     },
     nix::{
@@ -79,6 +79,9 @@
     pub workers: Vec<Worker>,
     pub vms: Vec<Vm>,
     pub machines: Machines,
+    /// Address of the store for each VM that was there from the start.
+    pub gateways: Vec<Gateway>,
+    bounds: &'static str,
     advice: Advice,
     directory: PathBuf,
     next_id: u64,
@@ -131,6 +134,11 @@
 
 impl Cluster {
     pub async fn start(vms: usize, workers: usize) -> Self {
+        Self::start_with(vms, workers, "").await
+    }
+
+    /// Starts a cluster whose VMs have further settings in their section `bounds`.
+    pub async fn start_with(vms: usize, workers: usize, bounds: &'static str) -> Self {
         let store = Store::start().await.unwrap();
         let advice = Advice::start().await.unwrap();
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
@@ -147,6 +155,8 @@
             workers: Vec::new(),
             vms: Vec::new(),
             machines: Machines::start().await.unwrap(),
+            gateways: Vec::new(),
+            bounds,
             advice,
             directory,
             next_id: 1,
@@ -159,6 +169,7 @@
             cluster.workers.push(worker);
         }
         for index in 0..vms {
+            cluster.gateways.push(cluster.store.open_gateway().await.unwrap());
             cluster.add_vm(index, 0.0);
         }
         cluster.start_all().await;
@@ -169,15 +180,16 @@
     pub fn add_vm(&mut self, index: usize, cores: f64) {
         let ip = unique_address();
         let callers = SocketAddr::from((ip, CALLERS_PORT));
+        let store = self.gateways.get(index).map_or(self.store.address(), Gateway::address);
         let text = format!(
             "[vm]\nname = \"vm-{index}\"\nzone = \"split\"\ncallers = \"{callers}\"\n\
              ready = \"{ip}:{READY_PORT}\"\nlink = \"{ip}:{LINK_PORT}\"\ncores = {cores:.2}\nconnections = {MAX_CONNECTIONS}\n\
              metrics = \"{ip}:{METRICS_PORT}\"\n\n\
-             [platform]\nstore = \"{}\"\nadvice = \"{}\"\nmachines = \"{}\"\n\n\
-             [bounds]\nlease_ms = 300\n",
-            self.store.address(),
+             [platform]\nstore = \"{store}\"\nadvice = \"{}\"\nmachines = \"{}\"\n\n\
+             [bounds]\nlease_ms = 300\n{}\n",
             self.advice.address(),
             self.machines.address(),
+            self.bounds,
         );
         let settings = self.directory.join(format!("vm-{index}.toml"));
         fs::write(&settings, text).unwrap();
@@ -419,6 +431,42 @@
         answer.map(|(status, _)| status)
     }
 
+    /// Submits new jobs to a VM once, each at an interval after the one before, and returns those whose outcome is unknown.
+    pub async fn submit_unanswered(
+        &mut self,
+        vm: usize,
+        count: usize,
+        interval: Duration,
+    ) -> Vec<String> {
+        let address = self.vms[vm].callers;
+        let mut answers = Vec::new();
+        for _ in 0..count {
+            let (job, id) = self.new_job();
+            answers.push(tokio::spawn(async move {
+                let body = Self::job_body(id);
+                let answer = call(address, "POST", &format!("/plans/{job}"), &body).await;
+                (answer.map(|(status, _)| status) == Some(504)).then_some(job)
+            }));
+            sleep(interval).await;
+        }
+        let mut jobs = Vec::new();
+        for answer in answers {
+            jobs.extend(answer.await.unwrap());
+        }
+        jobs
+    }
+
+    /// Cancels a job once. Returns the status.
+    pub async fn cancel(&self, vm: usize, job: &str) -> Option<u16> {
+        let answer = self.call(vm, "DELETE", &format!("/plans/{job}"), "").await;
+        answer.map(|(status, _)| status)
+    }
+
+    /// Returns the name of a job that has not been submitted.
+    pub fn unused_job(&mut self) -> String {
+        self.new_job().0
+    }
+
     /// Submits a new job once, with the time for which the caller waits. Returns the status.
     pub async fn submit_with_deadline(&mut self, vm: usize, wait_ms: u64) -> Option<u16> {
         let (job, id) = self.new_job();
@@ -534,9 +582,16 @@
         jobs
     }
 
-    /// Writes a submission to the intake topic, like a VM without a link to the leader.
+    /// Writes the submission of a new job to the intake topic, like a VM without a link to the leader.
     pub fn put_in_intake(&mut self) -> String {
-        let (job, id) = self.new_job();
+        let (job, _) = self.new_job();
+        self.put_submission(&job);
+        job
+    }
+
+    /// Writes the submission of a job to the intake topic.
+    pub fn put_submission(&self, job: &str) {
+        let id = u64::from_str_radix(job, 16).unwrap();
         let route = Arc::new(Route {
             name: "plans".into(),
             service: "vans".into(),
@@ -548,7 +603,6 @@
         let spec = callers::decode_submission(body.as_bytes(), &route, WallTime(0)).unwrap();
         let (key, value) = jobs::submission(job.parse().unwrap(), &spec);
         self.store.put("keyed.intake", &key, &value);
-        job
     }
 
     /// Returns whether a task of a job has started.
