Keep jobs that an incomplete listing lacks, but closed

Cause: an item whose key cannot be read may be of any job that a listing seems to lack. Such a job was forgotten and thus lost. Kept as it was, it would run again if its records are really gone.

Evidence, with listings always taken for complete: incomplete_listing_closes_jobs_that_it_lacks: no entry found for key

Such a job stays known, and no leader starts its tasks.

A VM that starts knows no job before its first listing, so an item without a key still hides the progress of a job whose submission it can read. Writers of this project use plain keys, and odd_items_do_not_hide_other_records expects that such items stop nothing.

--- a/crates/coriandertack-jobs/src/replica.rs
+++ b/crates/coriandertack-jobs/src/replica.rs
@@ -79,7 +79,8 @@
     pub sources: Sources,
     /// Latest progress; `None` until it is read.
     pub progress: Option<Arc<JobProgress>>,
-    /// Whether the latest progress record could not be decoded. Any task may have run or still run, so none is started.
+    /// Whether the latest progress record could not be decoded, or may exist although no listing shows
+    /// it. Any task may have run or still run, so none is started.
     pub unreadable: bool,
     /// Whether the caller cancelled the job.
     pub cancelled: bool,
@@ -127,6 +128,17 @@
     Unreadable,
 }
 
+/// The newest records of a stream.
+#[derive(Debug, Default)]
+pub struct Listing {
+    /// The records, one for each key.
+    pub records: Vec<ReplicaRecord>,
+    /// Whether there may be others, because keys could not be read.
+    pub incomplete: bool,
+    /// When the read began.
+    pub began: BootTime,
+}
+
 /// Replica of the records of all jobs.
 #[derive(Debug, Default)]
 pub struct Replica {
@@ -147,18 +159,12 @@
         self.apply(record, now);
     }
 
-    /// Applies the newest records of a stream, whose read began at `began`, and forgets jobs that the stream no longer
-    /// has.
+    /// Applies the newest records of a stream, and forgets jobs that the stream no longer has.
     ///
     /// Records that say so may have been deleted unread. A job that is kept after its records are gone looks as if it
-    /// had not ended, and a leader would run it again.
-    pub fn reload(
-        &mut self,
-        stream: Stream,
-        records: Vec<ReplicaRecord>,
-        began: BootTime,
-        now: BootTime,
-    ) {
+    /// had not ended, and a leader would run it again. If the listing is incomplete, such a job is kept closed instead.
+    pub fn reload(&mut self, stream: Stream, listing: Listing, now: BootTime) {
+        let Listing { records, incomplete, began } = listing;
         let mut submitted = HashSet::new();
         let mut progressed = HashSet::new();
         for record in &records {
@@ -178,12 +184,17 @@
             let recent = |view: &JobView| view.ended_at.is_some_and(|at| at >= began);
             self.jobs.retain(|id, view| {
                 let recorded = view.progress.is_some() || view.unreadable;
-                !recorded || progressed.contains(id) || recent(view)
+                let dropped = recorded && !progressed.contains(id) && !recent(view);
+                view.unreadable |= dropped && !view.phase().is_final();
+                !dropped || incomplete
             });
         }
         let withdrawn = |(id, view): (&JobId, &mut JobView)| {
-            let listed = std::mem::replace(view.sources.of(stream), submitted.contains(id));
-            (listed && view.sources.is_empty()).then_some(*id)
+            let source = view.sources.of(stream);
+            let dropped = *source && !submitted.contains(id);
+            *source &= !dropped || incomplete;
+            view.unreadable |= dropped && incomplete && view.progress.is_none();
+            (dropped && view.sources.is_empty()).then_some(*id)
         };
         let withdrawn: Vec<_> = self.jobs.iter_mut().filter_map(withdrawn).collect();
         for id in withdrawn {
--- a/crates/coriandertack-jobs/tests/sched/replica.rs
+++ b/crates/coriandertack-jobs/tests/sched/replica.rs
@@ -6,7 +6,7 @@
     boot_time::BootTime,
     ids::JobId,
     progress::{JobPhase, JobProgress},
-    replica::{LinkInfo, Replica, ReplicaRecord, Stream},
+    replica::{LinkInfo, Listing, Replica, ReplicaRecord, Stream},
 };
 
 use crate::support::{job, step};
@@ -68,20 +68,25 @@
     ReplicaRecord::Submitted(JobId(7), Arc::new(job(vec![step(1, 1)])))
 }
 
+/// Returns a listing whose read began at 10.
+fn listing(records: Vec<ReplicaRecord>) -> Listing {
+    Listing { records, incomplete: false, began: BootTime(10) }
+}
+
 /// Guards against a job that is run again because the records which say that it has ended, and that it was dropped,
 /// were deleted before this VM read them.
 #[test]
 fn jobs_that_a_stream_no_longer_has_are_forgotten() {
-    let (began, now) = (BootTime(10), BootTime(12));
+    let now = BootTime(12);
     let mut replica = Replica::default();
     replica.apply_from(Stream::Intake, submitted(), BootTime(1));
-    replica.reload(Stream::Progress, Vec::new(), began, now);
+    replica.reload(Stream::Progress, listing(Vec::new()), now);
     assert_eq!(replica.phase(JobId(7)), Some(JobPhase::Queued), "the intake topic still has it");
     replica.apply(progressed(JobPhase::Running), BootTime(2));
-    replica.reload(Stream::Progress, Vec::new(), began, now);
+    replica.reload(Stream::Progress, listing(Vec::new()), now);
     assert!(replica.jobs.is_empty());
     replica.apply_from(Stream::Intake, submitted(), BootTime(3));
-    replica.reload(Stream::Intake, Vec::new(), began, now);
+    replica.reload(Stream::Intake, listing(Vec::new()), now);
     assert!(replica.jobs.is_empty());
 }
 
@@ -89,19 +94,48 @@
 /// those that ended or were accepted meanwhile.
 #[test]
 fn reading_a_stream_again_loses_no_jobs() {
-    let (began, now) = (BootTime(10), BootTime(12));
+    let now = BootTime(12);
     let mut replica = Replica::default();
     replica.apply_from(Stream::Intake, submitted(), BootTime(1));
     replica.apply(progressed(JobPhase::Running), BootTime(2));
-    replica.reload(Stream::Progress, vec![ReplicaRecord::ProgressUnreadable(JobId(7))], began, now);
-    replica.reload(Stream::Intake, vec![ReplicaRecord::SubmissionUnreadable(JobId(7))], began, now);
+    replica.reload(
+        Stream::Progress,
+        listing(vec![ReplicaRecord::ProgressUnreadable(JobId(7))]),
+        now,
+    );
+    replica.reload(
+        Stream::Intake,
+        listing(vec![ReplicaRecord::SubmissionUnreadable(JobId(7))]),
+        now,
+    );
     assert_eq!(replica.phase(JobId(7)), Some(JobPhase::Running));
     replica.apply(progressed(JobPhase::Completed), BootTime(11));
-    replica.reload(Stream::Progress, Vec::new(), began, now);
+    replica.reload(Stream::Progress, listing(Vec::new()), now);
     assert_eq!(replica.phase(JobId(7)), Some(JobPhase::Completed));
     let mut replica = Replica::default();
     replica.apply(submitted(), BootTime(1));
-    replica.reload(Stream::Progress, Vec::new(), began, now);
+    replica.reload(Stream::Progress, listing(Vec::new()), now);
     assert_eq!(replica.phase(JobId(7)), Some(JobPhase::Queued));
     assert!(replica.jobs[&JobId(7)].sources.is_empty());
 }
+
+/// Guards against jobs that are lost, or run again, because the key of their item in a listing could not be read.
+#[test]
+fn incomplete_listing_closes_jobs_that_it_lacks() {
+    let now = BootTime(12);
+    for (stream, phase) in [
+        (Stream::Progress, Some(JobPhase::Running)),
+        (Stream::Progress, Some(JobPhase::Completed)),
+        (Stream::Intake, None),
+    ] {
+        let mut replica = Replica::default();
+        replica.apply_from(Stream::Intake, submitted(), BootTime(1));
+        if let Some(phase) = phase {
+            replica.apply(progressed(phase), BootTime(2));
+        }
+        replica.reload(stream, Listing { incomplete: true, ..listing(Vec::new()) }, now);
+        let view = &replica.jobs[&JobId(7)];
+        assert_eq!(view.unreadable, phase != Some(JobPhase::Completed), "{stream:?} {phase:?}");
+        assert!(!view.sources.is_empty(), "{stream:?} {phase:?}");
+    }
+}
--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -9,7 +9,7 @@
 use {
     coriandertack_jobs::{
         boot_time::BootTime,
-        replica::{Replica, ReplicaRecord, Stream},
+        replica::{Listing, Replica, ReplicaRecord, Stream},
     },
     coriandertack_log::jobs,
     coriandertack_platform::{
@@ -61,6 +61,14 @@
 }
 
 impl Read {
+    /// Returns whether newest records are incomplete, and when their read began; `None` for a page.
+    const fn listing(&self) -> Option<(bool, BootTime)> {
+        match self {
+            Self::Newest(newest, began) => Some((newest.incomplete, *began)),
+            Self::Page(_) => None,
+        }
+    }
+
     /// Returns the offset after the last record.
     const fn next(&self) -> u64 {
         match self {
@@ -165,28 +173,30 @@
     records
 }
 
-/// Decodes the records of a read. A record whose value cannot be decoded is known by its key. For the newest records of
-/// all keys, also returns when the read began.
-fn decode_records(topic: Topic, mut read: Read) -> (Option<BootTime>, Vec<ReplicaRecord>) {
-    let (began, unreadable) = match &mut read {
-        Read::Newest(newest, began) => (Some(*began), mem::take(&mut newest.unreadable)),
-        Read::Page(_) => (None, Vec::new()),
+/// Decodes the records of a read. A record whose value cannot be decoded is known by its key.
+fn decode_records(topic: Topic, mut read: Read) -> Vec<ReplicaRecord> {
+    let unreadable = match &mut read {
+        Read::Newest(newest, _) => mem::take(&mut newest.unreadable),
+        Read::Page(_) => Vec::new(),
     };
     let records = read.into_records(topic);
     let decoded = records.iter().map(|record| jobs::decode(&record.key, &record.value));
-    (began, decoded.chain(unreadable.iter().map(|key| jobs::decode_key(key))).collect())
+    decoded.chain(unreadable.iter().map(|key| jobs::decode_key(key))).collect()
 }
 
-/// Applies the records of a read. `reload` is when it began if they are the newest records of all keys.
+/// Applies the records of a read. `listing` is whether the newest records of all keys are incomplete, and when their read
+/// began.
 fn apply_records(
     replica: &mut Replica,
     stream: Stream,
-    reload: Option<BootTime>,
+    listing: Option<(bool, BootTime)>,
     records: Vec<ReplicaRecord>,
 ) {
     let now = clock::now();
-    match reload {
-        Some(began) => replica.reload(stream, records, began, now),
+    match listing {
+        Some((incomplete, began)) => {
+            replica.reload(stream, Listing { records, incomplete, began }, now);
+        }
         None => records.into_iter().for_each(|record| replica.apply_from(stream, record, now)),
     }
 }
@@ -281,7 +291,8 @@
         return;
     }
     *applied = read.next();
-    let (reload, records) = decode_records(Topic::Intake, read);
+    let listing = read.listing();
+    let records = decode_records(Topic::Intake, read);
     let mut replica = shared.replica();
     let arrivals = shared.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
     for record in &records {
@@ -291,16 +302,17 @@
             shared.wake.notify_one();
         }
     }
-    apply_records(&mut replica, Stream::Intake, reload, records);
+    apply_records(&mut replica, Stream::Intake, listing, records);
 }
 
 /// Reads the progress topic: the records of leaders.
 pub async fn progress(shared: Arc<Shared>) {
     let apply = |read: Read| {
-        let (reload, records) = decode_records(Topic::Progress, read);
+        let listing = read.listing();
+        let records = decode_records(Topic::Progress, read);
         let mut replica = shared.replica();
         let former = replica.leader.as_ref().map_or(0, |leader| leader.epoch);
-        apply_records(&mut replica, Stream::Progress, reload, records);
+        apply_records(&mut replica, Stream::Progress, listing, records);
         if let Some(leader) = replica.leader.as_ref().filter(|leader| leader.epoch > former) {
             log::info!("event=leader_seen vm={} epoch={}", leader.vm, leader.epoch);
         }
