--- a/crates/coriandertackd/tests/platform/cuts.rs
+++ b/crates/coriandertackd/tests/platform/cuts/mod.rs
@@ -8,11 +8,13 @@
 //! `CUTS_JOBS` sets how many clusters play at a time, with three processes each. `VM_PROGRAM` plays another version (see
 //! [`crate::cluster`]).
 
+mod matrix;
+mod report;
+
 use std::{
     any::Any,
     collections::BTreeMap,
     env,
-    fmt::Write,
     panic::{AssertUnwindSafe, catch_unwind},
     sync::Mutex,
     thread,
@@ -20,12 +22,7 @@
 };
 
 use {
-    coriandertack_standins::platform::{
-        link::Link,
-        machines::{self, RowFault},
-        store,
-        worker::RecordedRun,
-    },
+    coriandertack_standins::platform::{link::Link, machines, store},
     nix::sys::signal::Signal,
     tokio::{
         runtime,
@@ -33,6 +30,10 @@
     },
 };
 
+use self::{
+    matrix::{Cell, Event, Former, Restart, all_cells, short_cells, timeline},
+    report::{Outcome, describe, log_text, table_row},
+};
 use crate::cluster::Cluster;
 
 const VMS: usize = 3;
@@ -41,9 +42,6 @@
 const REACHABLE: usize = 6;
 const CUT: [usize; 2] = [6, 7];
 
-/// Durations of a cut, in milliseconds: shorter and longer than a lease.
-const LENGTHS_MS: [u64; 2] = [2_000, 8_000];
-
 /// Duration of the longest tasks, which outlast a lease, in milliseconds.
 const LONG_RUN_MS: u64 = 9_000;
 
@@ -53,221 +51,18 @@
 /// Maximum number of further jobs that are submitted until the workers that are cut off have long tasks.
 const EXTRA_JOBS: usize = 30;
 
-/// Moments of a cut at which a caller submits a job, in milliseconds.
-const SUBMISSIONS_MS: [u64; 4] = [200, 1_100, 2_600, 5_000];
-
 /// Time for which these callers wait, in milliseconds.
 const CALLER_WAIT_MS: u64 = 500;
 
 /// Maximum time between the restart of a worker and its cut.
 const RESTART_LEAD: Duration = Duration::from_millis(800);
 
-/// Time for which the leader is paused, and for which the store is silent, in milliseconds.
-const PAUSE_MS: u64 = 2_500;
-const STORE_SILENCE_MS: u64 = 3_000;
-
-/// Time after which the entry of a worker lapses that cannot reach the store either, in milliseconds.
-const LAPSE_MS: u64 = 3_000;
-
-/// Age of the listings of a machine API that lags, in milliseconds. Workers join later than that before they are cut off.
-const LAG_MS: u64 = 6_000;
-
 /// Default number of clusters that play at a time.
 const PARALLEL: usize = 8;
 
 /// Time in which all jobs must be completed after a cut.
 const FINISH_TIME: Duration = Duration::from_secs(60);
 
-/// Maximum number of log lines that are printed for a job that failed or a task that ran twice.
-const MAX_LINES: usize = 60;
-
-/// When a worker starts again under its id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Restart {
-    Never,
-    /// Shortly before the cut, so that a start for its former incarnation may reach it.
-    Before,
-    /// Behind the cut.
-    Behind,
-}
-
-/// What callers of the workers meet.
-#[derive(Clone, Copy, Debug)]
-struct Kind {
-    name: &'static str,
-    link: Link,
-    restart: Restart,
-}
-
-const KINDS: [Kind; 11] = [
-    Kind { name: "refuse", link: Link::Refuse, restart: Restart::Never },
-    Kind { name: "reset", link: Link::Reset, restart: Restart::Never },
-    Kind { name: "close", link: Link::Close, restart: Restart::Never },
-    Kind { name: "silent", link: Link::Silent, restart: Restart::Never },
-    Kind { name: "lost-answers", link: Link::LostAnswers, restart: Restart::Never },
-    Kind { name: "full", link: Link::Full, restart: Restart::Never },
-    Kind { name: "half-silent", link: Link::HalfSilent, restart: Restart::Never },
-    Kind { name: "half-reset", link: Link::HalfReset, restart: Restart::Never },
-    Kind { name: "reborn", link: Link::Refuse, restart: Restart::Behind },
-    Kind { name: "reborn-before", link: Link::Silent, restart: Restart::Before },
-    Kind { name: "reborn-half", link: Link::HalfSilent, restart: Restart::Before },
-];
-
-/// What the machines of the workers had before the workers joined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Former {
-    Nothing,
-    Worker,
-    Down,
-}
-
-/// What else fails during a cut.
-#[derive(Clone, Copy, Debug)]
-struct Beside {
-    name: &'static str,
-    leader: Option<Signal>,
-    store: store::Faults,
-    machines: machines::Faults,
-    former: Former,
-}
-
-impl Beside {
-    fn new(name: &'static str) -> Self {
-        Self {
-            name,
-            leader: None,
-            store: store::Faults::default(),
-            machines: machines::Faults::default(),
-            former: Former::Nothing,
-        }
-    }
-
-    fn machines(name: &'static str, machines: machines::Faults) -> Self {
-        Self { machines, ..Self::new(name) }
-    }
-
-    fn row(name: &'static str, fault: RowFault) -> Self {
-        Self::machines(name, machines::Faults { row: Some(fault), ..Default::default() })
-    }
-
-    fn lag(name: &'static str, former: Former) -> Self {
-        let lagging = machines::Faults { lag_ms: LAG_MS, ..Default::default() };
-        Self { former, ..Self::machines(name, lagging) }
-    }
-}
-
-/// Returns what may fail beside a cut, except for the machine API.
-fn events() -> Vec<Beside> {
-    let silent = store::Faults { silent: true, ..Default::default() };
-    vec![
-        Beside::new("alone"),
-        Beside { leader: Some(Signal::SIGKILL), ..Beside::new("leader-killed") },
-        Beside { leader: Some(Signal::SIGSTOP), ..Beside::new("leader-paused") },
-        Beside { store: silent, ..Beside::new("store-silent") },
-    ]
-}
-
-/// Returns the faults of the machine API.
-fn listings() -> Vec<Beside> {
-    let faults = machines::Faults::default;
-    vec![
-        Beside::machines("machines-down", machines::Faults { down: true, ..faults() }),
-        Beside::machines("machines-silent", machines::Faults { silent: true, ..faults() }),
-        Beside::machines("machines-empty", machines::Faults { empty: true, ..faults() }),
-        Beside::lag("lag-no-row", Former::Nothing),
-        Beside::lag("lag-former-worker", Former::Worker),
-        Beside::lag("lag-down", Former::Down),
-        Beside::row("row-missing", RowFault::Missing),
-        Beside::row("row-unknown-state", RowFault::UnknownState),
-        Beside::row("row-null-id", RowFault::NullId),
-        Beside::row("row-number-id", RowFault::NumberId),
-        Beside::row("row-empty-id", RowFault::EmptyId),
-        Beside::row("row-former-id", RowFault::FormerId),
-        Beside::row("row-doubled", RowFault::Doubled),
-    ]
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Cell {
-    kind: Kind,
-    length_ms: u64,
-    beside: Beside,
-}
-
-impl Cell {
-    fn name(&self) -> String {
-        format!("{}/{}ms/{}", self.kind.name, self.length_ms, self.beside.name)
-    }
-}
-
-fn all_cells() -> Vec<Cell> {
-    let mut cells = Vec::new();
-    for kind in KINDS {
-        for length_ms in LENGTHS_MS {
-            let besides = events().into_iter().chain(listings());
-            cells.extend(besides.map(|beside| Cell { kind, length_ms, beside }));
-        }
-    }
-    cells
-}
-
-/// Returns cells that contain each kind and each fault at least once.
-fn short_cells() -> Vec<Cell> {
-    // Listings count only while a worker does not answer at all.
-    let (cut, partly) = KINDS.split_at(6);
-    let of_events = partly.iter().zip(events().into_iter().cycle());
-    let of_listings = cut.iter().cycle().zip(listings());
-    let cells = of_events.chain(of_listings).map(|(&kind, beside)| {
-        // The lease of a worker that starts again counts only in a cut that is longer.
-        let longest = kind.restart == Restart::Before;
-        Cell { kind, length_ms: LENGTHS_MS[usize::from(longest)], beside }
-    });
-    cells.collect()
-}
-
-/// What a play showed.
-#[derive(Debug, Default)]
-struct Outcome {
-    /// Descriptions of the tasks that ran twice, and of what failed otherwise.
-    broken: Vec<String>,
-    /// Workers that the VMs gave up, by the cause that they logged.
-    evidence: BTreeMap<String, usize>,
-}
-
-/// Something that happens during a cut.
-#[derive(Clone, Copy, Debug)]
-enum Event {
-    Submit,
-    SignalLeader(Signal),
-    ResumeLeader,
-    StoreReturns,
-    Restart,
-    EntryLapses,
-    Reconnect,
-}
-
-/// Returns what happens during the cut of a cell, with the milliseconds since it began.
-fn timeline(cell: &Cell) -> Vec<(u64, Event)> {
-    let mut events = vec![(cell.length_ms, Event::Reconnect)];
-    let submissions = SUBMISSIONS_MS.iter().filter(|at_ms| **at_ms < cell.length_ms);
-    events.extend(submissions.map(|at_ms| (*at_ms, Event::Submit)));
-    events.extend(cell.beside.leader.map(|signal| (300, Event::SignalLeader(signal))));
-    if cell.beside.leader == Some(Signal::SIGSTOP) {
-        events.push((300 + PAUSE_MS, Event::ResumeLeader));
-    }
-    if cell.beside.store.silent {
-        events.push((STORE_SILENCE_MS, Event::StoreReturns));
-    }
-    if cell.kind.restart == Restart::Behind {
-        events.push((cell.length_ms / 2, Event::Restart));
-    }
-    if cell.length_ms > LAPSE_MS {
-        events.push((LAPSE_MS, Event::EntryLapses));
-    }
-    events.sort_by_key(|(at_ms, _)| *at_ms);
-    events
-}
-
 /// Restarts the workers that are cut off, and writes the entry of the first.
 fn restart_workers(cluster: &Cluster) {
     for index in CUT {
@@ -353,11 +148,6 @@
     unfinished
 }
 
-/// Returns the first of some log lines as an indented text.
-fn log_text(lines: Vec<(usize, String)>) -> String {
-    lines.iter().take(MAX_LINES).map(|(vm, line)| format!("    vm-{vm}: {line}\n")).collect()
-}
-
 /// Submits jobs until each worker that is to be cut off runs a long task, and returns the accepted ones.
 async fn submit_until_busy(cluster: &mut Cluster) -> Vec<String> {
     let mut jobs = Vec::new();
@@ -412,33 +202,6 @@
     jobs
 }
 
-/// Describes two runs of a task, with the log lines that name the task, or one of the two workers without a task.
-fn describe(cluster: &Cluster, pair: &[RecordedRun; 2], cut_at: Instant) -> String {
-    let offset = |at: Instant| {
-        let late = at.saturating_duration_since(cut_at).as_millis() as i64;
-        late - cut_at.saturating_duration_since(at).as_millis() as i64
-    };
-    let mut text = format!("  {} ran twice (milliseconds since the cut):\n", pair[0].task);
-    for run in pair {
-        let ended = run.ended.map_or_else(|| String::from("-"), |at| offset(at).to_string());
-        let _infallible = writeln!(
-            text,
-            "    attempt {} on {}: {} to {ended}, {}, acknowledged {}",
-            run.attempt,
-            run.worker,
-            offset(run.began),
-            run.cause,
-            run.acknowledged
-        );
-    }
-    let workers = [0, 1].map(|n| format!("worker={} ", pair[n].worker));
-    let names = |line: &str| {
-        let of_worker = workers.iter().any(|worker| line.contains(worker));
-        line.contains(&pair[0].task) || of_worker && !line.contains(" task=")
-    };
-    text + &log_text(cluster.log_lines(names))
-}
-
 /// Plays a cell on a runtime of its own. A check that fails counts as broken.
 fn play_alone(cell: &Cell) -> Outcome {
     let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
@@ -458,18 +221,6 @@
     env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-fn table_row(name: &str, outcomes: &[Outcome]) -> String {
-    let broken = outcomes.iter().filter(|outcome| !outcome.broken.is_empty()).count();
-    let pairs: usize = outcomes.iter().map(|outcome| outcome.broken.len()).sum();
-    let mut evidence: BTreeMap<&str, usize> = BTreeMap::new();
-    for (cause, count) in outcomes.iter().flat_map(|outcome| &outcome.evidence) {
-        *evidence.entry(cause).or_default() += count;
-    }
-    let evidence: Vec<_> = evidence.iter().map(|(cause, n)| format!("{cause} {n}")).collect();
-    let plays = outcomes.len();
-    format!("| {name} | {plays} | {broken} | {pairs} | {} |", evidence.join(", "))
-}
-
 /// Guards against tasks that are started elsewhere while a worker that is cut off still runs them.
 #[test]
 fn tasks_of_workers_that_are_cut_off_run_once() {
