--- a/crates/coriandertackd/tests/platform/cuts/matrix.rs
+++ b/crates/coriandertackd/tests/platform/cuts/matrix.rs
@@ -22,7 +22,8 @@
 /// Time after which the entry of a worker lapses that cannot reach the store either, in milliseconds.
 const LAPSE_MS: u64 = 3_000;
 
-/// Age of the listings of a machine API that lags, in milliseconds. Workers join later than that before they are cut off.
+/// Age of the listings of a machine API that lags, in milliseconds. A worker is cut off while they are from before it
+/// joined.
 const LAG_MS: u64 = 6_000;
 
 /// When a worker starts again under its id.
--- a/crates/coriandertackd/tests/platform/cuts/mod.rs
+++ b/crates/coriandertackd/tests/platform/cuts/mod.rs
@@ -26,7 +26,7 @@
     nix::sys::signal::Signal,
     tokio::{
         runtime,
-        time::{Instant, sleep, sleep_until},
+        time::{Instant, sleep, sleep_until, timeout},
     },
 };
 
@@ -51,7 +51,7 @@
 /// Maximum number of further jobs that are submitted until the workers that are cut off have long tasks.
 const EXTRA_JOBS: usize = 30;
 
-/// Time for which these callers wait, in milliseconds.
+/// Time for which callers wait that submit jobs around a cut, in milliseconds.
 const CALLER_WAIT_MS: u64 = 500;
 
 /// Maximum time between the restart of a worker and its cut.
@@ -60,6 +60,9 @@
 /// Default number of clusters that play at a time.
 const PARALLEL: usize = 8;
 
+/// Time-out of a play.
+const PLAY_TIME: Duration = Duration::from_secs(180);
+
 /// Time in which all jobs must be completed after a cut.
 const FINISH_TIME: Duration = Duration::from_secs(60);
 
@@ -205,7 +208,8 @@
 /// Plays a cell on a runtime of its own. A check that fails counts as broken.
 fn play_alone(cell: &Cell) -> Outcome {
     let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let played = catch_unwind(AssertUnwindSafe(|| runtime.block_on(play(cell))));
+    let work = async { timeout(PLAY_TIME, play(cell)).await.expect("the play takes too long") };
+    let played = catch_unwind(AssertUnwindSafe(|| runtime.block_on(work)));
     played.unwrap_or_else(|panic| Outcome {
         broken: vec![format!("  {}\n", panic_message(&*panic))],
         ..Outcome::default()
@@ -230,6 +234,7 @@
         Some("all") => all_cells(),
         Some(part) => all_cells().into_iter().filter(|cell| cell.name().contains(part)).collect(),
     };
+    assert!(!cells.is_empty(), "no cell has a name that contains {selected:?}");
     let plays = env_count("CUTS_PLAYS", 1);
     let mut waiting: Vec<usize> = (0..cells.len()).flat_map(|n| vec![n; plays]).rev().collect();
     let parallel = env_count("CUTS_JOBS", PARALLEL).min(waiting.len());
