--- a/crates/coriandertackd/tests/platform/cuts/mod.rs
+++ b/crates/coriandertackd/tests/platform/cuts/mod.rs
@@ -58,7 +58,7 @@
 const RESTART_LEAD: Duration = Duration::from_millis(800);
 
 /// Default number of clusters that play at a time.
-const PARALLEL: usize = 8;
+const PARALLEL: usize = 9;
 
 /// Time-out of a play.
 const PLAY_TIME: Duration = Duration::from_secs(180);
