End by a listing only the runs that are attributed to the life it speaks of

What callers would see: a task ran twice. Its worker had started again under its id, the start reached the next life, which no list had shown yet, and the worker was cut off: a listing from before the restart, the lease as the leader counted it, or the wait for an unanswered start was evidence on the former life.

Cause: a start names the worker, not its life, and a run was taken to be where it was bound.

Change: a run is attributed to a life by a list that shows it, or by the clock in the answer to its start: that of a next life starts anew. The same clock tells how long leases can last there. A listing ends attributed runs only; a start without an answer is waited for under the longest lease. HostReader takes the machine on which a worker was shown last, and a machine whose listings are out of order proves nothing for 10 s, without hiding the others. The leader lists machines when workers join, without a timer. The matrix has seven faults of listings that begin with the cut, on workers that joined seconds before.

--- a/crates/coriandertack-jobs/src/hosts.rs
+++ b/crates/coriandertack-jobs/src/hosts.rs
@@ -29,6 +29,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    mem,
     sync::Arc,
 };
 
@@ -47,6 +48,10 @@
     struct HostKey;
 }
 
+/// How long a machine proves nothing after a listing has named its former worker again, in
+/// milliseconds. Such a listing is older than one before it.
+const DISORDER_MS: u64 = 10_000;
+
 /// How long a machine that is no longer listed is remembered, in milliseconds. It bounds memory; a
 /// worker's leases expire much earlier.
 const FORGET_MS: u64 = 600_000;
@@ -65,7 +70,7 @@
     pub shown_at: BootTime,
 }
 
-/// What one listing proves.
+/// Ends of workers that one listing proves.
 #[derive(Clone, Debug, Default)]
 pub struct Hosts {
     departures: HashMap<Arc<str>, Departure>,
@@ -89,11 +94,12 @@
 /// What listings have shown of a machine.
 #[derive(Clone, Debug)]
 struct Host {
-    machine: Arc<str>,
-    /// The worker that was shown last.
+    /// Worker that was shown last.
     resident: Option<Resident>,
-    /// The worker that was shown before.
+    /// Worker that was shown before it.
     former: Option<Resident>,
+    /// Time until which the machine proves nothing.
+    disordered_until: BootTime,
     forget_at: BootTime,
 }
 
@@ -114,37 +120,30 @@
 
     /// Reads a listing that was requested at `requested_at`. With `complete`, each of its rows could
     /// be read; otherwise any worker may be in one that could not, and the listing proves no end.
-    ///
-    /// A listing from before one that was already read proves nothing either. It shows if it names a
-    /// worker that has been replaced.
     pub fn read(&mut self, rows: &[Machine], complete: bool, requested_at: BootTime) -> Hosts {
         let unique = unique_rows(rows);
-        let named: HashSet<&str> = rows.iter().filter_map(|row| row.worker.as_deref()).collect();
-        if let Some(host) = self.hosts.values().find(|host| host.is_outdated(&named)) {
-            log::warn!("event=listing_outdated machine={} rows={}", host.machine, rows.len());
-            return Hosts::default();
-        }
         for row in &unique {
             self.record_row(row, requested_at);
         }
         self.forget(requested_at);
+        let mut hosts = Hosts::default();
         if !complete {
-            return Hosts::default();
+            return hosts;
         }
-        let mut hosts = Hosts::default();
+        let named: HashSet<&str> = rows.iter().filter_map(|row| row.worker.as_deref()).collect();
         for row in &unique {
-            let host = self.index.get(&row.id).and_then(|key| self.hosts.get(*key));
-            let residents = host.into_iter().flat_map(|host| [&host.resident, &host.former]);
-            for resident in residents.flatten() {
-                let successor = row.worker.clone().filter(|_| row.state == MachineState::Up);
-                let ended = row.state != MachineState::Up || successor.is_some();
-                if !ended || named.contains(&*resident.worker) {
+            let successor = row.worker.clone().filter(|_| row.state == MachineState::Up);
+            if row.state == MachineState::Up && successor.is_none() {
+                continue;
+            }
+            for resident in self.residents_of(&row.id, requested_at) {
+                if named.contains(&*resident.worker) {
                     continue;
                 }
                 let departure = Departure {
                     machine: row.id.clone(),
                     state: row.state,
-                    successor,
+                    successor: successor.clone(),
                     shown_at: resident.shown_at,
                 };
                 hosts.departures.insert(resident.worker.clone(), departure);
@@ -153,28 +152,45 @@
         hosts
     }
 
+    /// Returns the workers that were last shown on a machine, unless its listings were out of order.
+    fn residents_of(&self, machine: &str, now: BootTime) -> impl Iterator<Item = &Resident> {
+        let key = self.index.get(machine).copied();
+        let host = key.and_then(|key| self.hosts.get(key));
+        let host = host.filter(|host| host.disordered_until <= now);
+        let residents = host.into_iter().flat_map(|host| [&host.resident, &host.former]);
+        residents.flatten().filter(move |shown| self.residents.get(&shown.worker).copied() == key)
+    }
+
     /// Records which worker a machine hosts. A row without one leaves what was shown before.
     fn record_row(&mut self, row: &Machine, requested_at: BootTime) {
         let forget_at = requested_at.plus_ms(FORGET_MS);
         let key = *self.index.entry(row.id.clone()).or_insert_with(|| {
-            let machine = row.id.clone();
-            self.hosts.insert(Host { machine, resident: None, former: None, forget_at })
+            self.hosts.insert(Host {
+                resident: None,
+                former: None,
+                disordered_until: BootTime(0),
+                forget_at,
+            })
         });
         let Some(host) = self.hosts.get_mut(key) else { return };
         host.forget_at = forget_at;
         let Some(worker) = &row.worker else { return };
-        match &mut host.resident {
-            Some(resident) if resident.worker == *worker => resident.shown_at = requested_at,
-            resident => {
-                let shown = Resident { worker: worker.clone(), shown_at: requested_at };
-                if let Some(replaced) = resident.replace(shown)
-                    && let Some(forgotten) = host.former.replace(replaced)
-                {
-                    self.residents.remove(&forgotten.worker);
-                }
-                self.residents.insert(worker.clone(), key);
+        let names = |shown: &Resident| shown.worker == *worker;
+        if !host.resident.as_ref().is_some_and(names) {
+            if host.former.as_ref().is_some_and(names) {
+                log::warn!("event=listing_outdated machine={} worker={worker}", row.id);
+                host.disordered_until = requested_at.plus_ms(DISORDER_MS);
+            }
+            let shown = Resident { worker: worker.clone(), shown_at: requested_at };
+            let replaced = host.resident.replace(shown);
+            let forgotten = mem::replace(&mut host.former, replaced);
+            if let Some(forgotten) = forgotten.filter(|forgotten| !names(forgotten)) {
+                self.residents.remove(&forgotten.worker);
             }
+        } else if let Some(resident) = &mut host.resident {
+            resident.shown_at = requested_at;
         }
+        self.residents.insert(worker.clone(), key);
     }
 
     /// Forgets machines that have not been listed for [`FORGET_MS`].
@@ -186,17 +202,6 @@
     }
 }
 
-impl Host {
-    /// Returns true if a listing with these workers is from before the last one: it names the worker
-    /// that the machine's present one has replaced.
-    fn is_outdated(&self, named: &HashSet<&str>) -> bool {
-        let names = |resident: &Option<Resident>| {
-            resident.as_ref().is_some_and(|resident| named.contains(&*resident.worker))
-        };
-        names(&self.former) && !names(&self.resident)
-    }
-}
-
 /// Returns the rows of machines that are listed once. Of a machine with several rows, and of machines
 /// with the same worker, it is unknown which row is right.
 fn unique_rows(rows: &[Machine]) -> Vec<&Machine> {
--- a/crates/coriandertack-jobs/src/sched/commands.rs
+++ b/crates/coriandertack-jobs/src/sched/commands.rs
@@ -95,6 +95,33 @@
         true
     }
 
+    /// Records the reading of the worker's clock in the answer to a start, before its outcome. It tells
+    /// which incarnation answered, and how long the leases can last there.
+    pub fn record_start_clock(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        attempt: u32,
+        clock_ms: u64,
+        now: BootTime,
+    ) {
+        let limit_ms = self.lease_limit_ms;
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        worker.count_leases(clock_ms, limit_ms, now);
+        let attributed = worker.has_continued(clock_ms, now);
+        if let Some(run) = worker.runs.get_mut(&(task, attempt)) {
+            run.attributed |= attributed;
+        }
+        if !attributed {
+            log::info!(
+                "event=start_unattributed task={task} attempt={attempt} worker={} clock_ms={clock_ms} \
+                 lease_ms={}",
+                worker.name,
+                worker.lease_end().ms_since(now)
+            );
+        }
+    }
+
     /// Records the outcome of a start command.
     pub fn record_start_outcome(
         &mut self,
--- a/crates/coriandertack-jobs/src/sched/incarnations.rs
+++ b/crates/coriandertack-jobs/src/sched/incarnations.rs
@@ -99,6 +99,7 @@
         let (task, attempt) = id;
         // The incarnation is unknown until a list shows the run.
         run.born = None;
+        run.attributed = false;
         run.stopped_at = None;
         if found == Whereabouts::Pending {
             run.confirmed_at = None;
--- a/crates/coriandertack-jobs/src/sched/lost.rs
+++ b/crates/coriandertack-jobs/src/sched/lost.rs
@@ -9,6 +9,7 @@
 
 use super::{
     Scheduler, Worker, WorkerKey,
+    leases::{MAX_CALL_DELAY_MS, slowest_ms},
     worker::{Run, RunId},
 };
 
@@ -26,10 +27,9 @@
 /// requested earlier.
 const SILENCE_PAUSE_MS: u64 = 1_500;
 
-/// How long an incarnation must have lived before a listing of machines can prove its end, in
-/// milliseconds. A listing that is seconds old may show the worker's machine as it was before the
+/// Minimum age of an incarnation whose end a listing of machines can prove, in milliseconds. A listing that is seconds old may show the worker's machine as it was before the
 /// incarnation started, and the clocks that date its start may jump by seconds.
-const SETTLED_MS: u64 = 10_000;
+const MIN_AGE_MS: u64 = 10_000;
 
 /// The reason why the runs of a worker can no longer exist.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
@@ -103,6 +103,21 @@
         self.entry.clone().filter(|_| self.has_new_entry() && !self.absent)
     }
 
+    /// Moves runs to a worker of the same name that is to be removed.
+    fn split_runs(&mut self, ids: &[RunId], now: BootTime) -> Self {
+        let mut lost = Self::new(Arc::clone(&self.name), now);
+        lost.entry = self.entry.clone();
+        lost.evacuating = self.evacuating;
+        lost.born = self.born;
+        lost.answered_at = self.answered_at;
+        for &(task, attempt) in ids {
+            if let Some(run) = self.take_run(task, attempt) {
+                lost.add_run(task, attempt, run);
+            }
+        }
+        lost
+    }
+
     /// Returns true if the worker has runs and does not answer.
     fn is_silent(&self) -> bool {
         self.silent_since.is_some() && self.run_count() > 0
@@ -127,18 +142,47 @@
         worker.silent_since.get_or_insert(since);
         worker.silent_until = now.plus_ms(SILENCE_PAUSE_MS);
         worker.refusals = if refused { worker.refusals + 1 } else { 0 };
-        let cause = match worker.run_count() {
-            0 if worker.refusals >= MAX_REFUSALS => LossCause::Refused,
-            0 => return true,
-            _ if worker.lease_end() < now => LossCause::LeaseExpired,
-            _ => return true,
-        };
-        let as_of = match cause {
-            LossCause::LeaseExpired => worker.lease_end(),
-            _ => now,
+        if worker.run_count() == 0 {
+            if worker.refusals >= MAX_REFUSALS {
+                self.remove_lost_worker(key, LossCause::Refused, now);
+            }
+        } else if worker.lease_end() < now {
+            self.lose_expired_runs(key, now);
+        }
+        self.workers.contains_key(key)
+    }
+
+    /// Removes the runs of a worker whose leases have expired, except for those whose start was not
+    /// answered: the next incarnation may have carried it out, under the longest lease that it accepts.
+    fn lose_expired_runs(&mut self, key: WorkerKey, now: BootTime) {
+        let Some(worker) = self.workers.get(key) else { return };
+        let evidence = Evidence { cause: LossCause::LeaseExpired, as_of: worker.lease_end() };
+        let (longest_ms, delay_ms) = (slowest_ms(self.lease_limit_ms), MAX_CALL_DELAY_MS);
+        let is_pending = |run: &Run| {
+            let unanswered = run.sent_at.filter(|_| run.confirmed_at.is_none());
+            unanswered.is_some_and(|sent| sent.plus_ms(delay_ms + longest_ms) >= now)
         };
-        self.remove_on_evidence(key, Evidence { cause, as_of }, now);
-        false
+        self.lose_runs_if(key, |run| !is_pending(run), evidence, now);
+    }
+
+    /// Removes those runs of a worker for which `has_ended` holds, and the worker with the last of them.
+    fn lose_runs_if(
+        &mut self,
+        key: WorkerKey,
+        has_ended: impl Fn(&Run) -> bool,
+        evidence: Evidence,
+        now: BootTime,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let ended: Vec<RunId> =
+            worker.runs.iter().filter(|(_, run)| has_ended(run)).map(|(id, _)| *id).collect();
+        if ended.len() == worker.run_count() {
+            self.remove_on_evidence(key, evidence, now);
+        } else if !ended.is_empty() {
+            let mut lost = worker.split_runs(&ended, now);
+            lost.silent_since = worker.silent_since;
+            self.lose_runs(key, lost, evidence, now);
+        }
     }
 
     /// Records that another worker answered at the address of a worker at `since`. Returns false if the
@@ -158,12 +202,12 @@
         false
     }
 
-    /// Removes the workers with runs that do not answer and that have ended according to a listing of
+    /// Removes the runs of workers that do not answer and that have ended according to a listing of
     /// machines that was requested at `requested_at`. Returns true if there were any.
     ///
     /// A worker that has answered since may have started again under its name, and is left to the next
-    /// listing. So is one that has not lived for [`SETTLED_MS`]: the listing may be from before it
-    /// started.
+    /// listing. So is one that has not lived for [`MIN_AGE_MS`]: the listing may be from before it
+    /// started. A run that is not attributed to the incarnation that ended may be on the next one.
     pub fn remove_unhosted_workers(
         &mut self,
         hosts: &Hosts,
@@ -175,7 +219,8 @@
             let born = worker.latest_birth();
             worker.is_silent()
                 && worker.answered_at < requested_at
-                && born.is_some_and(|born| born + SETTLED_MS <= wall.0)
+                && born.is_some_and(|born| born.saturating_add(MIN_AGE_MS) <= wall.0)
+                && worker.runs.values().any(|run| run.attributed)
         };
         let ended: Vec<(WorkerKey, Departure)> = self
             .workers
@@ -192,7 +237,7 @@
                 now.ms_since(requested_at)
             );
             let evidence = Evidence { cause: LossCause::Unhosted, as_of: requested_at };
-            self.remove_on_evidence(*key, evidence, now);
+            self.lose_runs_if(*key, |run| run.attributed, evidence, now);
         }
         !ended.is_empty()
     }
@@ -257,15 +302,7 @@
         if former.is_empty() {
             return;
         }
-        let mut lost = Worker::new(Arc::clone(&worker.name), now);
-        lost.entry = worker.entry.clone();
-        lost.evacuating = worker.evacuating;
-        for (task, attempt) in former {
-            if let Some(run) = worker.take_run(task, attempt) {
-                lost.add_run(task, attempt, run);
-            }
-        }
-        lost.born = Some(born);
+        let lost = worker.split_runs(&former, now);
         let evidence = Evidence { cause: LossCause::Reborn, as_of: now };
         self.lose_runs(key, lost, evidence, now);
     }
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -75,7 +75,7 @@
         let born = worker.born;
         let Some(run) = worker.runs.get_mut(&(task, attempt)) else { return };
         run.born = born;
-        run.started = true;
+        (run.started, run.attributed) = (true, true);
         if run.confirmed_at.is_none() {
             run.confirm(now);
             run.progressed_at = now;
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -42,6 +42,9 @@
 /// milliseconds.
 const MAX_LEASE_CUT_MS: u64 = 3_000;
 
+/// Allowance for the time that a reading of a worker's clock travels, in milliseconds.
+const MAX_RESTART_SKEW_MS: u64 = 500;
+
 /// Properties of a task that matter while it runs.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunProfile {
@@ -86,6 +89,9 @@
     pub(super) sent_at: Option<BootTime>,
     /// Whether the worker is known to have started the run.
     pub(super) started: bool,
+    /// Whether the incarnation that returned the last list is known to hold the run. A start names the
+    /// worker only, and may have reached the next incarnation.
+    pub(super) attributed: bool,
     /// Whether the task is suspected of crashing its workers.
     pub(super) probation: bool,
     /// When the last stop was commanded; `None` if none was.
@@ -109,6 +115,7 @@
             confirmed_at: None,
             sent_at: None,
             started: false,
+            attributed: false,
             probation: false,
             stopped_at: None,
             percent: 0,
@@ -176,6 +183,8 @@
     lease_end: BootTime,
     /// When a lease was last granted.
     pub(super) granted_at: Option<BootTime>,
+    /// Latest end of a lease that was granted, on the worker's clock.
+    granted_end: u64,
     /// Last reading of the worker's clock in milliseconds, and when it arrived.
     clock: Option<(u64, BootTime)>,
     /// When the worker last answered a request.
@@ -217,6 +226,7 @@
             runs: HashMap::new(),
             lease_end,
             granted_at: None,
+            granted_end: 0,
             clock: None,
             answered_at: BootTime(0),
             silent_since: None,
@@ -425,9 +435,28 @@
         let term_ms = since_ms + MAX_LEASE_MS - lag_ms.min(MAX_LEASE_CUT_MS);
         self.lease_end = self.lease_end.max(at.plus_ms(slowest_ms(term_ms)));
         self.granted_at = Some(now);
+        self.granted_end = self.granted_end.max(clock_ms + term_ms);
         Some(clock_ms + term_ms)
     }
 
+    /// Counts the leases that were granted from a reading of the worker's clock that arrived at `now`.
+    ///
+    /// The clock of the next incarnation starts anew, and the worker then takes their ends for times far
+    /// ahead, up to `limit_ms` from the arrival of a call.
+    pub(super) fn count_leases(&mut self, clock_ms: u64, limit_ms: u64, now: BootTime) {
+        let rest_ms = self.granted_end.saturating_sub(clock_ms).min(limit_ms);
+        self.lease_end = self.lease_end.max(now.plus_ms(slowest_ms(rest_ms)));
+    }
+
+    /// Returns true if a reading of the worker's clock that arrived at `now` is of the incarnation that
+    /// returned the last list: one that started since would show less than that list did.
+    pub(super) fn has_continued(&self, clock_ms: u64, now: BootTime) -> bool {
+        self.clock.is_some_and(|(listed_ms, at)| {
+            let since_ms = now.ms_since(at) + MAX_RESTART_SKEW_MS;
+            self.listed && clock_ms >= listed_ms && since_ms < listed_ms
+        })
+    }
+
     /// Records that the worker may hold leases until `end` that this leader did not grant.
     pub(super) fn inherit_leases(&mut self, end: BootTime) {
         self.lease_end = self.lease_end.max(end);
--- a/crates/coriandertack-jobs/tests/sched/hosts.rs
+++ b/crates/coriandertack-jobs/tests/sched/hosts.rs
@@ -99,10 +99,37 @@
     reader.read(&[up("m-1", "w-1")], true, BootTime(6));
     let hosts = reader.read(&[up("m-1", "w-0")], true, BootTime(7));
     assert!(hosts.departure("w-1").is_none(), "an older listing after a newer one");
-    let hosts = reader.read(&[row("m-1", MachineState::Down, None)], true, BootTime(8));
+    for at in [8, 10_006] {
+        let hosts = reader.read(&[row("m-1", MachineState::Down, None)], true, BootTime(at));
+        assert!(hosts.departure("w-1").is_none(), "soon after listings out of order");
+    }
+    let hosts = reader.read(&[row("m-1", MachineState::Down, None)], true, BootTime(10_007));
     assert!(hosts.departure("w-1").is_some());
 }
 
+/// Guards against one machine whose listings are out of order and that hides the ends of all others.
+#[test]
+fn listings_out_of_order_affect_one_machine() {
+    let mut reader = HostReader::default();
+    for (at, worker) in [(1, "w-1"), (2, "w-0"), (3, "w-1")] {
+        reader.read(&[up("m-1", worker), up("m-2", "w-2")], true, BootTime(at));
+    }
+    let down = row("m-2", MachineState::Down, None);
+    let hosts = reader.read(&[up("m-1", "w-0"), down], true, BootTime(4));
+    assert!(hosts.departure("w-2").is_some());
+    assert!(hosts.departure("w-1").is_none());
+}
+
+/// Guards against the end of a worker by the row of a machine on which it was not shown last.
+#[test]
+fn former_machine_of_a_worker_proves_nothing() {
+    let mut reader = reader();
+    let moved = [row("m-1", MachineState::Up, None), up("m-3", "w-1")];
+    reader.read(&moved, true, BootTime(2));
+    let hosts = reader.read(&[row("m-1", MachineState::Down, None)], true, BootTime(3));
+    assert!(hosts.departure("w-1").is_none());
+}
+
 /// Guards against memory that grows with each worker that a machine has hosted.
 #[test]
 fn reader_remembers_two_workers_of_a_machine() {
@@ -123,6 +150,32 @@
     reader.read(&[row("m-1", MachineState::Down, None)], true, BootTime(0))
 }
 
+/// Guards against a second run of a task whose start the next incarnation of its worker carried out: a
+/// listing that showed the end of the former one ended the run.
+#[test]
+fn run_that_no_list_has_shown_is_kept_when_its_worker_has_departed() {
+    let mut cluster = TestCluster::new(&[4, 4]);
+    cluster.admit(1, job(vec![step(1, 1)]));
+    cluster.run_pass();
+    cluster.apply_run_lists();
+    let key = cluster.workers_running(task(1, 0, 0))[0];
+    let name = cluster.sched.worker(key).unwrap().name.to_string();
+    // A start that was answered by a clock that starts anew, and one that was not answered.
+    cluster.admit(2, job(vec![step(6, 1)]));
+    cluster.run_pass();
+    let sent = cluster.workers[&key].running.len() - 1;
+    assert!(sent > 0);
+    let now = cluster.now;
+    for index in 0..6 {
+        cluster.sched.record_start_clock(key, task(2, 0, index), 1, 0, now);
+    }
+    assert!(cluster.sched.record_list_failure(key, now, false, now));
+    let (hosts, at) = (departed(&name), now.plus_ms(1));
+    assert!(cluster.sched.remove_unhosted_workers(&hosts, at, at, SETTLED));
+    assert_eq!(cluster.sched.worker(key).unwrap().run_count(), sent);
+    assert!(!cluster.sched.remove_unhosted_workers(&hosts, at, at, SETTLED), "the rest stays");
+}
+
 /// Guards against a crashed worker that is given up only when its leases have expired, and against
 /// one that is given up although it answers, has answered since, or may have started after the listing.
 #[test]
@@ -130,6 +183,7 @@
     let mut cluster = TestCluster::new(&[1, 1]);
     cluster.admit(1, job(vec![step(2, 1)]));
     cluster.run_pass();
+    cluster.apply_run_lists();
     let key = cluster.workers_running(task(1, 0, 0))[0];
     let name = cluster.sched.worker(key).unwrap().name.to_string();
     let hosts = departed(&name);
--- a/crates/coriandertackd/src/fleet/hosts.rs
+++ b/crates/coriandertackd/src/fleet/hosts.rs
@@ -18,12 +18,38 @@
 /// that crashed is listed as such at once; one that is cut off does not answer for seconds.
 const POLL_MS: (u64, u64) = (100, 800);
 
-/// Interval at which the task looks for workers that have joined, in milliseconds.
-const CHECK_MS: u64 = 1_000;
+/// Initial and maximum pause between two listings while workers are not shown, in milliseconds. A machine is listed with
+/// its worker from before the worker's first entry on, unless the listing lags, or the entry is not of a worker.
+const PLACE_MS: (u64, u64) = (1_000, 16_000);
 
-/// Maximum pause between two listings while the same workers are not shown, in milliseconds. A machine is listed with its
-/// worker from before the worker's first entry on, unless the listing lags, or the entry is not of a worker.
-const MAX_PLACE_MS: u64 = 16_000;
+/// Maximum wait for a worker to join or to stop answering, in milliseconds.
+const IDLE_MS: u64 = 60_000;
+
+/// When to list the machines again for workers that no listing has shown.
+#[derive(Debug)]
+struct PlacementPoll {
+    /// Number of these workers after the last listing.
+    missing: usize,
+    poll_at: BootTime,
+    pause_ms: u64,
+}
+
+impl PlacementPoll {
+    /// Records a listing that was requested at `now` and after which `missing` workers are not shown.
+    fn record(&mut self, missing: usize, now: BootTime) {
+        self.pause_ms = match missing == self.missing {
+            true => (self.pause_ms * 2).min(PLACE_MS.1),
+            false => PLACE_MS.0,
+        };
+        self.missing = missing;
+        self.poll_at = now.plus_ms(self.pause_ms);
+    }
+
+    /// Returns true if a listing is due at `now`, with `missing` workers that are not shown.
+    fn is_due(&self, missing: usize, now: BootTime) -> bool {
+        missing > 0 && (missing != self.missing || now >= self.poll_at)
+    }
+}
 
 /// Lists the machines whenever workers have joined, and whenever a worker with runs stops answering, for as long as the
 /// future is polled.
@@ -34,16 +60,17 @@
     let mut reader = HostReader::default();
     let mut pause = POLL_MS.0;
     let mut unavailable = false;
-    let (mut missing, mut next_place, mut place_pause) = (0, clock::now(), CHECK_MS);
+    let mut placement = PlacementPoll { missing: 0, poll_at: clock::now(), pause_ms: PLACE_MS.0 };
     loop {
-        let now = clock::now();
-        let silent = leadership.scheduler().has_silent_runs();
-        let unplaced = leadership.scheduler().unplaced_workers(|worker| reader.has_shown(worker));
-        if !silent {
+        let missing = leadership.scheduler().unplaced_workers(|worker| reader.has_shown(worker));
+        // Read before the request, since the rows may be as old as that.
+        let requested_at = clock::now();
+        if !leadership.scheduler().has_silent_runs() {
             pause = POLL_MS.0;
-            if unplaced == 0 || (unplaced == missing && now < next_place) {
-                let check = Duration::from_millis(CHECK_MS);
-                let _woken = timeout(check, leadership.hosts_wake.notified()).await;
+            if !placement.is_due(missing, requested_at) {
+                let wait_ms = placement.poll_at.ms_since(requested_at).max(PLACE_MS.0);
+                let wait = Duration::from_millis(if missing > 0 { wait_ms } else { IDLE_MS });
+                let _woken = timeout(wait, leadership.hosts_wake.notified()).await;
                 continue;
             }
         }
@@ -52,18 +79,15 @@
                 if mem::replace(&mut unavailable, false) {
                     log::info!("event=dependency_regained dependency=hosts");
                 }
-                let hosts = reader.read(&listing.machines, listing.unreadable == 0, now);
-                remove_unhosted(&leadership, &hosts, now);
-                let unplaced =
+                let complete = listing.unreadable == 0;
+                let hosts = reader.read(&listing.machines, complete, requested_at);
+                remove_unhosted(&leadership, &hosts, requested_at);
+                let missing =
                     leadership.scheduler().unplaced_workers(|worker| reader.has_shown(worker));
-                place_pause = match unplaced == missing {
-                    true => (place_pause * 2).min(MAX_PLACE_MS),
-                    false => CHECK_MS,
-                };
-                (missing, next_place) = (unplaced, now.plus_ms(place_pause));
+                placement.record(missing, requested_at);
             }
             Err(error) => {
-                (missing, next_place) = (unplaced, now.plus_ms(place_pause));
+                placement.record(missing, requested_at);
                 if !mem::replace(&mut unavailable, true) {
                     log::warn!("event=dependency_lost dependency=hosts error=\"{error:#}\"");
                 }
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -17,7 +17,7 @@
     coriandertack_platform::{
         http::CallError,
         store::{Record, Store, Topic},
-        workers::{self, ListError, Start, Worker},
+        workers::{self, CommandResponse, ListError, Start, Worker},
     },
     tokio::{
         sync::{Notify, mpsc},
@@ -172,6 +172,7 @@
                 tasks.spawn(expire_leases(leadership.clone(), key));
             }
             self.tasks.insert(key, tasks);
+            leadership.hosts_wake.notify_one();
         }
     }
 }
@@ -299,7 +300,7 @@
     };
     Counters::count(&leadership.shared.counters.starts);
     metrics::record(&leadership.shared.latencies.waiting, start.waited_ms);
-    let start = Start {
+    let call = Start {
         task: start.task,
         attempt: start.attempt,
         payload: &start.payload,
@@ -308,7 +309,12 @@
         checkpoint: &start.checkpoint,
         ticket: start.ticket.as_ref().map(|ticket| &*ticket.text),
     };
-    match worker.start(start).await {
+    let result = worker.start(call).await;
+    if let Ok(CommandResponse { clock_ms: Some(clock_ms), .. }) = result {
+        let mut scheduler = leadership.scheduler();
+        scheduler.record_start_clock(key, start.task, start.attempt, clock_ms, clock::now());
+    }
+    match result {
         Ok(response) => response.refusal.map_or(StartOutcome::Started, StartOutcome::Refused),
         Err(CallError::Broken | CallError::Unanswered) => StartOutcome::Unanswered,
         Err(CallError::Refused | CallError::Unreachable) => StartOutcome::NotSent,
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -121,6 +121,11 @@
 const LINK_PORT: u16 = 21_003;
 const METRICS_PORT: u16 = 21_004;
 
+/// Returns the time of day, in milliseconds since 1970.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
 fn unique_address() -> Ipv4Addr {
     let process = (std::process::id() % 250) as u8 + 1;
     let vm = NEXT_VM.fetch_add(1, Ordering::Relaxed);
@@ -208,7 +213,7 @@
     /// Adds a worker, and returns its index.
     pub async fn add_worker(&mut self) -> usize {
         let index = self.workers.len();
-        let worker = self.start_worker(&format!("i-{index}"), 1_000 + index as u64).await;
+        let worker = self.start_worker(&format!("i-{index}"), unix_ms()).await;
         self.machines.host_worker(&format!("m-{index}"), &worker.id());
         self.workers.push(worker);
         index
--- a/crates/coriandertackd/tests/platform/cuts/matrix.rs
+++ b/crates/coriandertackd/tests/platform/cuts/matrix.rs
@@ -73,6 +73,8 @@
     pub leader: Option<Signal>,
     pub store: store::Faults,
     pub machines: machines::Faults,
+    /// Whether the machine API fails from the cut on. Otherwise it does so from before the workers join.
+    pub late: bool,
     pub former: Former,
 }
 
@@ -83,6 +85,7 @@
             leader: None,
             store: store::Faults::default(),
             machines: machines::Faults::default(),
+            late: false,
             former: Former::Nothing,
         }
     }
@@ -115,7 +118,15 @@
 /// Returns the faults of the machine API.
 pub fn listings() -> Vec<Beside> {
     let faults = machines::Faults::default;
+    let late = |beside: Beside| Beside { late: true, ..beside };
     vec![
+        late(Beside::machines("late-empty", machines::Faults { empty: true, ..faults() })),
+        late(Beside::lag("late-lag-no-row", Former::Nothing)),
+        late(Beside::lag("late-lag-former-worker", Former::Worker)),
+        late(Beside::lag("late-lag-down", Former::Down)),
+        late(Beside::row("late-row-missing", RowFault::Missing)),
+        late(Beside::row("late-row-unknown-state", RowFault::UnknownState)),
+        late(Beside::row("late-row-null-id", RowFault::NullId)),
         Beside::machines("machines-down", machines::Faults { down: true, ..faults() }),
         Beside::machines("machines-silent", machines::Faults { silent: true, ..faults() }),
         Beside::machines("machines-empty", machines::Faults { empty: true, ..faults() }),
--- a/crates/coriandertackd/tests/platform/cuts/mod.rs
+++ b/crates/coriandertackd/tests/platform/cuts/mod.rs
@@ -34,7 +34,7 @@
     matrix::{Cell, Event, Former, Restart, all_cells, short_cells, timeline},
     report::{Outcome, describe, log_text, table_row},
 };
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, unix_ms};
 
 const VMS: usize = 3;
 
@@ -60,6 +60,9 @@
 /// Default number of clusters that play at a time.
 const PARALLEL: usize = 9;
 
+/// Time in which a leader lists the machines after workers have joined.
+const LISTING_TIME: Duration = Duration::from_millis(1_500);
+
 /// Time-out of a play.
 const PLAY_TIME: Duration = Duration::from_secs(180);
 
@@ -69,7 +72,7 @@
 /// Restarts the workers that are cut off, and writes the entry of the first.
 fn restart_workers(cluster: &Cluster) {
     for index in CUT {
-        cluster.workers[index].restart(9_000 + index as u64);
+        cluster.workers[index].restart(unix_ms());
     }
     cluster.publish_entry(CUT[0]);
 }
@@ -106,11 +109,16 @@
         cluster.machines.distort(machine);
     }
     sleep(Duration::from_millis(cell.beside.machines.lag_ms)).await;
-    cluster.machines.fail(cell.beside.machines);
+    if !cell.beside.late {
+        cluster.machines.fail(cell.beside.machines);
+    }
     for _ in CUT {
         cluster.add_worker().await;
     }
     let mut jobs = submit_until_busy(&mut cluster).await;
+    if cell.beside.late {
+        sleep(LISTING_TIME).await;
+    }
     let leader = cluster.leader().await;
     if cell.kind.restart == Restart::Before {
         jobs.extend(restart_and_start(&mut cluster).await);
@@ -119,6 +127,7 @@
     for index in CUT {
         cluster.workers[index].set_link(cell.kind.link);
     }
+    cluster.machines.fail(cell.beside.machines);
     cluster.store.fail(cell.beside.store);
     let later = play_events(&mut cluster, cell, leader, began).await;
     cluster.store.fail(store::Faults::default());
