Order no machine whose worker is unknown, and end no upkeep by an old row

What operators saw: with listings that were empty, lacked a machine, or had a null or former id, machines with 8 tasks at work were ordered down after 21 ms (AVAIL). With listings that were 1 s old, a wave with a cap of 1 took its next machine down while the former one still was (LIMIT).

Cause: absence counted as evidence. An unknown worker counted as an empty one, in the task for waves and in evacuate; a row without a name replaced a known worker, and the last of two rows won. An `up` row in a listing requested after the order's answer ended the upkeep, even if the row was older. A pending machine in upkeep did not count towards the cap, and the 10 s of an omitted machine ran from the answer.

Change: the planner keeps the last worker of each machine that a row named and the scheduler knows, and evacuates that one.

Not covered: a machine that no listing has named since the leader's start is ordered after 10 s, whatever runs on it.

--- a/crates/coriandertack-jobs/src/sched/evacuate.rs
+++ b/crates/coriandertack-jobs/src/sched/evacuate.rs
@@ -9,6 +9,12 @@
 const MAX_RUN_WAIT_MS: u64 = 1_500;
 
 impl Scheduler {
+    /// Returns true if the scheduler knows a worker with this name.
+    #[must_use]
+    pub fn has_worker(&self, name: &str) -> bool {
+        self.worker_index.contains_key(name)
+    }
+
     /// Closes a worker to new tasks and stops the runs that may be moved elsewhere now. Returns
     /// what remains on the worker.
     ///
@@ -16,8 +22,8 @@
     /// 1.5 s. A long-running task is stopped only while fewer tasks of its step are unavailable
     /// than its `max_unavailable` allows.
     pub fn evacuate(&mut self, name: &str, now: BootTime) -> Occupancy {
-        let Some(&key) = self.worker_index.get(name) else { return Occupancy::Empty };
-        let Some(worker) = self.workers.get_mut(key) else { return Occupancy::Empty };
+        let Some(&key) = self.worker_index.get(name) else { return Occupancy::Unknown };
+        let Some(worker) = self.workers.get_mut(key) else { return Occupancy::Unknown };
         if !std::mem::replace(&mut worker.evacuating, true) {
             log::info!("event=worker_leaves worker={name} runs={}", worker.runs.len());
         }
--- a/crates/coriandertackd/src/fleet/maintenance.rs
+++ b/crates/coriandertackd/src/fleet/maintenance.rs
@@ -56,7 +56,7 @@
             }
             continue;
         }
-        update_machines(&mut machines, &mut planner, &mut unavailable).await;
+        update_machines(&leadership, &mut machines, &mut planner, &mut unavailable).await;
         if !order_maintenance(&leadership, &mut machines, &mut planner).await {
             return;
         }
@@ -89,6 +89,7 @@
 
 /// Lists the machines and passes their states to the planner.
 async fn update_machines(
+    leadership: &Leadership,
     machines: &mut Machines,
     planner: &mut MaintenancePlanner,
     unavailable: &mut bool,
@@ -99,7 +100,14 @@
             if std::mem::replace(unavailable, false) {
                 log::info!("event=dependency_regained dependency=machines");
             }
-            planner.update_machines(&listing.machines, listing.unreadable == 0, requested_at);
+            let scheduler = leadership.scheduler();
+            let is_known = |worker: &str| scheduler.has_worker(worker);
+            planner.update_machines(
+                &listing.machines,
+                listing.unreadable == 0,
+                requested_at,
+                is_known,
+            );
         }
         Err(error) => {
             if !std::mem::replace(unavailable, true) {
@@ -119,15 +127,10 @@
     for due in planner.due_machines(clock::now()) {
         let occupancy = match &due.worker {
             Some(worker) => leadership.scheduler().evacuate(worker, clock::now()),
-            None => Occupancy::Empty,
+            None => Occupancy::Unknown,
         };
         leadership.shared.wake.notify_one();
-        let ready = match occupancy {
-            Occupancy::Empty => true,
-            Occupancy::Batch => due.forced || due.sent,
-            Occupancy::Serving => due.sent,
-        };
-        if !ready || clock::now() >= leadership.start_deadline() {
+        if !due.may_order(occupancy) || clock::now() >= leadership.start_deadline() {
             continue;
         }
         planner.record_order(&due);
