Test waves with old listings and with rows that do not name workers

Process tests: a wave with a cap of 1 while listings are 1 s old, and a wave over machines with tasks at work while listings have null ids, no rows, former ids, missing rows and doubled rows for 7 s, then true rows. A machine of these tests is now down for 2 s, as `maintenance-s` says; with 0.4 s an old listing could not break the cap.

--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -48,7 +48,7 @@
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(90);
 
 /// Time for which a machine is down for its maintenance.
-const MAINTENANCE_TIME: Duration = Duration::from_millis(400);
+const MAINTENANCE_TIME: Duration = Duration::from_millis(2_000);
 
 /// Time after which a worker that a task has crashed is replaced.
 const RESTART_TIME: Duration = Duration::from_millis(1_200);
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -13,7 +13,11 @@
 use std::time::Duration;
 
 use {
-    coriandertack_standins::platform::{link::Link, machines, store, worker},
+    coriandertack_standins::platform::{
+        link::Link,
+        machines::{self, RowFault},
+        store, worker,
+    },
     nix::sys::signal::Signal,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -310,6 +314,51 @@
     run_wave(&mut cluster, 3, 2).await;
 }
 
+/// Guards against more machines down than the cap when listings show machines as they were a second ago.
+#[tokio::test]
+async fn a_maintenance_wave_respects_its_cap_with_old_listings() {
+    let mut cluster = Cluster::start(2, 4).await;
+    sleep(Duration::from_millis(1_500)).await;
+    cluster.machines.fail(machines::Faults { lag_ms: 1_000, ..Default::default() });
+    run_wave(&mut cluster, 4, 1).await;
+}
+
+/// Guards against machines that are ordered down with tasks at work while listings do not name their workers.
+#[tokio::test]
+async fn a_maintenance_wave_waits_for_the_names_of_workers() {
+    let mut cluster = Cluster::start(2, 2).await;
+    (0..2).for_each(|index| cluster.machines.distort(&format!("m-{index}")));
+    let row = |row| machines::Faults { row: Some(row), ..Default::default() };
+    cluster.machines.fail(row(RowFault::NullId));
+    let mut jobs = Vec::new();
+    for index in 0..8 {
+        jobs.extend(cluster.submit_running(index % 2, 9_000, 2_000).await);
+    }
+    sleep(Duration::from_millis(500)).await;
+    let wave = br#"{"wave":3,"machines":["m-0","m-1"],"duration-s":60,"cap":1}"#;
+    cluster.store.put("keyed.op", "wave/3", wave);
+    let empty = machines::Faults { empty: true, ..Default::default() };
+    let missing = row(RowFault::Missing);
+    for faults in
+        [row(RowFault::NullId), empty, row(RowFault::FormerId), missing, row(RowFault::Doubled)]
+    {
+        cluster.machines.fail(faults);
+        sleep(Duration::from_millis(1_400)).await;
+        assert_eq!(cluster.machines.down(), [], "ordered down with {faults:?}");
+    }
+    cluster.machines.fail(machines::Faults::default());
+    cluster
+        .wait_until("the wave is completed", async |cluster| {
+            cluster.perform_maintenance().await;
+            let report = cluster.store.value("keyed.status", "wave/3").unwrap_or_default();
+            String::from_utf8_lossy(&report).contains("completed")
+        })
+        .await;
+    assert_eq!(cluster.machines.maintenance_counts(3), (2, 1));
+    cluster.wait_completed(&jobs).await;
+    cluster.check_runs();
+}
+
 /// Waits up to `limit` for the peer to close a connection, and returns whether it did.
 async fn closes_within(stream: &mut TcpStream, limit: Duration) -> bool {
     let mut bytes = [0; 64];
