--- a/crates/coriandertack-jobs/src/sched/lost.rs
+++ b/crates/coriandertack-jobs/src/sched/lost.rs
@@ -334,7 +334,7 @@
         for ((task, attempt), run) in worker.runs {
             log::info!(
                 "event=run_lost task={task} attempt={attempt} worker={} cause={cause} evidence_ms={} \
-                 born={} answered_by={} lease_ms={} read_offset={} age_ms={} confirmed={} percent={}",
+                 born={} answered_born={} lease_ms={} read_offset={} age_ms={} confirmed={} percent={}",
                 worker.name,
                 now.ms_since(as_of),
                 run.born.unwrap_or_default(),
