--- a/crates/coriandertack-jobs/src/sched/lost.rs
+++ b/crates/coriandertack-jobs/src/sched/lost.rs
@@ -206,7 +206,7 @@
     /// machines that was requested at `requested_at`. Returns true if there were any.
     ///
     /// A worker that has answered since may have started again under its name, and is left to the next
-    /// listing. So is one that has not lived for [`MIN_AGE_MS`]: the listing may be from before it
+    /// listing. So is one that has not lived for `MIN_AGE_MS`: the listing may be from before it
     /// started. A run that is not attributed to the incarnation that ended may be on the next one.
     pub fn remove_unhosted_workers(
         &mut self,
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -426,7 +426,7 @@
     ///
     /// The worker's clock may have run slow since its last reading. The lease counts from the earliest
     /// time that it can show, so that it is no longer than other leases; if the worker has been idle,
-    /// the first list renews it. Beyond [`MAX_LEASE_CUT_MS`] the lease would expire at once on a clock
+    /// the first list renews it. Beyond `MAX_LEASE_CUT_MS` the lease would expire at once on a clock
     /// that is not slow, and can last longer on the leader's clock instead.
     pub fn grant_lease(&mut self, now: BootTime) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
