--- a/crates/coriandertack-jobs/src/sched/leases.rs
+++ b/crates/coriandertack-jobs/src/sched/leases.rs
@@ -31,7 +31,7 @@
 
     /// Records that a former leader may have led until `now`, and may not know it yet.
     pub fn succeed_leader(&mut self, now: BootTime) {
-        self.former_calls_end = now.plus_ms(MAX_RENEWAL_MS + MAX_CALL_DELAY_MS);
+        self.calls_end = now.plus_ms(MAX_RENEWAL_MS + MAX_CALL_DELAY_MS);
     }
 
     /// Returns when the lease has expired that a worker cut to the longest that it accepts at `arrival`.
@@ -67,7 +67,7 @@
     /// predecessor.
     pub(super) fn former_lease_end(&self, clock_ms: u64, now: BootTime) -> Option<BootTime> {
         let oldest_ms = MAX_RENEWAL_MS + MAX_CALL_DELAY_MS + self.lease_limit_ms;
-        let may_be_owed = now < self.former_calls_end && clock_ms < oldest_ms;
+        let may_be_owed = now < self.calls_end && clock_ms < oldest_ms;
         may_be_owed.then(|| self.longest_lease_end(now))
     }
 }
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -219,7 +219,7 @@
     /// When no lease of a removed worker can last any longer, by its name.
     lease_ends: HashMap<Arc<str>, BootTime>,
     /// When no call of a former leader can be carried out any more.
-    former_calls_end: BootTime,
+    calls_end: BootTime,
     /// Current delay between binding a task and its record being durable, in milliseconds.
     record_ms: u64,
     /// Counters since the last call of [`Scheduler::take_stats`].
