Log the lease that was left when only some runs of a worker are lost

Cause: the runs were moved to a worker with a lease end of now, so run_lost showed lease_ms=0 whatever was left. Change: the lease end is kept; nothing decides by it.

--- a/crates/coriandertack-jobs/src/sched/lost.rs
+++ b/crates/coriandertack-jobs/src/sched/lost.rs
@@ -104,8 +104,8 @@
     }
 
     /// Moves runs to a worker of the same name that is to be removed.
-    fn split_runs(&mut self, ids: &[RunId], now: BootTime) -> Self {
-        let mut lost = Self::new(Arc::clone(&self.name), now);
+    fn split_runs(&mut self, ids: &[RunId]) -> Self {
+        let mut lost = Self::new(Arc::clone(&self.name), self.lease_end());
         lost.entry = self.entry.clone();
         lost.evacuating = self.evacuating;
         lost.born = self.born;
@@ -179,7 +179,7 @@
         if ended.len() == worker.run_count() {
             self.remove_on_evidence(key, evidence, now);
         } else if !ended.is_empty() {
-            let mut lost = worker.split_runs(&ended, now);
+            let mut lost = worker.split_runs(&ended);
             lost.silent_since = worker.silent_since;
             self.lose_runs(key, lost, evidence, now);
         }
@@ -302,7 +302,7 @@
         if former.is_empty() {
             return;
         }
-        let lost = worker.split_runs(&former, now);
+        let lost = worker.split_runs(&former);
         let evidence = Evidence { cause: LossCause::Reborn, as_of: now };
         self.lose_runs(key, lost, evidence, now);
     }
