Log and count sizes and durations of reads of the store

A read that is cut off by its time-out looked the same as one that the store did not answer, and nothing told the size of a configuration, how long its transfer and decoding took, or for how long a VM had known of a newer one.

event=read_cut tells how much of a response had been received, event=config the size, the transfer, the decoding and the time for which the VM had known of the version. The metrics store_reads_cut, store_bytes_read, config_bytes and config_behind_ms count the same. The store's client reads bodies piece by piece for this; time limits are unchanged.

--- a/crates/coriandertackd/src/fleet/metrics.rs
+++ b/crates/coriandertackd/src/fleet/metrics.rs
@@ -165,10 +165,14 @@
 fn observe(meter: &Meter, shared: &Arc<Shared>) {
     observe_teams(meter, shared);
     type Read = fn(&Counters) -> &AtomicU64;
-    let counters: [(&'static str, &'static str, Read); 11] = [
+    let counters: [(&'static str, &'static str, Read); 13] = [
         ("store_appends", "appends to the store", |c| &c.appends),
         ("store_reads", "reads of the store", |c| &c.reads),
         ("store_errors", "calls to the store that failed", |c| &c.store_errors),
+        ("store_reads_cut", "reads that were cut off after a part of the response", |c| {
+            &c.reads_cut
+        }),
+        ("store_bytes_read", "bytes received by reads of the store", |c| &c.bytes_read),
         ("jobs_accepted", "jobs that were accepted", |c| &c.accepted),
         ("jobs_refused", "jobs that were refused and not run", |c| &c.refused),
         ("jobs_unknown", "submissions with an unknown outcome", |c| &c.unknown),
@@ -237,9 +241,15 @@
         vec![(output::lost_lines(), Vec::new())]
     });
     type Gauge = fn(&Shared) -> u64;
-    let gauges: [(&'static str, &'static str, Gauge); 4] = [
+    let gauges: [(&'static str, &'static str, Gauge); 6] = [
         ("leading", "1 if this VM leads", |s| u64::from(*s.is_leader.borrow())),
         ("config_revision", "revision in force", |s| s.config.borrow().revision),
+        ("config_bytes", "size of the configuration in force", |s| {
+            s.config_bytes.load(Ordering::Relaxed)
+        }),
+        ("config_behind_ms", "time for which a newer record of operators is known", |s| {
+            s.config_behind_ms()
+        }),
         ("jobs_known", "jobs that this VM has read of", |s| s.replica().jobs.len() as u64),
         ("request_bytes_held", "bytes held for callers' requests", |s| {
             s.bodies.held_bytes() as u64
--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -2,7 +2,7 @@
 
 use std::{
     mem,
-    sync::{Arc, PoisonError},
+    sync::{Arc, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
@@ -14,6 +14,7 @@
     },
     coriandertack_log::jobs,
     coriandertack_platform::{
+        http::Transfer,
         operator,
         store::{Newest, Page, ReadError, Record, Store, Topic},
     },
@@ -78,6 +79,14 @@
         }
     }
 
+    /// Returns the size and duration of the transfer.
+    const fn transfer(&self) -> Transfer {
+        match self {
+            Self::Newest(newest, _) => newest.transfer,
+            Self::Page(page) => page.transfer,
+        }
+    }
+
     /// Removes records before an offset, and returns whether the read reached it.
     fn skip_before(&mut self, offset: u64) -> bool {
         if let Self::Page(page) = self {
@@ -118,11 +127,12 @@
         let newest = match store.newest(topic).await {
             Ok(newest) => newest,
             Err(error) => {
-                log_failure(shared, topic, began, &error, &mut unavailable);
+                log_failure(shared, topic, began, &error, store.transfer(), &mut unavailable);
                 back_off(&mut pause).await;
                 continue;
             }
         };
+        Counters::add(&shared.counters.bytes_read, newest.transfer.bytes);
         log_recovery(shared, topic, &mut unavailable);
         let mut next = newest.end;
         apply(Read::Newest(newest, began));
@@ -132,9 +142,12 @@
             Counters::count(&shared.counters.reads);
             // A read that waits for a record would find out late that the store responds again.
             let wait_ms = if unavailable { 0 } else { wait_ms() };
-            match store.read(topic, next, Duration::from_millis(wait_ms)).await {
+            let wait = Duration::from_millis(wait_ms);
+            let on_end = |end| shared.record_end(topic, end > next);
+            match store.read_observed(topic, next, wait, on_end).await {
                 Ok(page) => {
                     log_recovery(shared, topic, &mut unavailable);
+                    Counters::add(&shared.counters.bytes_read, page.transfer.bytes);
                     pause = RETRY_MS.0;
                     let changed = !page.records.is_empty();
                     next = page.next;
@@ -156,7 +169,7 @@
                     break;
                 }
                 Err(error) => {
-                    log_failure(shared, topic, began, &error, &mut unavailable);
+                    log_failure(shared, topic, began, &error, store.transfer(), &mut unavailable);
                     back_off(&mut pause).await;
                 }
             }
@@ -207,12 +220,20 @@
     topic: Topic,
     began: BootTime,
     error: &ReadError,
+    transfer: Transfer,
     unavailable: &mut bool,
 ) {
     if topic == Topic::Operator {
         shared.operator_tried.send_replace(began);
     }
     Counters::count(&shared.counters.store_errors);
+    if transfer.bytes > 0 {
+        // The store responds, and the time-out came before the end of the response.
+        let Transfer { bytes, took_ms } = transfer;
+        Counters::count(&shared.counters.reads_cut);
+        Counters::add(&shared.counters.bytes_read, bytes);
+        log::warn!("event=read_cut topic={topic:?} bytes={bytes} took_ms={took_ms}");
+    }
     if !mem::replace(unavailable, true) {
         shared.store_health().record_failure(topic, clock::now());
         log::warn!("event=dependency_lost dependency=store topic={topic:?} error=\"{error}\"");
@@ -234,9 +255,10 @@
 /// Reads the operator topic: the configuration and maintenance waves.
 pub async fn operator(shared: Arc<Shared>) {
     let apply = |read: Read| {
+        let transfer = read.transfer();
         for record in read.into_records(Topic::Operator) {
             if record.key == operator::CONFIG_KEY && !record.value.is_empty() {
-                apply_config(&shared, &record.value);
+                apply_config(&shared, &record.value, transfer);
             } else if operator::is_wave_key(&record.key) && !record.value.is_empty() {
                 add_wave(&shared, &record);
             }
@@ -244,6 +266,7 @@
     };
     let on_position = |_, began, _| {
         shared.operator_tried.send_replace(began);
+        shared.record_end(Topic::Operator, false);
     };
     follow_topic(&shared, Topic::Operator, || OPERATOR_WAIT_MS, || 0, apply, on_position).await;
 }
@@ -263,7 +286,8 @@
 }
 
 /// Puts a configuration in force, unless its revision is not newer than the current one.
-fn apply_config(shared: &Shared, value: &[u8]) {
+fn apply_config(shared: &Shared, value: &[u8], transfer: Transfer) {
+    let received = clock::now();
     let config = match operator::decode_config(value) {
         Ok(config) => config,
         Err(error) => {
@@ -276,13 +300,20 @@
         return;
     }
     log::info!(
-        "event=config revision={} former={current} routes={} services={} teams={} keys={}",
+        "event=config revision={} former={current} routes={} services={} teams={} keys={} bytes={} read_bytes={} \
+         read_ms={} decode_ms={} behind_ms={}",
         config.revision,
         config.routes.len(),
         config.services.len(),
         config.teams.iter().flat_map(Teams::iter).count(),
-        config.teams.as_ref().map_or(0, Teams::key_count)
+        config.teams.as_ref().map_or(0, Teams::key_count),
+        value.len(),
+        transfer.bytes,
+        transfer.took_ms,
+        clock::now().ms_since(received),
+        shared.config_behind_ms()
     );
+    shared.config_bytes.store(value.len() as u64, Ordering::Relaxed);
     shared.config.send_replace(Arc::new(config));
     shared.wake.notify_one();
 }
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -151,6 +151,10 @@
     pub reads: AtomicU64,
     /// Calls to the store that failed.
     pub store_errors: AtomicU64,
+    /// Reads of the store whose response was cut off after a part of its body.
+    pub reads_cut: AtomicU64,
+    /// Bytes received by reads of the store.
+    pub bytes_read: AtomicU64,
     /// Submissions that were accepted.
     pub accepted: AtomicU64,
     /// Submissions that were refused.
@@ -172,7 +176,12 @@
 impl Counters {
     /// Adds one to a counter.
     pub fn count(counter: &AtomicU64) {
-        counter.fetch_add(1, Ordering::Relaxed);
+        Self::add(counter, 1);
+    }
+
+    /// Adds an amount to a counter.
+    pub fn add(counter: &AtomicU64, amount: usize) {
+        counter.fetch_add(amount as u64, Ordering::Relaxed);
     }
 }
 
@@ -193,6 +202,10 @@
     pub waves: watch::Sender<BTreeMap<u64, MaintenanceWave>>,
     /// When the last read of the operator topic that has ended, or has failed, began.
     pub operator_tried: watch::Sender<BootTime>,
+    /// Since when the store is known to have a record of operators that this VM has not applied.
+    config_behind: watch::Sender<Option<BootTime>>,
+    /// Size of the configuration in force, in bytes.
+    pub config_bytes: AtomicU64,
     /// Position in the intake topic.
     pub intake: watch::Sender<ReadPosition>,
     /// Offset in the intake topic up to which its records have been applied.
@@ -247,6 +260,8 @@
             config: watch::Sender::default(),
             waves: watch::Sender::default(),
             operator_tried: watch::Sender::default(),
+            config_behind: watch::Sender::default(),
+            config_bytes: AtomicU64::default(),
             intake: watch::Sender::default(),
             intake_applied: Mutex::default(),
             progress: watch::Sender::default(),
@@ -284,6 +299,27 @@
         self.store_health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records whether the store has records of a topic that this VM has not applied. Only the operator topic counts.
+    pub fn record_end(&self, topic: Topic, is_behind: bool) {
+        if topic != Topic::Operator {
+            return;
+        }
+        self.config_behind.send_if_modified(|since| {
+            let changed = since.is_some() != is_behind;
+            if changed {
+                *since = is_behind.then(clock::now);
+            }
+            changed
+        });
+    }
+
+    /// Returns for how long the store is known to have a record of operators that this VM has not applied, in
+    /// milliseconds.
+    pub fn config_behind_ms(&self) -> u64 {
+        let since = *self.config_behind.borrow();
+        since.map_or(0, |since| clock::now().ms_since(since))
+    }
+
     /// Adds statistics of the scheduler.
     pub fn record_stats(&self, stats: &SchedulerStats) {
         self.stats.lock().unwrap_or_else(PoisonError::into_inner).merge(stats);
