Test configurations that take longer to transfer than one time-out

The stand-in of the store now sends bodies at a set speed to the clients of one gateway. With 1 MB at 500 KB/s, four reads in a row are cut off and the configuration never comes into force; with 50 KB/s the VM goes on to answer by the older one for as long as the test watches (3 s). The store's client gives up a response that keeps arriving after 0.7 s, and the next try has no more time.

--- a/crates/coriandertack-standins/src/platform/link.rs
+++ b/crates/coriandertack-standins/src/platform/link.rs
@@ -20,7 +20,7 @@
     },
 };
 
-use super::{ApiCall, Reply, respond};
+use super::{ApiCall, Reply, Shared, respond};
 
 /// Accept queue of a listener.
 const BACKLOG: u32 = 1_024;
@@ -193,7 +193,7 @@
             reply.filter(|_| fate() == Fate::Serve)
         }
     };
-    let service = service_fn(move |request| respond(handler.clone(), request));
+    let service = service_fn(move |request| respond(Shared::default(), handler.clone(), request));
     let mut connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     let breaks = |link: &Link| matches!(link.fate(number, accepted), Fate::Reset | Fate::Close);
     let broken = tokio::select! {
--- a/crates/coriandertack-standins/src/platform/mod.rs
+++ b/crates/coriandertack-standins/src/platform/mod.rs
@@ -2,13 +2,14 @@
 //! and its machine API.
 //!
 //! Each stand-in speaks the platform's protocol on an address of its own, keeps its state in memory,
-//! and injects faults on demand ([`store::Faults`], [`worker::Faults`], [`machines::Faults`], and
-//! [`link::Link`] for the connections of a worker). Each worker records every run, so that a test can detect a task that ran twice.
+//! and injects faults on demand ([`store::Faults`], [`worker::Faults`], [`machines::Faults`],
+//! [`link::Link`] for the connections of a worker, and [`pace::Pace`] for the link of a client of the store). Each worker records every run, so that a test can detect a task that ran twice.
 
 pub mod advice;
 mod lease;
 pub mod link;
 pub mod machines;
+pub mod pace;
 pub mod store;
 pub mod worker;
 
@@ -22,7 +23,7 @@
 use {
     anyhow::Result,
     bytes::Bytes,
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::{BodyExt, Limited, combinators::UnsyncBoxBody},
     hyper::{
         Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
     },
@@ -33,6 +34,8 @@
     },
 };
 
+use self::pace::{Cut, Pace};
+
 /// Largest accepted request body, in bytes. A larger body is treated as empty.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
@@ -68,6 +71,17 @@
 pub(crate) async fn serve<F>(
     handler: impl Fn(ApiCall) -> F + Clone + Send + Sync + 'static,
 ) -> Result<(SocketAddr, JoinHandle<()>)>
+where
+    F: Future<Output = Reply> + Send + 'static,
+{
+    serve_at_pace(Shared::<Pace>::default(), handler).await
+}
+
+/// Like [`serve`], with responses whose bodies are sent as `pace` has it.
+pub(crate) async fn serve_at_pace<F>(
+    pace: Shared<Pace>,
+    handler: impl Fn(ApiCall) -> F + Clone + Send + Sync + 'static,
+) -> Result<(SocketAddr, JoinHandle<()>)>
 where
     F: Future<Output = Reply> + Send + 'static,
 {
@@ -78,9 +92,10 @@
         loop {
             let Ok((stream, _)) = listener.accept().await else { return };
             while connections.try_join_next().is_some() {}
-            let handler = handler.clone();
+            let (handler, pace) = (handler.clone(), pace.clone());
             connections.spawn(async move {
-                let service = service_fn(move |request| respond(handler.clone(), request));
+                let service =
+                    service_fn(move |request| respond(pace.clone(), handler.clone(), request));
                 let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
                 if let Err(error) = serving.await {
                     log::debug!("event=connection_ended peer=platform error=\"{error}\"");
@@ -92,9 +107,10 @@
 }
 
 async fn respond<F>(
+    pace: Shared<Pace>,
     handler: impl Fn(ApiCall) -> F,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible>
+) -> Result<Response<UnsyncBoxBody<Bytes, Cut>>, Infallible>
 where
     F: Future<Output = Reply>,
 {
@@ -108,7 +124,7 @@
     let body = body.map(|body| body.to_bytes()).unwrap_or_else(|_| Bytes::new());
     match handler(ApiCall { path, query, instance, token, body }).await {
         Some((status, body)) => {
-            let mut response = Response::new(Full::new(body));
+            let mut response = Response::new(pace::body(pace, body));
             *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
             Ok(response)
         }
--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -19,7 +19,7 @@
     },
 };
 
-use super::{ApiCall, Reply, Shared, json_reply, lock, serve};
+use super::{ApiCall, Reply, Shared, json_reply, lock, pace::Pace, serve, serve_at_pace};
 
 /// Largest number of keys in a page of newest records.
 const MAX_PAGE_KEYS: usize = 500;
@@ -133,6 +133,7 @@
 pub struct Gateway {
     address: SocketAddr,
     silent: Shared<bool>,
+    pace: Shared<Pace>,
     task: JoinHandle<()>,
 }
 
@@ -153,6 +154,11 @@
     pub fn set_silent(&self, silent: bool) {
         *lock(&self.silent) = silent;
     }
+
+    /// Sets how fast responses are sent to the clients of this address.
+    pub fn set_pace(&self, pace: Pace) {
+        *lock(&self.pace) = pace;
+    }
 }
 
 impl Store {
@@ -183,8 +189,9 @@
             let (state, notify) = (state.clone(), notify.clone());
             async move { if lost { None } else { handle(state, notify, call).await } }
         };
-        let (address, task) = serve(handler).await?;
-        Ok(Gateway { address, silent, task })
+        let pace = Shared::<Pace>::default();
+        let (address, task) = serve_at_pace(pace.clone(), handler).await?;
+        Ok(Gateway { address, silent, pace, task })
     }
 
     /// Returns the address that the store listens on.
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -85,6 +85,8 @@
     pub key: Option<String>,
     /// Teams of the configuration; null for none.
     tenants: Value,
+    /// Number of routes of the configuration that no test uses.
+    pub unused_routes: usize,
     bounds: &'static str,
     advice: Advice,
     directory: PathBuf,
@@ -167,6 +169,7 @@
             gateways: Vec::new(),
             key: None,
             tenants: Value::Null,
+            unused_routes: 0,
             bounds,
             advice,
             directory,
@@ -401,6 +404,8 @@
         let mut open = route("open", "/open/");
         open["auth-exempt"] = json!(true);
         routes.push(open);
+        let unused = (0..self.unused_routes).map(|n| route(&format!("r{n}"), &format!("/r{n}/")));
+        routes.extend(unused);
         let mut config = json!({
             "revision": revision,
             "routes": routes,
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -5,6 +5,7 @@
 
 mod cancellations;
 mod cluster;
+mod configurations;
 mod cuts;
 mod entries;
 mod lost_responses;
