Refuse requests by a configuration that is known to be out of date

A VM counted as up to date as soon as an attempt to read the configuration had ended, also by a failure, although the store was sending it a newer one. It stayed ready and answered by the old version for as long as the transfer took or failed: callers were served on routes that had been removed, and got 404 for routes that had been added.

A VM now records when it was last up to date and since when it knows of a newer version, which the head of the store's response tells before the records arrive. Once the bound of the deployment (bounds.config_apply_ms) has passed, it refuses requests with 503 at once and is not ready, until it has read the version. A VM that the store does not answer keeps its version as before.

vm_that_knows_of_a_newer_configuration_stops_answering_by_an_older_one failed before and passes now, as do the tests of the decision in config_age.rs.

--- a/crates/coriandertack-jobs/src/lib.rs
+++ b/crates/coriandertack-jobs/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod access;
 pub mod boot_time;
 pub mod config;
+pub mod config_age;
 pub mod config_check;
 pub mod fair;
 pub mod hosts;
--- a/crates/coriandertackd/src/fleet/caller_api.rs
+++ b/crates/coriandertackd/src/fleet/caller_api.rs
@@ -12,6 +12,7 @@
         access::{self, Caller, Refusal},
         boot_time::BootTime,
         config::{Config, Route},
+        config_age::{ConfigAge, Verdict},
         ids::JobId,
         ledger::check_cap,
         progress::JobPhase,
@@ -47,12 +48,7 @@
 /// Maximum wait for a new read of the records before a job counts as unknown, in milliseconds.
 const FRESH_READ_WAIT_MS: u64 = 2_000;
 
-/// Age of the last attempt to read the configuration from which keys are not checked with it, in milliseconds. Without a
-/// suspension of the process, an attempt began within the last 2,500 ms, also if the store does not answer; a version must
-/// be in force within 3,000 ms.
-const MAX_CONFIG_AGE_MS: u64 = 2_800;
-
-/// Maximum wait for another attempt, in milliseconds: a read that waits for a record takes 900 ms.
+/// Maximum wait for an attempt to read a newer configuration, in milliseconds: a read that waits for a record takes 900 ms.
 const CONFIG_WAIT_MS: u64 = 1_200;
 
 /// Pause after a failure to accept a connection, for example because no file descriptor is left, in milliseconds.
@@ -148,8 +144,9 @@
 async fn handle(shared: &Shared, request: Request<Incoming>) -> Reply {
     Counters::count(&shared.counters.answers);
     let wait_ms = callers::wait_ms(request.headers());
-    let Some(config) = current_config(shared).await else {
-        return unavailable(shared, "no configuration yet", wait_ms);
+    let config = match current_config(shared).await {
+        Ok(config) => config,
+        Err(missing) => return unconfigured(shared, missing, wait_ms),
     };
     let (head, body) = request.into_parts();
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
@@ -177,7 +174,10 @@
             match body {
                 Ok(body) => {
                     // The key may have been removed while the body arrived.
-                    let config = current_config(shared).await.unwrap_or(config);
+                    let config = match current_config(shared).await {
+                        Ok(config) => config,
+                        Err(missing) => return unconfigured(shared, missing, wait_ms),
+                    };
                     let current = config.route_named(&route.name).unwrap_or(&route);
                     match access::authenticate(&config, current, key) {
                         Ok(caller) => submit(shared, &route, id, &caller, body, wait_ms).await,
@@ -193,20 +193,46 @@
     }
 }
 
-/// Returns the configuration in force, or `None` if none has been read.
+/// Why requests cannot be answered by a configuration.
+#[derive(Clone, Copy, Debug)]
+enum MissingConfig {
+    /// None has been read since the process started.
+    Unread,
+    /// A newer one is known, and its transfer takes longer than an older one may be used.
+    Outdated { since: BootTime },
+}
+
+/// Returns the configuration in force.
 ///
-/// A process that was suspended would check keys with a version from before. If the last attempt to read a newer one is
-/// too old, this waits for another one; a VM without the store keeps its version.
-async fn current_config(shared: &Shared) -> Option<Arc<Config>> {
-    let config = shared.config()?;
-    // Without teams as well, since the next version may introduce them.
-    let mut tried = shared.operator_tried.subscribe();
-    let is_recent = |began: &BootTime| clock::now().ms_since(*began) < MAX_CONFIG_AGE_MS;
-    let attempt = timeout(Duration::from_millis(CONFIG_WAIT_MS), tried.wait_for(is_recent)).await;
-    if attempt.is_err() {
-        log::debug!("event=config_outdated revision={}", config.revision);
+/// A process that was suspended would use a version from before. If the last attempt to read a newer one is too old, this
+/// waits for another one; a VM that the store does not answer keeps its version.
+async fn current_config(shared: &Shared) -> Result<Arc<Config>, MissingConfig> {
+    if shared.config().is_none() {
+        return Err(MissingConfig::Unread);
+    }
+    let mut age = shared.config_age.subscribe();
+    let is_known = |age: &ConfigAge| age.verdict(clock::now()) != Verdict::Wait;
+    let known = timeout(Duration::from_millis(CONFIG_WAIT_MS), age.wait_for(is_known)).await;
+    if known.is_err() {
+        log::debug!("event=config_outdated revision={}", shared.config.borrow().revision);
+    }
+    let verdict = shared.config_age.borrow().verdict(clock::now());
+    if let Verdict::Refuse { since } = verdict {
+        return Err(MissingConfig::Outdated { since });
+    }
+    // Another version may have been read meanwhile.
+    shared.config().ok_or(MissingConfig::Unread)
+}
+
+/// Refuses a request that has not run because there is no configuration by which to answer it.
+fn unconfigured(shared: &Shared, missing: MissingConfig, wait_ms: Option<u64>) -> Reply {
+    match missing {
+        MissingConfig::Unread => unavailable(shared, "no configuration yet", wait_ms),
+        MissingConfig::Outdated { since } => {
+            let behind_ms = clock::now().ms_since(since);
+            unavailable_since(behind_ms, "a newer configuration is being read", wait_ms)
+        }
     }
-    shared.config()
 }
 
 /// Refuses a request that has no key, or one that no team holds.
@@ -475,5 +501,7 @@
 }
 
 fn is_ready(shared: &Shared) -> bool {
-    shared.config().is_some() && shared.is_fresh() && !*shared.stopping.borrow()
+    let verdict = shared.config_age.borrow().verdict(clock::now());
+    let is_outdated = matches!(verdict, Verdict::Refuse { .. });
+    shared.config().is_some() && !is_outdated && shared.is_fresh() && !*shared.stopping.borrow()
 }
--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -143,7 +143,11 @@
             // A read that waits for a record would find out late that the store responds again.
             let wait_ms = if unavailable { 0 } else { wait_ms() };
             let wait = Duration::from_millis(wait_ms);
-            let on_end = |end| shared.record_end(topic, end > next);
+            let on_end = |end| {
+                if topic == Topic::Operator && end > next {
+                    record_newer_config(shared);
+                }
+            };
             match store.read_observed(topic, next, wait, on_end).await {
                 Ok(page) => {
                     log_recovery(shared, topic, &mut unavailable);
@@ -165,6 +169,9 @@
                     }
                 }
                 Err(ReadError::Deleted { first }) => {
+                    if topic == Topic::Operator {
+                        record_newer_config(shared);
+                    }
                     log::info!("event=records_deleted topic={topic:?} next={next} first={first}");
                     break;
                 }
@@ -223,16 +230,17 @@
     transfer: Transfer,
     unavailable: &mut bool,
 ) {
-    if topic == Topic::Operator {
-        shared.operator_tried.send_replace(began);
-    }
     Counters::count(&shared.counters.store_errors);
     if transfer.bytes > 0 {
-        // The store responds, and the time-out came before the end of the response.
+        // The store responds, and the connection ended or fell silent before the end of the response.
         let Transfer { bytes, took_ms } = transfer;
         Counters::count(&shared.counters.reads_cut);
         Counters::add(&shared.counters.bytes_read, bytes);
         log::warn!("event=read_cut topic={topic:?} bytes={bytes} took_ms={took_ms}");
+        return;
+    }
+    if topic == Topic::Operator {
+        shared.config_age.send_modify(|age| age.record_silence(began));
     }
     if !mem::replace(unavailable, true) {
         shared.store_health().record_failure(topic, clock::now());
@@ -240,6 +248,10 @@
     }
 }
 
+fn record_newer_config(shared: &Shared) {
+    shared.config_age.send_modify(|age| age.record_newer(clock::now()));
+}
+
 fn log_recovery(shared: &Shared, topic: Topic, unavailable: &mut bool) {
     if mem::replace(unavailable, false) {
         shared.store_health().record_response(topic);
@@ -264,10 +276,7 @@
             }
         }
     };
-    let on_position = |_, began, _| {
-        shared.operator_tried.send_replace(began);
-        shared.record_end(Topic::Operator, false);
-    };
+    let on_position = |_, began, _| shared.record_current_config(began);
     follow_topic(&shared, Topic::Operator, || OPERATOR_WAIT_MS, || 0, apply, on_position).await;
 }
 
--- a/crates/coriandertackd/src/fleet/settings.rs
+++ b/crates/coriandertackd/src/fleet/settings.rs
@@ -102,11 +102,18 @@
     pub lease_ms: u64,
     /// Longest lease that workers accept, in milliseconds.
     pub hold_max_ms: u64,
+    /// Time after its publication within which a configuration has to be in force, in milliseconds.
+    pub config_apply_ms: u64,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self { status_s: 120, lease_ms: 3_000, hold_max_ms: DEFAULT_LEASE_LIMIT_MS }
+        Self {
+            status_s: 120,
+            lease_ms: 3_000,
+            hold_max_ms: DEFAULT_LEASE_LIMIT_MS,
+            config_apply_ms: 2_000,
+        }
     }
 }
 
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -13,6 +13,7 @@
     coriandertack_jobs::{
         boot_time::BootTime,
         config::Config,
+        config_age::ConfigAge,
         ledger::TeamState,
         maintenance::MaintenanceWave,
         progress::{JobPhase, JobProgress},
@@ -200,10 +201,8 @@
     pub config: watch::Sender<Arc<Config>>,
     /// Maintenance waves published by operators, by number.
     pub waves: watch::Sender<BTreeMap<u64, MaintenanceWave>>,
-    /// When the last read of the operator topic that has ended, or has failed, began.
-    pub operator_tried: watch::Sender<BootTime>,
-    /// Since when the store is known to have a record of operators that this VM has not applied.
-    config_behind: watch::Sender<Option<BootTime>>,
+    /// Whether there may be a newer configuration than that in force.
+    pub config_age: watch::Sender<ConfigAge>,
     /// Size of the configuration in force, in bytes.
     pub config_bytes: AtomicU64,
     /// Position in the intake topic.
@@ -259,8 +258,7 @@
             replica: Mutex::default(),
             config: watch::Sender::default(),
             waves: watch::Sender::default(),
-            operator_tried: watch::Sender::default(),
-            config_behind: watch::Sender::default(),
+            config_age: watch::Sender::default(),
             config_bytes: AtomicU64::default(),
             intake: watch::Sender::default(),
             intake_applied: Mutex::default(),
@@ -299,25 +297,15 @@
         self.store_health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records whether the store has records of a topic that this VM has not applied. Only the operator topic counts.
-    pub fn record_end(&self, topic: Topic, is_behind: bool) {
-        if topic != Topic::Operator {
-            return;
-        }
-        self.config_behind.send_if_modified(|since| {
-            let changed = since.is_some() != is_behind;
-            if changed {
-                *since = is_behind.then(clock::now);
-            }
-            changed
-        });
+    /// Records that the operator topic has been read to its end, by a read that began at `began`.
+    pub fn record_current_config(&self, began: BootTime) {
+        let bound_ms = self.settings.bounds.config_apply_ms;
+        self.config_age.send_modify(|age| age.record_current(began, bound_ms));
     }
 
-    /// Returns for how long the store is known to have a record of operators that this VM has not applied, in
-    /// milliseconds.
+    /// Returns for how long a newer record of operators has been known, in milliseconds.
     pub fn config_behind_ms(&self) -> u64 {
-        let since = *self.config_behind.borrow();
-        since.map_or(0, |since| clock::now().ms_since(since))
+        self.config_age.borrow().behind_ms(clock::now())
     }
 
     /// Adds statistics of the scheduler.
