Count a refusal of the store as a lost dependency again

Since the sizes of reads are logged, a response 503 with a body counted as one that was cut off midway: event=read_cut was logged instead of event=dependency_lost, and the store was not taken for unavailable. Only a read that has a head with status 200 and no complete body is cut off.

--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -231,9 +231,9 @@
     unavailable: &mut bool,
 ) {
     Counters::count(&shared.counters.store_errors);
-    if transfer.bytes > 0 {
+    if *error == (ReadError::Unavailable { status: 0 }) && transfer.status == Some(200) {
         // The store responds, and the connection ended or fell silent before the end of the response.
-        let Transfer { bytes, took_ms } = transfer;
+        let Transfer { bytes, took_ms, .. } = transfer;
         Counters::count(&shared.counters.reads_cut);
         Counters::add(&shared.counters.bytes_read, bytes);
         log::warn!("event=read_cut topic={topic:?} bytes={bytes} took_ms={took_ms}");
