--- a/crates/coriandertack/src/cli/check_config.rs
+++ b/crates/coriandertack/src/cli/check_config.rs
@@ -29,9 +29,9 @@
 /// Exit code if the file or the version to compare with cannot be read.
 const UNREADABLE: u8 = 3;
 
-/// Time limit for reading the version in force. A slow store needs 0.25 s for a response, and a page of records over a
-/// slow link 0.8 s; the operator topic has few records.
-const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time limit for reading the version in force, which has up to 8 MB. A store that does not respond at all is noticed within
+/// a second.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Prints the findings on a configuration and its differences from another version.
 pub fn check_config(matches: &ArgMatches) -> Result<(), Failure> {
--- a/crates/coriandertackd/src/fleet/leadership.rs
+++ b/crates/coriandertackd/src/fleet/leadership.rs
@@ -60,7 +60,8 @@
 /// Pause after an append that failed, in milliseconds.
 const RETRY_MS: u64 = 50;
 
-/// Maximum time for a new leader to read its own record, and then the intake topic, in milliseconds.
+/// Maximum time between two reads of a new leader that make progress towards its own record, and then towards the end of
+/// the intake topic, in milliseconds.
 const CATCH_UP_TIMEOUT_MS: u64 = 3_000;
 
 /// The result of one scheduling pass.
@@ -242,18 +243,25 @@
     run_loop(&leadership, store, number, arrivals).await;
 }
 
-/// Waits until this VM has read its own leader record, and thus all records of former leaders. Returns false on
-/// timeout.
+/// Waits until this VM has read its own leader record, and thus all records of former leaders. Returns false if the reads
+/// make no progress.
 async fn wait_for_own_record(shared: &Shared, first: u64) -> bool {
     let mut progress = shared.progress.subscribe();
     shared.read_now.notify_one();
-    let own_record = progress.wait_for(|position| position.next > first);
-    timeout(Duration::from_millis(CATCH_UP_TIMEOUT_MS), own_record)
-        .await
-        .is_ok_and(|position| position.is_ok())
+    loop {
+        let read = progress.borrow_and_update().next;
+        if read > first {
+            return true;
+        }
+        let further = progress.wait_for(|position| position.next > read);
+        let limit = Duration::from_millis(CATCH_UP_TIMEOUT_MS);
+        if !timeout(limit, further).await.is_ok_and(|position| position.is_ok()) {
+            return false;
+        }
+    }
 }
 
-/// Reads the intake topic to its end. Returns false if this takes longer than [`CATCH_UP_TIMEOUT_MS`], as when the
+/// Reads the intake topic to its end. Returns false if no read makes progress for [`CATCH_UP_TIMEOUT_MS`], as when the
 /// store is unavailable.
 ///
 /// A former leader may have read a submission that this VM has not. The job would be known only by its progress, and
@@ -261,12 +269,15 @@
 async fn read_intake_to_end(shared: &Shared) -> bool {
     let mut store = Store::new(shared.settings.platform.store);
     let mut next = shared.intake.borrow().next;
-    let until = clock::now().plus_ms(CATCH_UP_TIMEOUT_MS);
+    let mut until = clock::now().plus_ms(CATCH_UP_TIMEOUT_MS);
     while clock::now() < until {
         Counters::count(&shared.counters.reads);
         match store.read(Topic::Intake, next, Duration::ZERO).await {
             Ok(page) => {
                 let at_end = page.next >= page.end;
+                if page.next > next {
+                    until = clock::now().plus_ms(CATCH_UP_TIMEOUT_MS);
+                }
                 next = page.next;
                 readers::apply_intake(shared, Read::Page(page));
                 if at_end {
@@ -278,6 +289,7 @@
                 match store.newest(Topic::Intake).await {
                     Ok(newest) => {
                         next = newest.end;
+                        until = clock::now().plus_ms(CATCH_UP_TIMEOUT_MS);
                         readers::apply_intake(shared, Read::Newest(newest, began));
                     }
                     Err(error) => log::info!("event=takeover_waits error=\"{error}\""),
