Look up routes by index

Routes are now kept in an arena with indexes by name, and by host and prefix.

The choice among equal routes is as before, which a new test holds.

--- a/crates/coriandertack-jobs/src/config.rs
+++ b/crates/coriandertack-jobs/src/config.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use crate::teams::Teams;
+use crate::{routes::Routes, teams::Teams};
 
 /// An accepted configuration. A higher revision replaces it as a whole.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -13,7 +13,7 @@
     /// Revision, which only increases.
     pub revision: u64,
     /// All routes.
-    pub routes: Vec<Arc<Route>>,
+    pub routes: Routes,
     /// Services by name.
     pub services: HashMap<Arc<str>, Service>,
     /// Teams and their keys; `None` if callers need no key.
@@ -104,16 +104,12 @@
     #[must_use]
     pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&Arc<Route>, &'a str)> {
         let host = host.split(':').next().unwrap_or(host);
-        self.routes
-            .iter()
-            .filter(|route| route.host.eq_ignore_ascii_case(host))
-            .filter_map(|route| path.strip_prefix(&*route.prefix).map(|rest| (route, rest)))
-            .max_by_key(|(route, _)| route.prefix.len())
+        self.routes.matching(host, path)
     }
 
     /// Returns the route with the given name.
     #[must_use]
     pub fn route_named(&self, name: &str) -> Option<&Arc<Route>> {
-        self.routes.iter().find(|route| &*route.name == name)
+        self.routes.named(name)
     }
 }
--- a/crates/coriandertack-jobs/src/config_check.rs
+++ b/crates/coriandertack-jobs/src/config_check.rs
@@ -5,7 +5,7 @@
 //! It has no network and no clock. Findings and differences contain no key of a team, only the
 //! number of keys. See docs/design/config-check.md.
 //!
-//! The cost is quadratic in the number of routes, which is harmless at the hundreds of routes of a
+//! The cost is quadratic in the number of routes, which is harmless at the thousands of routes of a
 //! configuration: the check runs once for each change, on the operator's machine.
 
 use std::{
@@ -351,9 +351,9 @@
     found.check_written(written);
     if written.rejected.is_none() {
         found.check_revision(draft, in_force);
-        for (index, route) in config.routes.iter().enumerate() {
+        for route in &config.routes {
             found.check_route(config, route);
-            found.check_neighbors(config, index);
+            found.check_neighbors(config, route);
         }
         found.check_services(config);
         found.check_teams(config, written);
@@ -490,8 +490,7 @@
     }
 
     /// Compares a route with the others of its host.
-    fn check_neighbors(&mut self, config: &Config, index: usize) {
-        let route = &config.routes[index];
+    fn check_neighbors(&mut self, config: &Config, route: &Arc<Route>) {
         if !is_host(&route.host) || !is_path(&route.prefix) {
             return;
         }
--- a/crates/coriandertack-jobs/src/lib.rs
+++ b/crates/coriandertack-jobs/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod report;
 pub mod response_times;
 pub mod return_time;
+pub mod routes;
 pub mod sched;
 pub mod spec;
 pub mod teams;
