Skip versions of the configuration that a later one has replaced

A VM read each version of a series in full, also those that a later one had replaced. Over a narrow link it falls behind by the transfer of each. If a read shows that two or more records follow its own, the newest record of each key is now read instead.

The stand-in of the store now limits the size of a read as the platform's store does.

--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -24,6 +24,9 @@
 /// Largest number of keys in a page of newest records.
 const MAX_PAGE_KEYS: usize = 500;
 
+/// Largest size of the records of a read, in KiB, unless the request names another.
+const MAX_FETCH_KIB: u64 = 1_024;
+
 /// Number of recent appends per producer whose responses can be repeated.
 const REMEMBERED_APPENDS: usize = 5;
 
@@ -342,6 +345,8 @@
 
 async fn read(state: &Shared<State>, changed: &Notify, topic_name: &str, call: &ApiCall) -> Reply {
     let from = call.query_number("from")?;
+    // The first record is returned whole, whatever its size.
+    let max_bytes = call.query_number("max-fetch-kb").unwrap_or(MAX_FETCH_KIB) as usize * 1_024;
     let deadline =
         Instant::now() + Duration::from_millis(call.query_number("wait-ms").unwrap_or(0));
     loop {
@@ -357,7 +362,10 @@
                 let mut encoded = BytesMut::new();
                 encoded.put_u64(topic.end());
                 encoded.put_u64(topic.first_offset);
-                for record in topic.records.iter().skip(skip) {
+                for (index, record) in topic.records.iter().skip(skip).enumerate() {
+                    if index > 0 && encoded.len() + record.len() > max_bytes {
+                        break;
+                    }
                     encoded.put_u32(record.len() as u32);
                     encoded.put_slice(record);
                 }
--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -50,6 +50,11 @@
 /// within the 2 s in which a new configuration must be in force.
 const OPERATOR_WAIT_MS: u64 = 900;
 
+/// Number of further records of the operator topic from which its newest records are read instead. Most records are versions
+/// of the configuration, each in full, of which only the last matters; in the listing of the newest ones, text encoding
+/// makes it a third larger.
+const SUPERSEDED_RECORDS: u64 = 2;
+
 /// Initial and maximum backoff after a failed call, in milliseconds.
 const RETRY_MS: (u64, u64) = (50, 400);
 
@@ -156,7 +161,12 @@
                     let changed = !page.records.is_empty();
                     next = page.next;
                     let at_end = page.next >= page.end;
+                    let further = page.end.saturating_sub(page.next);
                     apply(Read::Page(page));
+                    if topic == Topic::Operator && further >= SUPERSEDED_RECORDS {
+                        log::info!("event=records_skipped topic={topic:?} next={next} count={further}");
+                        break;
+                    }
                     if at_end {
                         on_position(next, began, changed);
                     }
--- a/crates/coriandertackd/tests/platform/configurations.rs
+++ b/crates/coriandertackd/tests/platform/configurations.rs
@@ -23,6 +23,11 @@
 /// busy machine.
 const MAX_OLD_ANSWERS: Duration = Duration::from_secs(3);
 
+/// Number of versions that are published at once, and size in bytes that a VM may read for them: two of them, one of which
+/// is encoded as text, and a half.
+const VERSIONS: u64 = 6;
+const MAX_BYTES_READ: f64 = 3.0e6;
+
 /// Starts a cluster of two VMs, the second of which is connected to the store by a link of this speed.
 async fn start(bytes_per_s: usize) -> Cluster {
     let mut cluster = Cluster::start(2, 4).await;
@@ -86,3 +91,26 @@
         })
         .await;
 }
+
+/// Guards against a VM that transfers each of several versions in full, although only the last one matters.
+#[tokio::test]
+async fn superseded_configurations_are_not_transferred() {
+    let mut cluster = start(SLOW_BYTES_S).await;
+    let before = bytes_read(&cluster).await;
+    for revision in 3..3 + VERSIONS {
+        cluster.publish_config(revision, revision == 2 + VERSIONS);
+    }
+    wait_for_route(&mut cluster, "/extra/").await;
+    let read = bytes_read(&cluster).await - before;
+    assert!(read < MAX_BYTES_READ, "{read} bytes were read");
+}
+
+/// Returns how many bytes VM 1 has read from the store.
+async fn bytes_read(cluster: &Cluster) -> f64 {
+    let metrics = cluster.metrics(1).await.unwrap();
+    let line = metrics
+        .lines()
+        .find(|line| line.starts_with("coriandertack_store_bytes_read_total"))
+        .unwrap();
+    line.rsplit(' ').next().unwrap().parse().unwrap()
+}
