Report configurations that are large for the links of VMs

The design carries a configuration as long as its transfer over the narrowest link fits into the bound, and nothing said so before that is reached. A VM now logs event=config_large if the transfer alone takes over half of the bound, refusals because of a newer version are counted (requests_outdated_total) and logged once for each version, and check-config warns of more than 1 MB (C311) and rejects more than 6 MB (C312), which VMs cannot read when they start. The speed of the link comes from the platform's settings (limits.link_mbps).

--- a/crates/coriandertack-jobs/src/config_check.rs
+++ b/crates/coriandertack-jobs/src/config_check.rs
@@ -64,8 +64,22 @@
     pub keys: Vec<TeamKeys>,
     /// Size of the smallest request body with the longest payload, in bytes.
     pub body_need: usize,
+    /// Size of the file, in bytes.
+    pub bytes: usize,
 }
 
+/// Speed at which VMs with the narrowest links read a configuration, in bytes a millisecond: 8 of the
+/// 10 Mbit/s, since the links carry other traffic too.
+const NARROW_LINK_BYTES_MS: usize = 1_000;
+
+/// Time for the transfer of a configuration from which it is reported, in milliseconds: half of the
+/// smallest bound within which a version has to be in force.
+const LONG_TRANSFER_MS: usize = 1_000;
+
+/// Largest configuration that VMs can read, in bytes. The store lists it as text, which is a third
+/// larger, in a response of at most 8 MiB.
+const MAX_BYTES: usize = 6_000_000;
+
 /// The keys of a team.
 #[derive(Clone, Debug)]
 pub struct TeamKeys {
@@ -335,6 +349,14 @@
     /// Some keys are easy to guess.
     ShortKeys { count: usize, least: usize } = "C310", Warning, Some(Field::Keys),
         "{count} key(s) are shorter than {least} characters", "replace them by longer random ones";
+    /// The transfer to some VMs takes a large part of the time in which the version has to be in force.
+    LargeConfig { bytes: usize, transfer_ms: usize } = "C311", Warning, None,
+        "its {bytes} bytes take {transfer_ms} ms to reach a VM with a link of 10 Mbit/s, which refuses requests if it has not read them in time",
+        "remove routes that are not used";
+    /// No VM can read the configuration.
+    TooLarge { bytes: usize, limit: usize } = "C312", Error, None,
+        "its {bytes} bytes exceed the {limit} that a VM reads when it starts",
+        "remove routes that are not used";
     /// VMs ignore a version that is not newer than theirs.
     OldRevision { revision: u64, in_force: u64 } = "C401", Error, Some(Field::Revision),
         "revision {revision} is not above {in_force}, so VMs would ignore it",
@@ -351,6 +373,7 @@
     found.check_written(written);
     if written.rejected.is_none() {
         found.check_revision(draft, in_force);
+        found.check_size(written.bytes);
         for route in &config.routes {
             found.check_route(config, route);
             found.check_neighbors(config, route);
@@ -569,6 +592,15 @@
         }
     }
 
+    fn check_size(&mut self, bytes: usize) {
+        let transfer_ms = bytes / NARROW_LINK_BYTES_MS;
+        if bytes > MAX_BYTES {
+            self.add(Entry::Whole, Problem::TooLarge { bytes, limit: MAX_BYTES });
+        } else if transfer_ms > LONG_TRANSFER_MS {
+            self.add(Entry::Whole, Problem::LargeConfig { bytes, transfer_ms });
+        }
+    }
+
     fn check_limits(&mut self, limits: Limits, need: usize) {
         let Limits { body_bytes: limit, header_ms, idle_ms, .. } = limits;
         for (limit, time) in [(Field::HeaderMs, header_ms), (Field::IdleMs, idle_ms)] {
--- a/crates/coriandertack-jobs/tests/config_check.rs
+++ b/crates/coriandertack-jobs/tests/config_check.rs
@@ -397,6 +397,21 @@
     );
 }
 
+/// Guards against a configuration that some VMs cannot read in time, or at all, and that the check calls sound.
+#[test]
+fn large_configurations_are_reported_before_they_are_published() {
+    let mut listings = Vec::new();
+    for bytes in [1_000_000, 1_200_000, 6_000_001] {
+        let mut draft = Sample::new().draft();
+        draft.written.bytes = bytes;
+        listings.push(listed(&draft));
+    }
+    expect![[r#"
+        warning C311 configuration: its 1200000 bytes take 1200 ms to reach a VM with a link of 10 Mbit/s, which refuses requests if it has not read them in time
+        error C312 configuration: its 6000001 bytes exceed the 6000000 that a VM reads when it starts
+    "#]].assert_eq(&listings.concat());
+}
+
 /// Guards against a version that VMs ignore since they have a newer one, and against a finding on the version in force.
 #[test]
 fn a_change_needs_a_newer_revision() {
--- a/crates/coriandertackd/src/fleet/caller_api.rs
+++ b/crates/coriandertackd/src/fleet/caller_api.rs
@@ -214,7 +214,7 @@
     let is_known = |age: &ConfigAge| age.verdict(clock::now()) != Verdict::Wait;
     let known = timeout(Duration::from_millis(CONFIG_WAIT_MS), age.wait_for(is_known)).await;
     if known.is_err() {
-        log::debug!("event=config_outdated revision={}", shared.config.borrow().revision);
+        log::debug!("event=config_unconfirmed revision={}", shared.config.borrow().revision);
     }
     let verdict = shared.config_age.borrow().verdict(clock::now());
     if let Verdict::Refuse { since } = verdict {
@@ -229,6 +229,7 @@
     match missing {
         MissingConfig::Unread => unavailable(shared, "no configuration yet", wait_ms),
         MissingConfig::Outdated { since } => {
+            shared.record_outdated(since);
             let behind_ms = clock::now().ms_since(since);
             unavailable_since(behind_ms, "a newer configuration is being read", wait_ms)
         }
--- a/crates/coriandertackd/src/fleet/metrics.rs
+++ b/crates/coriandertackd/src/fleet/metrics.rs
@@ -165,7 +165,7 @@
 fn observe(meter: &Meter, shared: &Arc<Shared>) {
     observe_teams(meter, shared);
     type Read = fn(&Counters) -> &AtomicU64;
-    let counters: [(&'static str, &'static str, Read); 13] = [
+    let counters: [(&'static str, &'static str, Read); 14] = [
         ("store_appends", "appends to the store", |c| &c.appends),
         ("store_reads", "reads of the store", |c| &c.reads),
         ("store_errors", "calls to the store that failed", |c| &c.store_errors),
@@ -176,6 +176,7 @@
         ("jobs_accepted", "jobs that were accepted", |c| &c.accepted),
         ("jobs_refused", "jobs that were refused and not run", |c| &c.refused),
         ("jobs_unknown", "submissions with an unknown outcome", |c| &c.unknown),
+        ("requests_outdated", "requests refused for a newer configuration", |c| &c.outdated),
         ("answers", "answers to callers", |c| &c.answers),
         ("lists", "lists of runs that workers were asked for", |c| &c.lists),
         ("starts", "starts that were sent", |c| &c.starts),
--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -55,6 +55,10 @@
 /// makes it a third larger.
 const SUPERSEDED_RECORDS: u64 = 2;
 
+/// Part of the bound for a new configuration, as a divisor, from which the time for its transfer is reported. The link also
+/// carries requests, and the VMs share the speed of the store.
+const LONG_TRANSFER_SHARE: u64 = 2;
+
 /// Initial and maximum backoff after a failed call, in milliseconds.
 const RETRY_MS: (u64, u64) = (50, 400);
 
@@ -164,7 +168,9 @@
                     let further = page.end.saturating_sub(page.next);
                     apply(Read::Page(page));
                     if topic == Topic::Operator && further >= SUPERSEDED_RECORDS {
-                        log::info!("event=records_skipped topic={topic:?} next={next} count={further}");
+                        log::info!(
+                            "event=records_skipped topic={topic:?} next={next} count={further}"
+                        );
                         break;
                     }
                     if at_end {
@@ -333,6 +339,15 @@
         shared.config_behind_ms()
     );
     shared.config_bytes.store(value.len() as u64, Ordering::Relaxed);
+    let (transfer_ms, bound_ms) =
+        (shared.settings.transfer_ms(value.len()), shared.settings.bounds.config_apply_ms);
+    if transfer_ms > bound_ms / LONG_TRANSFER_SHARE {
+        log::warn!(
+            "event=config_large bytes={} link_mbps={} transfer_ms={transfer_ms} bound_ms={bound_ms}",
+            value.len(),
+            shared.settings.limits.link_mbps
+        );
+    }
     shared.config.send_replace(Arc::new(config));
     shared.wake.notify_one();
 }
--- a/crates/coriandertackd/src/fleet/settings.rs
+++ b/crates/coriandertackd/src/fleet/settings.rs
@@ -127,11 +127,14 @@
     /// Number of file descriptors.
     #[serde(deserialize_with = "positive")]
     pub max_fds: f64,
+    /// Speed of the network link in Mbit/s.
+    #[serde(deserialize_with = "positive")]
+    pub link_mbps: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { memory_mb: 120.0, max_fds: 3_075.0 }
+        Self { memory_mb: 120.0, max_fds: 3_075.0, link_mbps: 10.0 }
     }
 }
 
@@ -165,6 +168,12 @@
         self.limits.memory_bytes() / BODY_SHARE
     }
 
+    /// Returns how long the transfer of this many bytes takes over an idle link, in milliseconds.
+    #[must_use]
+    pub fn transfer_ms(&self, bytes: usize) -> u64 {
+        (bytes as f64 * 8.0 / (self.limits.link_mbps * 1_000.0)) as u64
+    }
+
     /// Returns the maximum number of callers' connections. A quarter of the descriptors is left for connections to
     /// workers, the store and other VMs.
     #[must_use]
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -162,6 +162,8 @@
     pub refused: AtomicU64,
     /// Submissions with an unknown outcome.
     pub unknown: AtomicU64,
+    /// Requests that were refused because a newer configuration was being read.
+    pub outdated: AtomicU64,
     /// All requests from callers.
     pub answers: AtomicU64,
     /// Lists of runs requested from workers.
@@ -205,6 +207,8 @@
     pub config_age: watch::Sender<ConfigAge>,
     /// Size of the configuration in force, in bytes.
     pub config_bytes: AtomicU64,
+    /// Since when the newer configuration was known because of which requests were last refused, in milliseconds since boot.
+    outdated_since: AtomicU64,
     /// Position in the intake topic.
     pub intake: watch::Sender<ReadPosition>,
     /// Offset in the intake topic up to which its records have been applied.
@@ -260,6 +264,7 @@
             waves: watch::Sender::default(),
             config_age: watch::Sender::default(),
             config_bytes: AtomicU64::default(),
+            outdated_since: AtomicU64::default(),
             intake: watch::Sender::default(),
             intake_applied: Mutex::default(),
             progress: watch::Sender::default(),
@@ -303,6 +308,19 @@
         self.config_age.send_modify(|age| age.record_current(began, bound_ms));
     }
 
+    /// Records that a request was refused because a newer configuration has been known since `since`. The first refusal for
+    /// each is logged.
+    pub fn record_outdated(&self, since: BootTime) {
+        Counters::count(&self.counters.outdated);
+        if self.outdated_since.swap(since.0, Ordering::Relaxed) != since.0 {
+            log::warn!(
+                "event=config_outdated revision={} behind_ms={}",
+                self.config.borrow().revision,
+                clock::now().ms_since(since)
+            );
+        }
+    }
+
     /// Returns for how long a newer record of operators has been known, in milliseconds.
     pub fn config_behind_ms(&self) -> u64 {
         self.config_age.borrow().behind_ms(clock::now())
--- a/crates/coriandertackd/tests/platform/configurations.rs
+++ b/crates/coriandertackd/tests/platform/configurations.rs
@@ -83,6 +83,11 @@
         }
         sleep(Duration::from_millis(50)).await;
     }
+    cluster
+        .wait_until("the refusals are logged", async |cluster| {
+            cluster.log_contains("event=config_outdated revision=3")
+        })
+        .await;
     // The rest of the transfer is fast.
     cluster.gateways[1].set_pace(Pace::default());
     cluster
