Play large configurations over slow links in the soak

Half of the seeds with teams now have a configuration of 0.5 MB, links of 500 KB a second and responses that are cut off midway, beside the changes of keys and the other faults. The faults of kept seeds are unchanged.

--- a/crates/coriandertackd/tests/platform/soak.rs
+++ b/crates/coriandertackd/tests/platform/soak.rs
@@ -7,12 +7,13 @@
 //!
 //! About half of the other seeds have teams. One of them changes its key again and again: a VM that has refused a key must
 //! never accept it again, no VM may accept a key that was never configured, and at the end each VM refuses all former
-//! keys and shows a team's jobs to no other team.
+//! keys and shows a team's jobs to no other team. In half of these seeds, the configuration is large and VMs read it over
+//! slow links, on which responses are cut off.
 
 use std::{collections::HashSet, time::Duration};
 
 use {
-    coriandertack_standins::platform::{store, worker},
+    coriandertack_standins::platform::{pace::Pace, store, worker},
     nix::sys::signal::Signal,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -50,6 +51,10 @@
     }
 }
 
+/// Number of routes of a large configuration of 0.5 MB, and speed of the slow links in bytes a second.
+const LARGE_ROUTES: usize = 2_000;
+const SLOW_BYTES_S: usize = 500_000;
+
 /// Key of the team that submits the jobs, which never changes, and one that no team has.
 const STEADY_KEY: &str = "soak-key-steady";
 const UNKNOWN_KEY: &str = "soak-key-unknown";
@@ -126,9 +131,15 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut cluster = Cluster::start(3, 4).await;
     let mut team_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    let mut link_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
     let mut changes = None;
     if !REGRESSION_SEEDS.contains(&seed) && team_rng.random_bool(0.5) {
         println!("soak seed {seed} has teams");
+        if link_rng.random_bool(0.5) {
+            println!("soak seed {seed} has a large configuration and slow links");
+            cluster.unused_routes = LARGE_ROUTES;
+            set_pace(&cluster, 0);
+        }
         let changes = changes.insert(KeyChanges::default());
         changes.publish(&mut cluster);
         cluster.key = Some(STEADY_KEY.to_owned());
@@ -189,6 +200,9 @@
         }
         sleep(Duration::from_millis(rng.random_range(50..900))).await;
         if let Some(changes) = &mut changes {
+            if cluster.unused_routes > 0 && link_rng.random_bool(0.3) {
+                set_pace(&cluster, link_rng.random_range(1..500_000));
+            }
             if team_rng.random_bool(0.5) {
                 changes.publish(&mut cluster);
             }
@@ -209,6 +223,14 @@
     cluster.check_runs();
 }
 
+/// Slows the links of all VMs to the store down, and cuts off the next response on each that is larger than `cut_after`
+/// bytes.
+fn set_pace(cluster: &Cluster, cut_after: usize) {
+    for gateway in &cluster.gateways {
+        gateway.set_pace(Pace { bytes_per_s: SLOW_BYTES_S, cut_after });
+    }
+}
+
 /// Removes all faults, resumes paused processes and starts those that do not run.
 async fn clear_faults(cluster: &mut Cluster, paused: &mut Vec<usize>) {
     cluster.store.fail(store::Faults::default());
