Count the bound of a configuration from when the store last had nothing newer

A VM refuses requests once the bound has passed since it was last up to date. That was counted from the begin of the last read that found nothing newer, which then waited 0.9 s for a record, so a VM could refuse requests 0.9 s earlier than the bound asks. The store answers such a read only after its wait, so the VM was up to date until then.

--- a/crates/coriandertack-jobs/src/config_age.rs
+++ b/crates/coriandertack-jobs/src/config_age.rs
@@ -56,11 +56,11 @@
 }
 
 impl ConfigAge {
-    /// Records that a read which began at `began` found no version that is newer than the one in
-    /// force. A newer one has to be in force `bound_ms` after it was published.
-    pub const fn record_current(&mut self, began: BootTime, bound_ms: u64) {
-        self.current_until = began.plus_ms(bound_ms.saturating_sub(MARGIN_MS));
-        self.tried_until = began.plus_ms(MAX_ATTEMPT_AGE_MS);
+    /// Records that there was no version at `shown` that is newer than the one in force. A newer one
+    /// has to be in force `bound_ms` after it was published.
+    pub const fn record_current(&mut self, shown: BootTime, bound_ms: u64) {
+        self.current_until = shown.plus_ms(bound_ms.saturating_sub(MARGIN_MS));
+        self.tried_until = shown.plus_ms(MAX_ATTEMPT_AGE_MS);
         self.newer_since = None;
     }
 
--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -145,6 +145,9 @@
         log_recovery(shared, topic, &mut unavailable);
         let mut next = newest.end;
         apply(Read::Newest(newest, began));
+        if topic == Topic::Operator {
+            shared.record_current_config(began);
+        }
         on_position(next, began, true);
         loop {
             let began = clock::now();
@@ -167,6 +170,11 @@
                     let at_end = page.next >= page.end;
                     let further = page.end.saturating_sub(page.next);
                     apply(Read::Page(page));
+                    if topic == Topic::Operator && at_end {
+                        // The store waits for a record before it says that there is none.
+                        let waited_ms = if changed { 0 } else { wait_ms };
+                        shared.record_current_config(began.plus_ms(waited_ms).min(clock::now()));
+                    }
                     if topic == Topic::Operator && further >= SUPERSEDED_RECORDS {
                         log::info!(
                             "event=records_skipped topic={topic:?} next={next} count={further}"
@@ -292,8 +300,7 @@
             }
         }
     };
-    let on_position = |_, began, _| shared.record_current_config(began);
-    follow_topic(&shared, Topic::Operator, || OPERATOR_WAIT_MS, || 0, apply, on_position).await;
+    follow_topic(&shared, Topic::Operator, || OPERATOR_WAIT_MS, || 0, apply, |_, _, _| {}).await;
 }
 
 /// Adds a maintenance wave. A wave that is already known is not changed, so its deadline stays the same.
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -302,10 +302,10 @@
         self.store_health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that the operator topic has been read to its end, by a read that began at `began`.
-    pub fn record_current_config(&self, began: BootTime) {
+    /// Records that this VM has applied all records of operators that there were at `shown`.
+    pub fn record_current_config(&self, shown: BootTime) {
         let bound_ms = self.settings.bounds.config_apply_ms;
-        self.config_age.send_modify(|age| age.record_current(began, bound_ms));
+        self.config_age.send_modify(|age| age.record_current(shown, bound_ms));
     }
 
     /// Records that a request was refused because a newer configuration has been known since `since`. The first refusal for
