Limit heads and connections of the product's own interface

The server of the product's own interface, and that of the metrics, had 4,096 connections, whatever the descriptors of the process, and 75 s for a head of 32 KiB, 128 MiB for all of them. At the maximum, further connections waited in the backlog, so clients that connect and send nothing kept all others out for 75 s.

It now uses the connections of the platform's callers, which move out of the fleet's module: the oldest idle connection, or an unfinished request, makes room for a new one; heads count in the budget of bodies; a head has 10 s, a connection without a request 75 s as before, longer than load balancers keep it. The maximum follows from the descriptors of the process. The loop that serves a connection until a limit is now one function for both servers.

--- a/crates/coriandertackd/src/fleet/connections.rs
+++ b/crates/coriandertackd/src/connections.rs
@@ -7,7 +7,7 @@
 
 use std::{
     io,
-    pin::Pin,
+    pin::{Pin, pin},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -31,7 +31,7 @@
     },
 };
 
-use super::clock;
+use crate::clock;
 
 /// Maximum size of one read, in bytes. The buffer of a connection grows with the reads that fill it, so that small reads
 /// keep it small.
@@ -163,6 +163,46 @@
     }
 }
 
+/// How a connection ended.
+#[derive(Debug)]
+pub struct Ended<T> {
+    /// Result of the connection; `None` if it was closed without one.
+    pub result: Option<T>,
+    /// Limit because of which it was closed, unless that has been counted.
+    pub limit: Option<Limit>,
+}
+
+/// Serves a connection until it ends or exceeds a limit. Once `closing` resolves, or the connection is evicted while a
+/// request is in flight, `shut_down` is called: that request is answered, and no other one follows.
+pub async fn serve<C: Future>(
+    connection: C,
+    shut_down: impl Fn(Pin<&mut C>),
+    activity: &Activity,
+    limits: Limits,
+    closing: impl Future<Output = ()>,
+) -> Ended<C::Output> {
+    let (mut connection, mut closing) = (pin!(connection), pin!(closing));
+    let mut leaving = false;
+    let mut exceeded = None;
+    loop {
+        tokio::select! {
+            result = &mut connection => {
+                return Ended { result: Some(result), limit: exceeded };
+            }
+            () = &mut closing, if !leaving => {}
+            limit = activity.wait_until_expired(limits) => {
+                exceeded = exceeded.or(limit);
+                let evicted = matches!(limit, None | Some(Limit::Connections));
+                if !evicted || !activity.is_busy() {
+                    return Ended { result: None, limit: exceeded };
+                }
+            }
+        }
+        leaving = true;
+        shut_down(connection.as_mut());
+    }
+}
+
 /// All open connections of callers.
 #[derive(Debug)]
 pub struct Connections {
@@ -178,6 +218,12 @@
         Self { max_open, bodies, open: Mutex::default() }
     }
 
+    /// Returns the bodies of requests on these connections.
+    #[must_use]
+    pub const fn bodies(&self) -> &Arc<Bodies> {
+        &self.bodies
+    }
+
     fn open(&self) -> MutexGuard<'_, SlotMap<ConnectionKey, Arc<Activity>>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/coriandertackd/src/fleet/caller_api.rs
+++ b/crates/coriandertackd/src/fleet/caller_api.rs
@@ -3,7 +3,7 @@
 //! Submissions and cancellations are answered once they are durable, all other requests from the records that this VM
 //! has read.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use {
     bytes::Bytes,
@@ -26,7 +26,7 @@
         Method, Request, Response, StatusCode,
         body::Incoming,
         header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE},
-        server::conn::http1::Builder,
+        server::conn::http1::{self, Builder},
         service::service_fn,
     },
     hyper_util::rt::TokioIo,
@@ -40,7 +40,7 @@
 
 use super::{
     clock,
-    connections::{Activity, Connections, TrackedStream},
+    connections::{self, Activity, Connections, TrackedStream},
     intake, metrics,
     shared::{Counters, Outcome, Shared},
 };
@@ -115,28 +115,14 @@
     let serving = Builder::new()
         .max_buf_size(limits.header_bytes.max(8 * 1_024))
         .serve_connection(TokioIo::new(TrackedStream::new(stream, activity.clone())), service);
-    let mut serving = std::pin::pin!(serving);
-    let mut closing = shared.closing.subscribe();
-    let mut leaving = false;
-    let ended = loop {
-        tokio::select! {
-            ended = serving.as_mut() => break ended,
-            () = wait_until_set(&mut closing), if !leaving => {}
-            limit = activity.wait_until_expired(limits) => {
-                if let Some(limit) = limit {
-                    shared.bodies.record_close(limit);
-                }
-                let evicted = matches!(limit, None | Some(Limit::Connections));
-                if !evicted || !activity.is_busy() {
-                    return;
-                }
-            }
-        }
-        // The request in flight is answered, and no other one follows: an evicted connection is no longer limited.
-        leaving = true;
-        serving.as_mut().graceful_shutdown();
-    };
-    if let Err(error) = ended {
+    let shut_down = |serving: Pin<&mut http1::Connection<_, _>>| serving.graceful_shutdown();
+    let mut flag = shared.closing.subscribe();
+    let closing = wait_until_set(&mut flag);
+    let ended = connections::serve(serving, shut_down, activity, limits, closing).await;
+    if let Some(limit) = ended.limit {
+        shared.bodies.record_close(limit);
+    }
+    if let Some(Err(error)) = ended.result {
         log::debug!("event=connection_ended error=\"{error}\"");
     }
 }
--- a/crates/coriandertackd/src/fleet/metrics.rs
+++ b/crates/coriandertackd/src/fleet/metrics.rs
@@ -22,7 +22,7 @@
     viz::Router,
 };
 
-use crate::http;
+use crate::{connections::Connections, http};
 
 use super::{
     output,
@@ -33,6 +33,9 @@
 /// the longest time for which callers wait.
 const BUCKETS_S: &[f64] = &[0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 10.0, 30.0];
 
+/// Maximum number of connections that read the metrics.
+const MAX_CONNECTIONS: usize = 16;
+
 /// Latency histograms of a VM, with their exporter.
 #[derive(Debug)]
 pub struct Latencies {
@@ -80,11 +83,13 @@
 /// Serves the metrics for as long as the process runs.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     observe(&shared.latencies.export.meter(), &shared);
+    let bodies = shared.bodies.clone();
     let routes = Router::new().get("/metrics", move |_: viz::Request| {
         let shared = shared.clone();
         async move { Ok::<_, viz::Error>(render(&shared.latencies.export)) }
     });
-    http::serve(listener, routes, std::future::pending()).await;
+    let open = Arc::new(Connections::new(MAX_CONNECTIONS, bodies));
+    http::serve(listener, routes, open, http::LIMITS, std::future::pending()).await;
 }
 
 fn render(export: &Export) -> String {
--- a/crates/coriandertackd/src/fleet/mod.rs
+++ b/crates/coriandertackd/src/fleet/mod.rs
@@ -8,8 +8,6 @@
 pub mod advice;
 pub mod arrivals;
 pub mod caller_api;
-pub mod clock;
-pub mod connections;
 pub mod election;
 pub mod handover;
 pub mod hosts;
@@ -38,6 +36,7 @@
 };
 
 use self::{settings::Settings, shared::Shared};
+use crate::{clock, connections};
 
 /// Time from the stop signal until connections are closed, in milliseconds. The platform's load balancer probes once a
 /// second and stops sending new connections after at most two probes.
--- a/crates/coriandertackd/src/http.rs
+++ b/crates/coriandertackd/src/http.rs
@@ -1,47 +1,78 @@
 //! The HTTP server of a VM, with one task per connection and limits on the resources of each.
 //!
-//! The routes limit bodies and queries. The server limits what precedes routing: the number of connections, the size
-//! of a request's headers and the time in which they must arrive. The same timeout closes idle connections, because
-//! an idle connection waits for the headers of its next request.
+//! The routes limit bodies and queries. The server limits what precedes routing: the number of connections, the bytes
+//! and the time of an unfinished head, and the time without a request. The limits are those of callers on the platform,
+//! see [`connections`](crate::connections) and docs/design/body-limits.md.
 //!
 //! A planned stop waits for requests in flight. When the server is dropped, all connections end at once, as in a
 //! crash, so that none of them outlives the session of the VM.
 
-use std::{io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use {
-    hyper::server::conn::http1::Builder,
-    hyper_util::rt::{TokioIo, TokioTimer},
+    coriandertack_callers::bodies::Limit,
+    coriandertack_jobs::config::Limits,
+    hyper::{
+        Request,
+        body::Incoming,
+        server::conn::http1::{self, Builder},
+        service::{Service, service_fn},
+    },
+    hyper_util::rt::TokioIo,
+    nix::sys::resource::{Resource, getrlimit},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{OwnedSemaphorePermit, Semaphore, watch},
+        sync::watch,
         task::JoinSet,
         time::sleep,
     },
     viz::{Responder, Router, Tree},
 };
 
-/// Time in which the headers of a request must arrive. It exceeds the 60 s after which load balancers close idle
-/// connections: if the server closed first, a request already on its way would be lost.
-pub const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(75);
+use crate::connections::{self, Activity, Connections, TrackedStream};
+
+/// Limits on requests. The routes limit bodies.
+///
+/// The time without a request exceeds the 60 s after which load balancers close idle connections: if the server closed
+/// first, a request already on its way would be lost.
+pub const LIMITS: Limits =
+    Limits { header_bytes: 32 * 1_024, body_bytes: 0, header_ms: 10_000, idle_ms: 75_000 };
+
+/// Most concurrent connections, if the file descriptors of the process suffice.
+const MAX_CONNECTIONS: usize = 4_096;
 
-/// Most bytes buffered for incomplete headers. Bytes that arrive in a single read can exceed it slightly.
-pub const MAX_HEADER_BYTES: usize = 32 * 1_024;
+/// File descriptors that are kept for files, and for connections to workers, other VMs and the platform.
+const RESERVED_FDS: usize = 256;
 
-/// Most concurrent connections. Further ones wait in the listener's backlog.
-pub const MAX_CONNECTIONS: usize = 4_096;
+/// Lowest limit of connections, however few descriptors the process may open.
+const MIN_CONNECTIONS: usize = 16;
 
 /// Delay after a failed accept, for example because the process has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Returns the most concurrent connections for which this process has file descriptors.
+#[must_use]
+pub fn max_connections() -> usize {
+    // Without a known limit, connections are refused one by one once there are no descriptors.
+    let (descriptors, _) = getrlimit(Resource::RLIMIT_NOFILE).unwrap_or((u64::MAX, u64::MAX));
+    let spare = usize::try_from(descriptors).unwrap_or(usize::MAX).saturating_sub(RESERVED_FDS);
+    spare.clamp(MIN_CONNECTIONS, MAX_CONNECTIONS)
+}
+
 /// Serves the routes until `stop` resolves, and then waits until every request in flight is answered.
 ///
 /// The caller limits the time of the second phase by dropping the future.
-pub async fn serve(listener: TcpListener, routes: Router, stop: impl Future<Output = ()>) {
+pub async fn serve(
+    listener: TcpListener,
+    routes: Router,
+    open: Arc<Connections>,
+    limits: Limits,
+    stop: impl Future<Output = ()>,
+) {
     let closing = watch::Sender::new(false);
     let mut connections = JoinSet::new();
     tokio::select! {
-        () = accept_connections(&listener, routes, &closing, &mut connections) => {}
+        () = accept_connections(&listener, routes, &open, limits, &closing, &mut connections) => {}
         () = stop => {}
     }
     drop(listener);
@@ -52,17 +83,29 @@
 async fn accept_connections(
     listener: &TcpListener,
     routes: Router,
+    open: &Arc<Connections>,
+    limits: Limits,
     closing: &watch::Sender<bool>,
     connections: &mut JoinSet<()>,
 ) {
     let tree = Arc::new(Tree::from(routes));
-    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
-        let Ok(permit) = Arc::clone(&slots).acquire_owned().await else { return };
         match accept(listener, connections).await {
             Ok((stream, from)) => {
-                let (tree, closing) = (Arc::clone(&tree), closing.subscribe());
-                connections.spawn(serve_connection(stream, from, tree, closing, permit));
+                let Some((key, activity)) = open.add() else {
+                    open.bodies().record_refusal(Limit::Connections);
+                    continue;
+                };
+                let (tree, closing, open) =
+                    (Arc::clone(&tree), closing.subscribe(), Arc::clone(open));
+                connections.spawn(async move {
+                    if let Some(limit) =
+                        serve_connection(stream, from, tree, &activity, limits, closing).await
+                    {
+                        open.bodies().record_close(limit);
+                    }
+                    open.remove(key);
+                });
             }
             Err(error) => {
                 log::warn!("event=http_accept_failed error=\"{error}\"");
@@ -85,34 +128,40 @@
     }
 }
 
-/// Serves one connection until it ends or, once the server is closing, until its current request is answered.
+/// Serves one connection until it ends, exceeds a limit or, once the server is closing, until its current request is
+/// answered. Returns the limit because of which it was closed, unless that is already counted.
 async fn serve_connection(
     stream: TcpStream,
     from: SocketAddr,
     tree: Arc<Tree>,
+    activity: &Arc<Activity>,
+    limits: Limits,
     closing: watch::Receiver<bool>,
-    _permit: OwnedSemaphorePermit,
-) {
+) -> Option<Limit> {
     // Answers are small and a caller waits for each, so Nagle's algorithm would only add latency.
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("event=http_connection_failed from={from} error=\"{error}\"");
     }
-    let connection = Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT)
-        .max_buf_size(MAX_HEADER_BYTES)
-        .serve_connection(TokioIo::new(stream), Responder::new(tree, Some(from)));
-    let mut connection = pin!(connection);
-    let ended = tokio::select! {
-        ended = &mut connection => ended,
-        () = wait_for_close(closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let responder = Responder::new(tree, Some(from));
+    let service = service_fn(|request: Request<Incoming>| {
+        activity.begin();
+        let (answer, activity) = (responder.call(request), activity.clone());
+        async move {
+            let answer = answer.await;
+            activity.end();
+            answer
         }
-    };
-    if let Err(error) = ended {
+    });
+    let connection = Builder::new()
+        .max_buf_size(limits.header_bytes)
+        .serve_connection(TokioIo::new(TrackedStream::new(stream, activity.clone())), service);
+    let shut_down = |connection: Pin<&mut http1::Connection<_, _>>| connection.graceful_shutdown();
+    let closing = wait_for_close(closing);
+    let ended = connections::serve(connection, shut_down, activity, limits, closing).await;
+    if let Some(Err(error)) = ended.result {
         log::debug!("event=http_connection_failed from={from} error=\"{error}\"");
     }
+    ended.limit
 }
 
 /// Waits until the server is closing.
--- a/crates/coriandertackd/src/lib.rs
+++ b/crates/coriandertackd/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod args;
 pub mod capacity;
+pub mod clock;
+pub mod connections;
 pub mod dispatch;
 pub mod fleet;
 pub mod gang;
--- a/crates/coriandertackd/src/process.rs
+++ b/crates/coriandertackd/src/process.rs
@@ -32,7 +32,10 @@
     tokio_util::task::AbortOnDropHandle,
 };
 
-use crate::{capacity, dispatch, http, logging, members, peers, routes, settings::Settings};
+use crate::{
+    capacity, connections::Connections, dispatch, http, logging, members, peers, routes,
+    settings::Settings,
+};
 
 /// Capacity of the channel from the workers' control tasks to the owner's task.
 const WORKER_UPDATE_CAPACITY: usize = 4_096;
@@ -248,8 +251,11 @@
             .await
             .with_context(|| format!("cannot bind the HTTP address {}", settings.vm.http))?;
         let (stop, mut stopped) = watch::channel(false);
+        let bodies = Arc::clone(call_router.bodies());
+        let open = Arc::new(Connections::new(http::max_connections(), bodies));
         let server = AbortOnDropHandle::new(tokio::spawn(async move {
-            http::serve(listener, routes, async move { stop_requested(&mut stopped).await }).await;
+            let stop = async move { stop_requested(&mut stopped).await };
+            http::serve(listener, routes, open, http::LIMITS, stop).await;
         }));
         Ok(Self { call_router, stop, server })
     }
--- a/crates/coriandertackd/tests/connections.rs
+++ b/crates/coriandertackd/tests/connections.rs
@@ -8,7 +8,7 @@
         budget::NEW_TIME,
     },
     coriandertack_jobs::config::Limits,
-    coriandertackd::fleet::connections::{Activity, Connections, TrackedStream},
+    coriandertackd::connections::{Activity, Connections, TrackedStream},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
