Name what a read that reached the end of a topic tells

follow_topic asked in five places whether it reads the operator topic. It now calls a closure when newer records are known and another one with what a read to the end of the topic tells: its offsets, when it began, and when the store had nothing newer. The readers of the configuration use both.

--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -114,18 +114,31 @@
     }
 }
 
+/// A read that reached the end of a topic.
+#[derive(Clone, Copy, Debug)]
+pub struct EndReached {
+    /// Offset after the last record.
+    pub next: u64,
+    /// When the read began.
+    pub began: BootTime,
+    /// When the store had no records beyond `next`: when the read began, or after it had waited for one.
+    pub shown: BootTime,
+    /// Whether the read returned records.
+    pub changed: bool,
+}
+
 /// Reads a topic without end: first the newest record of each key, then the records that follow.
 ///
-/// `apply` gets what each read returned. `on_position` is called
-/// after each read that reached the end of the topic, with the next offset, when the read began, and whether it
-/// returned records.
+/// `apply` gets what each read returned. `on_newer` is called as soon as the store has records that were not applied, which
+/// is before they have arrived, and `on_end` after each read that reached the end of the topic.
 pub async fn follow_topic(
     shared: &Shared,
     topic: Topic,
     wait_ms: impl Fn() -> u64,
     interval_ms: impl Fn() -> u64,
     mut apply: impl FnMut(Read),
-    mut on_position: impl FnMut(u64, BootTime, bool),
+    on_newer: impl Fn(),
+    mut on_end: impl FnMut(EndReached),
 ) {
     let mut store = Store::new(shared.settings.platform.store);
     let mut pause = RETRY_MS.0;
@@ -145,35 +158,32 @@
         log_recovery(shared, topic, &mut unavailable);
         let mut next = newest.end;
         apply(Read::Newest(newest, began));
-        if topic == Topic::Operator {
-            shared.record_current_config(began);
-        }
-        on_position(next, began, true);
+        on_end(EndReached { next, began, shown: began, changed: true });
         loop {
             let began = clock::now();
             Counters::count(&shared.counters.reads);
             // A read that waits for a record would find out late that the store responds again.
             let wait_ms = if unavailable { 0 } else { wait_ms() };
             let wait = Duration::from_millis(wait_ms);
-            let on_end = |end| {
-                if topic == Topic::Operator && end > next {
-                    record_newer_config(shared);
+            let observe = |end| {
+                if end > next {
+                    on_newer();
                 }
             };
-            match store.read_observed(topic, next, wait, on_end).await {
+            match store.read_observed(topic, next, wait, observe).await {
                 Ok(page) => {
                     log_recovery(shared, topic, &mut unavailable);
                     Counters::add(&shared.counters.bytes_read, page.transfer.bytes);
                     pause = RETRY_MS.0;
                     let changed = !page.records.is_empty();
                     next = page.next;
-                    let at_end = page.next >= page.end;
                     let further = page.end.saturating_sub(page.next);
                     apply(Read::Page(page));
-                    if topic == Topic::Operator && at_end {
+                    if further == 0 {
                         // The store waits for a record before it says that there is none.
                         let waited_ms = if changed { 0 } else { wait_ms };
-                        shared.record_current_config(began.plus_ms(waited_ms).min(clock::now()));
+                        let shown = began.plus_ms(waited_ms).min(clock::now());
+                        on_end(EndReached { next, began, shown, changed });
                     }
                     if topic == Topic::Operator && further >= SUPERSEDED_RECORDS {
                         log::info!(
@@ -181,9 +191,6 @@
                         );
                         break;
                     }
-                    if at_end {
-                        on_position(next, began, changed);
-                    }
                     if changed {
                         let pause = sleep(Duration::from_millis(interval_ms()));
                         tokio::select! {
@@ -193,9 +200,7 @@
                     }
                 }
                 Err(ReadError::Deleted { first }) => {
-                    if topic == Topic::Operator {
-                        record_newer_config(shared);
-                    }
+                    on_newer();
                     log::info!("event=records_deleted topic={topic:?} next={next} first={first}");
                     break;
                 }
@@ -272,10 +277,6 @@
     }
 }
 
-fn record_newer_config(shared: &Shared) {
-    shared.config_age.send_modify(|age| age.record_newer(clock::now()));
-}
-
 fn log_recovery(shared: &Shared, topic: Topic, unavailable: &mut bool) {
     if mem::replace(unavailable, false) {
         shared.store_health().record_response(topic);
@@ -300,7 +301,10 @@
             }
         }
     };
-    follow_topic(&shared, Topic::Operator, || OPERATOR_WAIT_MS, || 0, apply, |_, _, _| {}).await;
+    let on_newer = || shared.config_age.send_modify(|age| age.record_newer(clock::now()));
+    let on_end = |end: EndReached| shared.record_current_config(end.shown);
+    let wait = || OPERATOR_WAIT_MS;
+    follow_topic(&shared, Topic::Operator, wait, || 0, apply, on_newer, on_end).await;
 }
 
 /// Adds a maintenance wave. A wave that is already known is not changed, so its deadline stays the same.
@@ -364,8 +368,9 @@
     let interval =
         || if *shared.is_leader.borrow() { INTAKE_INTERVAL_MS.0 } else { INTAKE_INTERVAL_MS.1 };
     let apply = |read: Read| apply_intake(&shared, read);
-    let on_position = |next, began, changed| update_position(&shared.intake, next, began, changed);
-    follow_topic(&shared, Topic::Intake, || INTAKE_WAIT_MS, interval, apply, on_position).await;
+    let on_end = |end| update_position(&shared.intake, end);
+    let wait = || INTAKE_WAIT_MS;
+    follow_topic(&shared, Topic::Intake, wait, interval, apply, || {}, on_end).await;
 }
 
 /// Applies a read of the intake topic to the replica, and sends its records to the leader's main loop if this VM leads.
@@ -404,20 +409,20 @@
             log::info!("event=leader_seen vm={} epoch={}", leader.vm, leader.epoch);
         }
     };
-    let on_position =
-        |next, began, changed| update_position(&shared.progress, next, began, changed);
+    let on_end = |end| update_position(&shared.progress, end);
     let wait = || if shared.is_unlinked() { UNLINKED_WAIT_MS } else { PROGRESS_WAIT_MS };
-    follow_topic(&shared, Topic::Progress, wait, || READ_INTERVAL_MS, apply, on_position).await;
+    let interval = || READ_INTERVAL_MS;
+    follow_topic(&shared, Topic::Progress, wait, interval, apply, || {}, on_end).await;
 }
 
-fn update_position(watch: &watch::Sender<ReadPosition>, next: u64, began: BootTime, changed: bool) {
+fn update_position(watch: &watch::Sender<ReadPosition>, end: EndReached) {
     watch.send_modify(|position| {
-        if changed || !position.loaded {
+        if end.changed || !position.loaded {
             position.changed_at = clock::now();
         }
         position.loaded = true;
-        position.next = next;
-        position.started_at = began;
+        position.next = end.next;
+        position.started_at = end.began;
         position.finished_at = clock::now();
     });
 }
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -121,7 +121,8 @@
         || ENTRY_WAIT_MS,
         || READ_INTERVAL_MS,
         apply,
-        |_, _, _| {},
+        || {},
+        |_| {},
     )
     .await;
 }
