--- a/crates/coriandertackd/src/fleet/readers.rs
+++ b/crates/coriandertackd/src/fleet/readers.rs
@@ -351,7 +351,7 @@
     );
     shared.config_bytes.store(value.len() as u64, Ordering::Relaxed);
     let (transfer_ms, bound_ms) =
-        (shared.settings.transfer_ms(value.len()), shared.settings.bounds.config_apply_ms);
+        (shared.settings.transfer_ms(value.len()), shared.settings.bounds.apply_ms);
     if transfer_ms > bound_ms / LONG_TRANSFER_SHARE {
         log::warn!(
             "event=config_large bytes={} link_mbps={} transfer_ms={transfer_ms} bound_ms={bound_ms}",
--- a/crates/coriandertackd/src/fleet/settings.rs
+++ b/crates/coriandertackd/src/fleet/settings.rs
@@ -103,7 +103,7 @@
     /// Longest lease that workers accept, in milliseconds.
     pub hold_max_ms: u64,
     /// Time after its publication within which a configuration has to be in force, in milliseconds.
-    pub config_apply_ms: u64,
+    pub apply_ms: u64,
 }
 
 impl Default for Bounds {
@@ -112,7 +112,7 @@
             status_s: 120,
             lease_ms: 3_000,
             hold_max_ms: DEFAULT_LEASE_LIMIT_MS,
-            config_apply_ms: 2_000,
+            apply_ms: 2_000,
         }
     }
 }
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -304,7 +304,7 @@
 
     /// Records that this VM has applied all records of operators that there were at `shown`.
     pub fn record_current_config(&self, shown: BootTime) {
-        let bound_ms = self.settings.bounds.config_apply_ms;
+        let bound_ms = self.settings.bounds.apply_ms;
         self.config_age.send_modify(|age| age.record_current(shown, bound_ms));
     }
 
