--- a/crates/coriandertackd/src/http.rs
+++ b/crates/coriandertackd/src/http.rs
@@ -2,7 +2,7 @@
 //!
 //! The routes limit bodies and queries. The server limits what precedes routing: the number of connections, the bytes
 //! and the time of an unfinished head, and the time without a request. The limits are those of callers on the platform,
-//! see [`connections`](crate::connections) and docs/design/body-limits.md.
+//! see [`connections`] and docs/design/body-limits.md.
 //!
 //! A planned stop waits for requests in flight. When the server is dropped, all connections end at once, as in a
 //! crash, so that none of them outlives the session of the VM.
