--- a/crates/coriandertackd/tests/crowd/main.rs
+++ b/crates/coriandertackd/tests/crowd/main.rs
@@ -10,6 +10,7 @@
 //! with optimizations.
 
 mod clients;
+mod own;
 mod vm;
 
 use std::time::Duration;
@@ -23,6 +24,7 @@
 
 use self::{
     clients::{Client, Crowd, closes_within},
+    own::OwnVm,
     vm::{MAX_BODY_BYTES, Vm},
 };
 
@@ -39,6 +41,9 @@
 const MAX_FDS: usize = 700;
 const FILE_FDS: usize = 200;
 
+/// File descriptors of a process with the product's own interface, fewer than the connections of the crowd.
+const MAX_OWN_FDS: usize = 400;
+
 /// Time within which a connection without a request must be closed. The configured time-outs are 2 s, and the time
 /// allows for a slow machine.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -109,6 +114,24 @@
     withstands(Client::Unread { requests: 2_000 }).await;
 }
 
+/// Guards against clients that keep all others from the product's own interface, since their unfinished heads take all its
+/// descriptors.
+#[tokio::test]
+async fn own_interface_withstands_unfinished_heads() {
+    let _running = RUNNING.lock().await;
+    let mut vm = OwnVm::start(MAX_OWN_FDS).await;
+    let own_kb = vm::peak_memory_kb(vm.id());
+    let crowd = Crowd::open(vm.address(), Client::Head { bytes: 16_000 }, CONNECTIONS);
+    crowd.settled().await;
+    let answers = vm.answers().await;
+    assert!(vm.is_running(), "the process has ended");
+    let added_kb = vm::peak_memory_kb(vm.id()) - own_kb;
+    let room_mb = MEMORY_MB - OWN_MB;
+    assert!(added_kb <= room_mb * 1_024, "the crowd added {added_kb} kB, more than {room_mb} MB");
+    assert!(answers, "an ordinary request was not answered");
+    drop(crowd);
+}
+
 /// Guards against a connection that stays open although its client reads none of its responses.
 #[tokio::test]
 async fn a_connection_with_unread_responses_is_closed() {
--- a/crates/coriandertackd/tests/crowd/vm.rs
+++ b/crates/coriandertackd/tests/crowd/vm.rs
@@ -77,6 +77,13 @@
     !cfg!(debug_assertions) || env::var_os("VM_PROGRAM").is_some()
 }
 
+/// Returns the peak resident memory of a process in kB.
+pub fn peak_memory_kb(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
 impl Vm {
     /// Starts a process with further sections of the settings, and waits until it serves requests.
     pub async fn start(settings: &str) -> Self {
@@ -145,9 +152,7 @@
 
     /// Returns the peak resident memory of the process in kB.
     pub fn peak_memory_kb(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
-        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+        peak_memory_kb(self.child.id())
     }
 
     /// Returns the highest number of descriptors that the process had open until a future resolved.
