--- a/review/9/case.py
+++ b/review/beyond-2/filling/case.py
@@ -6,7 +6,7 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "lib-2"))
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "lib-2"))
 from standins import CannotRun, Deployment, play  # noqa: E402
 
 SERVICE, FILLING = "5c0e7a21d94b36f8", "00000bb87a21d94b"
