Log what tells lost ends of runs apart

The record could not tell an acknowledgement that reached another life of a worker from an end without a record or a late list: no line named acknowledgements, or what the leader knew of a task whose end it processed.

- acknowledgement_unanswered and acknowledged_to_other name acknowledgements that may take effect on another life.
- run_unlisted tells whether the worker had started the run, the size of the list, and the last end that was listed and acknowledged; a counter, runs_unlisted.
- run_ended tells what the leader knew of the task.
- leadership_released tells the offset of its record, to compare with takeover.

The lines are written for rare events or extend existing ones, so the volume stays as it was.

--- a/crates/coriandertack-jobs/src/sched/run_ends.rs
+++ b/crates/coriandertack-jobs/src/sched/run_ends.rs
@@ -23,14 +23,14 @@
         worker.processed_end = worker.processed_end.max(end.number);
         let run = worker.take_run(&mut self.ledger, (task, attempt));
         let run_ms = run.map_or(0, |run| now.ms_since(run.bound_at));
+        let (name, born) = (Arc::clone(&worker.name), worker.born.unwrap_or_default());
         self.stats.ends[end.cause as usize] += 1;
         log::info!(
-            "event=run_ended task={task} attempt={attempt} worker={} cause={} run_ms={run_ms} end={} \
-             born={}",
-            worker.name,
+            "event=run_ended task={task} attempt={attempt} worker={name} cause={} run_ms={run_ms} end={} \
+             born={born} known={}",
             end.cause,
             end.number,
-            worker.born.unwrap_or_default()
+            self.knowledge_of(task, attempt)
         );
         match end.cause {
             EndCause::Done => self.record_success(key),
@@ -59,6 +59,17 @@
         }
     }
 
+    /// Returns what the leader knows of a run that ended, for the log.
+    fn knowledge_of(&self, task: TaskId, attempt: u32) -> &'static str {
+        match self.task(task) {
+            Some(known) if known.placement == Placement::Done => "done",
+            Some(known) if known.attempt == attempt => "latest",
+            Some(_) => "other_attempt",
+            None if self.ended_jobs.contains_key(&task.job) => "job_ended",
+            None => "job_unknown",
+        }
+    }
+
     /// Changes the phase of a queued job to running.
     pub(super) fn mark_running(&mut self, task: TaskId) {
         let Some(&key) = self.job_index.get(&task.job) else { return };
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -161,15 +161,20 @@
         for (task, attempt) in missing {
             let Some(worker) = self.workers.get(key) else { return };
             let confirmed_at = worker.runs.get(&(task, attempt)).and_then(|run| run.confirmed_at);
+            let started = worker.runs.get(&(task, attempt)).is_some_and(|run| run.started);
             log::info!(
                 "event=run_unlisted task={task} attempt={attempt} worker={} evidence_ms={} born={} \
-                 confirmed_ms={} read_offset={}",
+                 confirmed_ms={} started={started} listed={} last_end={} acknowledged={} read_offset={}",
                 worker.name,
                 now.ms_since(sent),
                 run_list.born.unwrap_or_default(),
                 now.ms_since(confirmed_at.unwrap_or(now)),
+                run_list.running.len() + run_list.ended.len(),
+                worker.processed_end,
+                worker.acknowledged_end,
                 self.read_offset
             );
+            self.stats.unlisted[usize::from(started)] += 1;
             self.remove_run(key, task, attempt, "unlisted", now);
         }
     }
--- a/crates/coriandertack-jobs/src/sched/stats.rs
+++ b/crates/coriandertack-jobs/src/sched/stats.rs
@@ -13,6 +13,8 @@
     pub ends: [u64; EndCause::ALL.len()],
     /// Number of runs lost with their worker by cause, in the order of [`LossCause::ALL`].
     pub lost: [u64; LossCause::ALL.len()],
+    /// Number of runs that a list omitted: of those that were not known to have started, and of the others.
+    pub unlisted: [u64; 2],
     /// Number of refused starts by reason, in the order of [`StartRefusal::ALL`].
     pub refused: [u64; StartRefusal::COUNT],
     /// Number of runs stopped because they made no progress.
@@ -33,8 +35,13 @@
         self.advice += more.advice;
         self.quarantined += more.quarantined;
         self.given_up += more.given_up;
-        let sums = self.ends.iter_mut().chain(&mut self.refused).chain(&mut self.lost);
-        let parts = more.ends.iter().chain(&more.refused).chain(&more.lost);
+        let sums = self
+            .ends
+            .iter_mut()
+            .chain(&mut self.refused)
+            .chain(&mut self.lost)
+            .chain(&mut self.unlisted);
+        let parts = more.ends.iter().chain(&more.refused).chain(&more.lost).chain(&more.unlisted);
         sums.zip(parts).for_each(|(sum, part)| *sum += part);
     }
 }
--- a/crates/coriandertackd/src/fleet/handover.rs
+++ b/crates/coriandertackd/src/fleet/handover.rs
@@ -49,7 +49,11 @@
     let fence = Some(Fence { epoch: leadership.epoch, number: number + 1 });
     let result = store.append(Topic::Progress, &[Record { key, value }], fence, None).await;
     match result {
-        Ok(_) => log::info!("event=leadership_released epoch={}", leadership.epoch),
+        Ok(appended) => log::info!(
+            "event=leadership_released epoch={} offset={}",
+            leadership.epoch,
+            appended.first
+        ),
         Err(error) => {
             log::warn!("event=release_failed epoch={} error=\"{error}\"", leadership.epoch);
         }
--- a/crates/coriandertackd/src/fleet/metrics.rs
+++ b/crates/coriandertackd/src/fleet/metrics.rs
@@ -221,6 +221,11 @@
         let cause = |cause: &LossCause| vec![KeyValue::new("cause", cause.to_string())];
         lost.stats().lost.into_iter().zip(LossCause::ALL.iter().map(cause)).collect()
     });
+    let unlisted = shared.clone();
+    counter(meter, "runs_unlisted", "runs that the list of their worker omitted", move || {
+        let started = ["false", "true"].map(|text| vec![KeyValue::new("started", text)]);
+        unlisted.stats().unlisted.into_iter().zip(started).collect()
+    });
     let refused = shared.clone();
     counter(meter, "starts_refused", "starts that workers refused, by reason", move || {
         let reason = |reason: &StartRefusal| vec![KeyValue::new("reason", reason.to_string())];
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -11,7 +11,7 @@
 use {
     coriandertack_jobs::{
         boot_time::BootTime,
-        report::StartRefusal,
+        report::{RunList, StartRefusal},
         sched::{Batch, LossCause, StartCommand, StartOutcome, WorkerCommand, WorkerKey},
     },
     coriandertack_platform::{
@@ -359,6 +359,7 @@
             response = Err(ListError::Unreadable);
         }
         let received = clock::now();
+        log_acknowledgement(&leadership, key, acknowledged, &response);
         let replaced = matches!(response, Err(ListError::Refused(StartRefusal::Replaced)));
         let refused = matches!(response, Err(ListError::Call(CallError::Refused)));
         let broken = refused || matches!(response, Err(ListError::Call(CallError::Broken)));
@@ -422,3 +423,29 @@
         pause = (pause * 2).min(RETRY_MS.1);
     }
 }
+
+/// Logs an acknowledgement that may take effect on another incarnation than the one that listed the ends: because it was
+/// not answered, or because another incarnation answered it.
+fn log_acknowledgement(
+    leadership: &Leadership,
+    key: WorkerKey,
+    acknowledged: u64,
+    response: &Result<RunList, ListError>,
+) {
+    let scheduler = leadership.scheduler();
+    let Some(worker) = scheduler.worker(key).filter(|_| acknowledged > 0) else { return };
+    let born = worker.born.unwrap_or_default();
+    match response {
+        Ok(run_list) if run_list.born == worker.born => {}
+        Ok(run_list) => log::warn!(
+            "event=acknowledged_to_other worker={} through={acknowledged} born={born} answered_born={}",
+            worker.name,
+            run_list.born.unwrap_or_default()
+        ),
+        Err(error) => log::info!(
+            "event=acknowledgement_unanswered worker={} through={acknowledged} born={born} \
+             error=\"{error}\"",
+            worker.name
+        ),
+    }
+}
