Bar calls to workers that got no answer, and acknowledge ends where they were listed

Cause: a command names the worker, not its life, and may be carried out seconds later. An acknowledgement for the former life of a worker, held up, repeated after a failure or sent on a connection that was opened again without a word, made the next life drop ends that no list had shown. The leader found the run in no list and started the task again. In the same way, a start that a stop had barred on one life was carried out by the next, beside the run elsewhere.

Change: the fencing token of commands is the epoch and, below it, a counter that rises with each call without an answer and with each life of a worker. The answer to a list with the raised token bars all earlier calls on that life; it settles starts without an answer, which are no longer stopped, and are kept if the worker has carried them out. Ends are acknowledged only on the connection on which the life listed them, after it has answered a list with the present token; the request is not sent if that connection has closed. A worker with a call that may still arrive is listed all the while, so that its next life sees the token early, and its first list counts the longest lease. A refusal because of a token of our own that is higher deposes nobody.

--- a/crates/coriandertack-jobs/src/sched/commands.rs
+++ b/crates/coriandertack-jobs/src/sched/commands.rs
@@ -86,12 +86,13 @@
             );
             return false;
         }
+        let token = worker.token;
         let wanted = |run: &&mut Run| run.stopped_at.is_none();
         let Some(run) = worker.runs.get_mut((task, attempt)).filter(wanted) else {
             log::info!("event=start_unwanted task={task} attempt={attempt} worker={}", worker.name);
             return false;
         };
-        run.sent_at = Some(now);
+        (run.sent_at, run.token) = (Some(now), token);
         true
     }
 
@@ -169,7 +170,8 @@
                     worker.name
                 );
                 worker.avoided_until = worker.avoided_until.max(now.plus_ms(UNREACHABLE_PAUSE_MS));
-                self.stop_run(key, task, attempt, "unanswered", now);
+                run.sent_at.get_or_insert(now);
+                self.record_unanswered(key, now);
             }
         }
     }
--- a/crates/coriandertack-jobs/src/sched/incarnations.rs
+++ b/crates/coriandertack-jobs/src/sched/incarnations.rs
@@ -21,7 +21,8 @@
     Ended,
     /// The run is on the next incarnation, or may be.
     Present,
-    /// The start was not answered, and may be carried out by the next incarnation.
+    /// The start was not answered, and may be carried out by the next incarnation until a list of it with a higher
+    /// fencing token is answered.
     Pending,
 }
 
@@ -70,12 +71,12 @@
         let kept: Vec<_> = runs.filter(|(_, found)| *found != Whereabouts::Ended).collect();
         let (name, successor) = (Arc::clone(&worker.name), worker.successor());
         if !kept.is_empty() {
-            let lease_end = self.kept_lease_end(&name, now);
-            let next = self.workers.insert(Worker::new(Arc::clone(&name), lease_end));
+            let next = self.next_incarnation(&name, now);
+            let next = self.workers.insert(next);
             self.worker_index.insert(Arc::clone(&name), next);
             for (id, found) in kept {
                 if let Some(run) = worker.take_run(&mut self.ledger, id) {
-                    self.move_run(key, next, id, run, found, now);
+                    self.move_run(key, next, id, run, found);
                 }
             }
         }
@@ -94,7 +95,6 @@
         id: RunId,
         mut run: Run,
         found: Whereabouts,
-        now: BootTime,
     ) {
         let (task, attempt) = id;
         // The incarnation is unknown until a list shows the run.
@@ -117,8 +117,5 @@
         if let Some(&key) = self.job_index.get(&task.job) {
             self.mark_changed(key);
         }
-        if found == Whereabouts::Pending {
-            self.stop_run(next, task, attempt, "reborn", now);
-        }
     }
 }
--- a/crates/coriandertack-jobs/src/sched/leases.rs
+++ b/crates/coriandertack-jobs/src/sched/leases.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 
 use super::{
-    MAX_CLOCK_DRIFT_PERMILLE, MAX_RENEWAL_MS, Scheduler, Worker, teams::TAKEOVER_LIST_WAIT_MS,
+    MAX_CLOCK_DRIFT_PERMILLE, MAX_RENEWAL_MS, Scheduler, Worker, calls::late_until,
+    teams::TAKEOVER_LIST_WAIT_MS,
 };
 
 use crate::boot_time::BootTime;
@@ -25,6 +26,15 @@
     ms * 1_000 / (1_000 - MAX_CLOCK_DRIFT_PERMILLE) + 1
 }
 
+/// Until when the calls to a worker matter to the next incarnation of its name.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct FormerCalls {
+    /// When no lease that they extend can last any longer.
+    lease_end: BootTime,
+    /// Until when they may be carried out.
+    late_until: BootTime,
+}
+
 impl Scheduler {
     /// Sets the longest lease that workers accept, in milliseconds.
     pub fn set_lease_limit(&mut self, limit_ms: u64) {
@@ -42,24 +52,32 @@
         arrival.plus_ms(slowest_ms(self.lease_limit_ms))
     }
 
-    /// Keeps the end of the leases of a worker that is removed for the next incarnation of its name.
+    /// Keeps until when calls to a worker that is removed matter to the next incarnation of its name.
     ///
     /// If the worker is idle, no call to it is under way, and the last one with a lease was sent when
     /// the lease was granted.
-    pub(super) fn keep_lease_end(&mut self, worker: &Worker, now: BootTime) {
-        self.lease_ends.retain(|_, end| *end > now);
+    pub(super) fn keep_calls(&mut self, worker: &Worker, now: BootTime) {
+        self.former_calls.retain(|_, calls| calls.lease_end > now || calls.late_until > now);
         let Some(granted_at) = worker.granted_at else { return };
-        let sent = if worker.is_idle() { granted_at } else { now };
-        let end = self.longest_lease_end(sent.plus_ms(MAX_CALL_DELAY_MS)).max(worker.lease_end());
-        if end > now {
-            self.lease_ends.insert(Arc::clone(&worker.name), end);
+        let idle = worker.is_idle(now);
+        let sent = if idle { granted_at } else { now };
+        let lease_end =
+            self.longest_lease_end(sent.plus_ms(MAX_CALL_DELAY_MS)).max(worker.lease_end());
+        let late_until = if idle { worker.late_until } else { late_until(now) };
+        let calls = FormerCalls { lease_end, late_until };
+        if lease_end > now || late_until > now {
+            self.former_calls.insert(Arc::clone(&worker.name), calls);
         }
     }
 
-    /// Returns when the leases have expired that a worker of this name may hold before this leader
-    /// grants it any.
-    pub(super) fn kept_lease_end(&self, name: &str, now: BootTime) -> BootTime {
-        self.lease_ends.get(name).map_or(now, |end| now.max(*end))
+    /// Creates the next incarnation of a worker. Its commands have a higher fencing token than any that was sent to a
+    /// worker of this name, and its leases end when those have that such calls may have extended.
+    pub(super) fn next_incarnation(&mut self, name: &Arc<str>, now: BootTime) -> Worker {
+        let former = self.former_calls.get(name).copied().unwrap_or_default();
+        let token = self.raise_token();
+        let mut worker = Worker::new(Arc::clone(name), now.max(former.lease_end), token);
+        worker.late_until = former.late_until;
+        worker
     }
 
     /// Returns when the leases have expired that calls of a former leader may have extended on a worker
--- a/crates/coriandertack-jobs/src/sched/lost.rs
+++ b/crates/coriandertack-jobs/src/sched/lost.rs
@@ -106,7 +106,7 @@
 
     /// Moves runs to a worker of the same name that is to be removed.
     fn split_runs(&mut self, ledger: &mut Ledger, ids: &[RunId]) -> Self {
-        let mut lost = Self::new(Arc::clone(&self.name), self.lease_end());
+        let mut lost = Self::new(Arc::clone(&self.name), self.lease_end(), self.token);
         lost.entry = self.entry.clone();
         lost.evacuating = self.evacuating;
         lost.born = self.born;
@@ -143,6 +143,11 @@
         worker.silent_since.get_or_insert(since);
         worker.silent_until = now.plus_ms(SILENCE_PAUSE_MS);
         worker.refusals = if refused { worker.refusals + 1 } else { 0 };
+        match refused {
+            true => self.bar_calls(key),
+            false => self.record_unanswered(key, now),
+        }
+        let Some(worker) = self.workers.get(key) else { return false };
         if worker.run_count() == 0 {
             if worker.refusals >= MAX_REFUSALS {
                 self.remove_lost_worker(key, LossCause::Refused, now);
@@ -262,7 +267,7 @@
         let worker = self.workers.remove(key)?;
         self.worker_index.remove(&worker.name);
         self.acks.remove(&key);
-        self.keep_lease_end(&worker, now);
+        self.keep_calls(&worker, now);
         Some(worker)
     }
 
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -10,6 +10,7 @@
 
 mod advice;
 mod advice_vms;
+mod calls;
 mod cancel;
 mod commands;
 mod containment;
@@ -54,6 +55,7 @@
 pub use self::{
     advice::{AdviceCall, Ticket},
     advice_vms::AdviceVm,
+    calls::{FencingToken, ListCall},
     commands::{StartCommand, StartOutcome, WorkerCommand},
     leases::DEFAULT_LEASE_LIMIT_MS,
     lost::LossCause,
@@ -68,6 +70,7 @@
 use self::{
     advice::AdviceState,
     containment::CrashHistory,
+    leases::FormerCalls,
     teams::CapWaits,
     worker::{RunCost, RunProfile},
 };
@@ -234,10 +237,12 @@
     usage_known: BootTime,
     /// Multiple of its fair share up to which a team keeps its place in the queue.
     share_tolerance: f64,
+    /// Highest fencing token of any command so far.
+    token: FencingToken,
     /// Longest lease that workers accept, in milliseconds.
     lease_limit_ms: u64,
-    /// When no lease of a removed worker can last any longer, by its name.
-    lease_ends: HashMap<Arc<str>, BootTime>,
+    /// Calls to removed workers that matter to the next incarnation, by the name of the worker.
+    former_calls: HashMap<Arc<str>, FormerCalls>,
     /// When no call of a former leader can be carried out any more.
     calls_end: BootTime,
     /// Current delay between binding a task and its record being durable, in milliseconds.
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Placement, Scheduler, WorkerKey, worker::Run};
+use super::{ListCall, Placement, Scheduler, WorkerKey, worker::Run};
 
 use crate::{
     boot_time::BootTime,
@@ -11,13 +11,13 @@
 };
 
 impl Scheduler {
-    /// Applies a list of runs that was requested at `sent`. Returns `None` if the list is from
+    /// Applies the list of runs that answers `call`. Returns `None` if the list is from
     /// another incarnation, which has then replaced the worker. A list that does not tell its
     /// incarnation has no effect, unless the worker has never told one.
     pub fn apply_run_list(
         &mut self,
         key: WorkerKey,
-        sent: BootTime,
+        call: &ListCall,
         run_list: &RunList,
         now: BootTime,
     ) -> Option<()> {
@@ -26,17 +26,23 @@
             return Some(());
         }
         if worker.born.is_some_and(|born| run_list.born.is_some_and(|listed| listed != born)) {
-            self.replace_incarnation(key, sent, run_list, now);
+            self.replace_incarnation(key, call.sent_at, run_list, now);
             return None;
         }
         worker.born = worker.born.or(run_list.born);
         self.lose_former_runs(key, run_list, now);
         let former_lease_end = self.former_lease_end(run_list.clock_ms, now);
+        let longest_lease_end = self.longest_lease_end(now);
         let worker = self.workers.get_mut(key)?;
+        // The call that the list answers is the first to bar those for the former incarnation.
+        if worker.is_watched(now) && !worker.listed {
+            worker.inherit_leases(longest_lease_end);
+        }
         if let Some(end) = former_lease_end.filter(|_| !worker.listed) {
             worker.inherit_leases(end);
         }
         worker.record_answer(now);
+        worker.record_list_answer(call);
         worker.record_clock(run_list.clock_ms, now);
         worker.listed = true;
         for end in &run_list.ended {
@@ -53,7 +59,7 @@
         for running in &run_list.running {
             self.apply_active_run(key, running, now);
         }
-        self.remove_unlisted(key, sent, run_list, now);
+        self.remove_unlisted(key, call, run_list, now);
         self.repeat_stops(key, now);
         Some(())
     }
@@ -135,12 +141,12 @@
         }
     }
 
-    /// Removes runs that the worker had confirmed before the list was requested, and that the list
-    /// does not contain.
+    /// Removes runs that the list does not contain, if the worker had confirmed them before the list was
+    /// requested, or if the token of the list bars their starts.
     fn remove_unlisted(
         &mut self,
         key: WorkerKey,
-        sent: BootTime,
+        call: &ListCall,
         run_list: &RunList,
         now: BootTime,
     ) {
@@ -154,7 +160,7 @@
         let missing: Vec<_> = worker
             .runs
             .iter()
-            .filter(|(_, run)| run.confirmed_at.is_some_and(|at| at < sent))
+            .filter(|(_, run)| run.is_settled_by(call))
             .map(|(id, _)| *id)
             .filter(|id| !listed(id))
             .collect();
@@ -166,10 +172,10 @@
                 "event=run_unlisted task={task} attempt={attempt} worker={} evidence_ms={} born={} \
                  confirmed_ms={} started={started} listed={} last_end={} acknowledged={} read_offset={}",
                 worker.name,
-                now.ms_since(sent),
+                now.ms_since(call.sent_at),
                 run_list.born.unwrap_or_default(),
                 now.ms_since(confirmed_at.unwrap_or(now)),
-                run_list.running.len() + run_list.ended.len(),
+                run_list.size(),
                 worker.processed_end,
                 worker.acknowledged_end,
                 self.read_offset
--- a/crates/coriandertack-jobs/src/sched/takeover.rs
+++ b/crates/coriandertack-jobs/src/sched/takeover.rs
@@ -112,7 +112,8 @@
         if let Some(&key) = self.worker_index.get(name) {
             return key;
         }
-        let worker = Worker::new(name.clone(), self.inherited_lease_end(now));
+        let token = self.raise_token();
+        let worker = Worker::new(name.clone(), self.inherited_lease_end(now), token);
         let key = self.workers.insert(worker);
         self.worker_index.insert(name.clone(), key);
         key
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -5,7 +5,7 @@
 use {coriandertack_core::resources::Resources, slotmap::new_key_type};
 
 use super::{
-    LossCause, MAX_CLOCK_DRIFT_PERMILLE, MAX_LEASE_MS, Scheduler,
+    FencingToken, LossCause, MAX_CLOCK_DRIFT_PERMILLE, MAX_LEASE_MS, Scheduler,
     leases::slowest_ms,
     runs::RunTable,
     speed::{Speed, SpeedClass},
@@ -105,6 +105,8 @@
     pub(super) confirmed_at: Option<BootTime>,
     /// When the start was sent to the worker; `None` if it was not.
     pub(super) sent_at: Option<BootTime>,
+    /// Fencing token of the start that was sent; the lowest for one that a former leader sent.
+    pub(super) token: FencingToken,
     /// Whether the worker is known to have started the run.
     pub(super) started: bool,
     /// Whether the incarnation that returned the last list is known to hold the run. A start names the
@@ -132,6 +134,7 @@
             born: None,
             confirmed_at: None,
             sent_at: None,
+            token: FencingToken::default(),
             started: false,
             attributed: false,
             probation: false,
@@ -188,6 +191,12 @@
     /// Whether the worker has returned a list of runs to this leader, which also raised the fencing
     /// token that the worker accepts.
     pub listed: bool,
+    /// Fencing token of the commands that are sent now.
+    pub(super) token: FencingToken,
+    /// Highest token of a list that the incarnation has answered; `None` if it has answered none.
+    pub(super) listed_token: Option<FencingToken>,
+    /// Until when a call without an answer may be carried out.
+    pub(super) late_until: BootTime,
     /// Number of the last end that was processed.
     pub(super) processed_end: u64,
     /// Number of the last end that was acknowledged in a request for a list that the worker
@@ -229,13 +238,17 @@
 }
 
 impl Worker {
-    pub(super) fn new(name: Arc<str>, lease_end: BootTime) -> Self {
+    /// Creates a worker whose calls have a higher fencing token than any to a worker of this name before.
+    pub(super) fn new(name: Arc<str>, lease_end: BootTime, token: FencingToken) -> Self {
         Self {
             name,
             entry: None,
             born: None,
             absent: true,
             listed: false,
+            token,
+            listed_token: None,
+            late_until: BootTime(0),
             processed_end: 0,
             acknowledged_end: 0,
             recorded_end: 0,
@@ -334,7 +347,7 @@
     /// collects several ends in one list, but the end of an urgent run should be noticed at once.
     #[must_use]
     pub fn list_interval_ms(&self, now: BootTime) -> u64 {
-        if self.is_stopping() {
+        if self.is_stopping() || self.has_open_starts() {
             return STOPPING_LIST_INTERVAL_MS;
         }
         let urgent =
@@ -358,7 +371,7 @@
     /// start elsewhere.
     #[must_use]
     pub fn list_wait_ms(&self) -> u64 {
-        if self.is_stopping() {
+        if self.is_stopping() || self.has_open_starts() {
             return 0;
         }
         let timeouts = self.runs.values().map(|run| run.profile.stall_timeout_ms() / 2);
@@ -376,12 +389,6 @@
         self.runs.keys().copied()
     }
 
-    /// Returns true if nothing is expected from the worker, so that its list need not be requested.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.run_count() == 0 && self.listed && !self.has_ends_to_acknowledge()
-    }
-
     /// Returns true if ends were processed that the worker keeps listing because they are not
     /// acknowledged yet.
     #[must_use]
@@ -391,11 +398,7 @@
 
     /// Returns the number of the last end to acknowledge with the next request for a list; 0 if there
     /// is none.
-    ///
-    /// The request may reach the next incarnation, which numbers its ends anew and would forget those
-    /// up to this number before any list has shown them.
-    #[must_use]
-    pub const fn end_to_acknowledge(&self) -> u64 {
+    pub(super) const fn end_to_acknowledge(&self) -> u64 {
         if self.recorded_end > self.acknowledged_end { self.recorded_end } else { 0 }
     }
 
@@ -518,7 +521,7 @@
                 return key;
             }
         }
-        let mut worker = Worker::new(Arc::clone(name), self.kept_lease_end(name, now));
+        let mut worker = self.next_incarnation(name, now);
         worker.absent = false;
         log_joined(name, &entry);
         self.crash_history.record_join(&entry.service);
--- a/crates/coriandertackd/src/fleet/handover.rs
+++ b/crates/coriandertackd/src/fleet/handover.rs
@@ -27,6 +27,10 @@
 /// decisions for all callers.
 pub fn is_due(leadership: &Leadership) -> bool {
     let shared = &leadership.shared;
+    if leadership.scheduler().has_spent_tokens() {
+        log::warn!("event=tokens_spent epoch={}", leadership.epoch);
+        return true;
+    }
     let now = clock::now();
     let handovers = shared.counters.handovers.load(Ordering::Relaxed);
     let term = MIN_TERM_MS.saturating_mul(1 << handovers.min(8)).min(MAX_TERM_MS);
--- a/crates/coriandertackd/src/fleet/leadership.rs
+++ b/crates/coriandertackd/src/fleet/leadership.rs
@@ -211,6 +211,7 @@
     }
     let Some(config) = shared.config() else { return };
     let mut scheduler = Scheduler::new(config);
+    scheduler.set_epoch(epoch);
     scheduler.set_lease_limit(shared.settings.bounds.hold_max_ms);
     scheduler.set_share_tolerance(shared.settings.teams.share_tolerance);
     if epoch > 1 {
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -12,7 +12,9 @@
     coriandertack_jobs::{
         boot_time::BootTime,
         report::{RunList, StartRefusal},
-        sched::{Batch, LossCause, StartCommand, StartOutcome, WorkerCommand, WorkerKey},
+        sched::{
+            Batch, FencingToken, LossCause, StartCommand, StartOutcome, WorkerCommand, WorkerKey,
+        },
     },
     coriandertack_platform::{
         http::CallError,
@@ -242,9 +244,6 @@
         match command {
             WorkerCommand::Start(start) => {
                 let outcome = start_task(&leadership, key, &mut worker, &start, until).await;
-                if outcome == StartOutcome::Refused(StartRefusal::Fenced) {
-                    leadership.depose("worker");
-                }
                 let now = clock::now();
                 leadership.scheduler().record_start_outcome(
                     key,
@@ -258,8 +257,15 @@
                 }
             }
             WorkerCommand::Stop { task, attempt, .. } => {
-                match worker.stop(task, attempt, leadership.epoch).await {
-                    Ok(response) if response.refusal == Some(StartRefusal::Fenced) => {
+                let Some(token) = leadership.scheduler().worker(key).map(|state| state.token())
+                else {
+                    continue;
+                };
+                match worker.stop(task, attempt, token).await {
+                    Ok(response)
+                        if response.refusal == Some(StartRefusal::Fenced)
+                            && leads_elsewhere(&leadership, key, token) =>
+                    {
                         leadership.depose("worker");
                     }
                     Ok(response) if response.refusal.is_none() => {
@@ -278,8 +284,8 @@
     }
 }
 
-/// Sends a start. A start without an answer is not retried: a stop, which also prevents a late start, takes no longer,
-/// and the task can then be started elsewhere.
+/// Sends a start. A start without an answer is not retried: the next list tells whether the run is there, and bars it
+/// otherwise, so that the task can be started elsewhere.
 async fn start_task(
     leadership: &Leadership,
     key: WorkerKey,
@@ -288,7 +294,7 @@
     until: BootTime,
 ) -> StartOutcome {
     let now = clock::now();
-    let lease_end = {
+    let (lease_end, token) = {
         let mut scheduler = leadership.scheduler();
         let lease_end = scheduler.worker_mut(key).and_then(|worker| worker.grant_lease(now));
         let (Some(lease_end), true) = (lease_end, now < until) else {
@@ -297,7 +303,10 @@
         if !scheduler.prepare_start(key, start.task, start.attempt, now) {
             return StartOutcome::NotSent;
         }
-        lease_end
+        let Some(token) = scheduler.worker(key).map(|state| state.token()) else {
+            return StartOutcome::NotSent;
+        };
+        (lease_end, token)
     };
     Counters::count(&leadership.shared.counters.starts);
     metrics::record(&leadership.shared.latencies.waiting, start.waited_ms);
@@ -306,7 +315,7 @@
         attempt: start.attempt,
         payload: &start.payload,
         lease_end,
-        token: leadership.epoch,
+        token,
         checkpoint: &start.checkpoint,
         ticket: start.ticket.as_ref().map(|ticket| &*ticket.text),
     };
@@ -315,13 +324,25 @@
         let mut scheduler = leadership.scheduler();
         scheduler.record_start_clock(key, start.task, start.attempt, clock_ms, clock::now());
     }
+    if let Ok(CommandResponse { refusal: Some(StartRefusal::Fenced), .. }) = result
+        && leads_elsewhere(leadership, key, token)
+    {
+        leadership.depose("worker");
+    }
     match result {
         Ok(response) => response.refusal.map_or(StartOutcome::Started, StartOutcome::Refused),
         Err(CallError::Broken | CallError::Unanswered) => StartOutcome::Unanswered,
-        Err(CallError::Refused | CallError::Unreachable) => StartOutcome::NotSent,
+        Err(CallError::Refused | CallError::Unreachable | CallError::Closed) => {
+            StartOutcome::NotSent
+        }
     }
 }
 
+/// Returns whether a worker that refused a command with `token` has seen that of another leader.
+fn leads_elsewhere(leadership: &Leadership, key: WorkerKey, token: FencingToken) -> bool {
+    !leadership.scheduler().is_outdated(key, token)
+}
+
 /// Polls a worker's list while it has runs, which also renews its lease.
 async fn poll_runs(
     leadership: Arc<Leadership>,
@@ -334,32 +355,30 @@
     let mut answered = false;
     loop {
         let now = clock::now();
-        let request = {
+        let call = {
             let mut scheduler = leadership.scheduler();
             let Some(state) = scheduler.worker_mut(key) else { return };
-            let idle = state.is_idle();
-            // A lease is renewed only while answers arrive. A worker whose answers are lost ends its runs when the
-            // lease expires, so that they can run elsewhere.
-            let lease = (answered && leadership.can_renew_leases())
-                .then(|| state.grant_lease(now))
-                .flatten();
-            // Without runs, the list is needed only to acknowledge ends.
-            let wait = if answered && state.run_count() > 0 { state.list_wait_ms() } else { 0 };
-            (!idle).then_some((state.end_to_acknowledge(), lease, Duration::from_millis(wait)))
+            let open = answered && worker.is_connected();
+            state.next_list(open, leadership.can_renew_leases(), now)
         };
-        let Some((acknowledged, lease, wait)) = request else {
+        let Some(call) = call else {
             wake.notified().await;
             continue;
         };
         Counters::count(&leadership.shared.counters.lists);
-        let mut response = worker.list(leadership.epoch, acknowledged, lease, wait).await;
+        let mut response = worker.list(call).await;
+        if matches!(response, Err(ListError::Call(CallError::Closed))) {
+            // The request was not sent. The next one opens a connection, and acknowledges nothing.
+            answered = false;
+            continue;
+        }
         if let Ok(run_list) = &response
             && leadership.scheduler().worker(key).is_some_and(|w| !w.can_attribute(run_list))
         {
             response = Err(ListError::Unreadable);
         }
         let received = clock::now();
-        log_acknowledgement(&leadership, key, acknowledged, &response);
+        log_acknowledgement(&leadership, key, call.acknowledged, &response);
         let replaced = matches!(response, Err(ListError::Refused(StartRefusal::Replaced)));
         let refused = matches!(response, Err(ListError::Call(CallError::Refused)));
         let broken = refused || matches!(response, Err(ListError::Call(CallError::Broken)));
@@ -368,11 +387,9 @@
                 let (pending, known, delay_ms) = {
                     let mut scheduler = leadership.scheduler();
                     let known =
-                        scheduler.apply_run_list(key, now, &run_list, clock::now()).is_some();
-                    let pending = scheduler.worker_mut(key).is_some_and(|state| {
-                        state.acknowledged_end = state.acknowledged_end.max(acknowledged);
-                        state.has_unrecorded_ends()
-                    });
+                        scheduler.apply_run_list(key, &call, &run_list, clock::now()).is_some();
+                    let pending =
+                        scheduler.worker(key).is_some_and(|state| state.has_unrecorded_ends());
                     let now = clock::now();
                     let delay_ms =
                         scheduler.worker(key).map_or(0, |state| state.list_interval_ms(now));
@@ -397,7 +414,9 @@
                 sleep(delay).await;
                 continue;
             }
-            Err(ListError::Refused(StartRefusal::Fenced)) => {
+            Err(ListError::Refused(StartRefusal::Fenced))
+                if leads_elsewhere(&leadership, key, call.token) =>
+            {
                 leadership.depose("worker");
                 return;
             }
