Test of planned stops in series, with appends that are carried out late

The test stops the leader again and again while jobs are submitted, with a store that is slow, loses responses, carries out appends late or answers reads late. The store stand-in gains the last two faults.

--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -39,8 +39,15 @@
     pub silent: bool,
     /// Every n-th append takes effect without a response; 0 disables this.
     pub lost_every: u64,
+    /// Every n-th append gets no response, and takes effect only after `late_ms` if its condition holds then; 0 disables
+    /// this.
+    pub late_every: u64,
+    /// Delay of late appends, in milliseconds.
+    pub late_ms: u64,
     /// Additional delay of every request, in milliseconds.
     pub delay_ms: u64,
+    /// Additional delay of the response to a read of records, in milliseconds, which makes the response outdated.
+    pub read_ms: u64,
     /// Additional delay of a page of newest records, in milliseconds.
     pub page_ms: u64,
     /// Pages of newest records end with items that no reader can decode.
@@ -109,6 +116,8 @@
     topics: HashMap<String, Topic>,
     faults: Faults,
     appends: u64,
+    /// Number of appends that arrived while some were carried out late.
+    late_appends: u64,
     /// Items that replace those of some keys in pages of newest records.
     replaced_items: HashMap<String, Value>,
     /// Number of requests by path and topic.
@@ -277,8 +286,19 @@
     }
     let topic = call.query_param("topic")?.to_owned();
     match call.path.as_str() {
+        "/api/log-append" if is_late(&state) => {
+            tokio::spawn(async move {
+                sleep(Duration::from_millis(faults.late_ms)).await;
+                append(&state, &changed, &topic, &call)
+            });
+            None
+        }
         "/api/log-append" => append(&state, &changed, &topic, &call),
-        "/api/log-read" => read(&state, &changed, &topic, &call).await,
+        "/api/log-read" => {
+            let reply = read(&state, &changed, &topic, &call).await;
+            sleep(Duration::from_millis(faults.read_ms)).await;
+            reply
+        }
         "/api/log-newest" => {
             sleep(Duration::from_millis(faults.page_ms)).await;
             newest(&state, &topic, &call)
@@ -287,6 +307,14 @@
     }
 }
 
+/// Counts an append, and returns whether it is to be carried out late.
+fn is_late(state: &Shared<State>) -> bool {
+    let mut state = lock(state);
+    let every = state.faults.late_every;
+    state.late_appends += u64::from(every > 0);
+    every > 0 && state.late_appends.is_multiple_of(every)
+}
+
 fn append(state: &Shared<State>, changed: &Notify, topic_name: &str, call: &ApiCall) -> Reply {
     let mut state = lock(state);
     if state.faults.refused_topic == Some(topic_name) {
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -13,7 +13,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc,
-        atomic::{AtomicU16, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU16, AtomicU32, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -36,6 +36,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
+        task::JoinHandle,
         time::{sleep, timeout},
     },
 };
@@ -57,6 +58,9 @@
 const WORKER_MILLICORES: u64 = 4_000;
 const STEP_NEEDS: [u64; 2] = [500, 1_000];
 
+/// First id of the jobs that [`Cluster::start_submitting`] submits, beyond those of other jobs.
+const BACKGROUND_IDS: u64 = 1 << 32;
+
 /// Number of starts after three crashes that breaks the rule.
 const EXCESS_STARTS: usize = 3;
 
@@ -589,16 +593,9 @@
     pub async fn submit_running(&mut self, vm: usize, run_ms: u64, wait_ms: u64) -> Option<String> {
         let (job, id) = self.new_job();
         let header = format!("request-deadline: {wait_ms}\r\n{}", self.key_header());
-        let body = json!({
-            "task-spec": format!("{RUN_PREFIX}{run_ms}"),
-            "steps": [{
-                "count": 2, "cpu": 500, "mem-mb": 64, "est-runtime-ms": run_ms,
-                "gang": id.is_multiple_of(3),
-            }],
-        });
+        let body = running_body(id, run_ms).to_string();
         let path = format!("/plans/{job}");
-        let answer =
-            call_with(self.vms[vm].callers, "POST", &path, &header, &body.to_string()).await;
+        let answer = call_with(self.vms[vm].callers, "POST", &path, &header, &body).await;
         answer.is_some_and(|(status, _)| status == 200).then_some(job)
     }
 
@@ -613,6 +610,48 @@
         (self.post(vm, &job, &body.to_string()).await == Some(200)).then_some(job)
     }
 
+    /// Submits jobs to the VMs in turn until `stop` is set, one after each interval, whose tasks run for one of `run_ms`
+    /// in turn. Each is sent again to the next VM until it is accepted. Returns their names in the end.
+    pub fn start_submitting(
+        &self,
+        interval: Duration,
+        run_ms: [u64; 3],
+        stop: Arc<AtomicBool>,
+    ) -> JoinHandle<Vec<String>> {
+        let addresses: Vec<_> = self.vms.iter().map(|vm| vm.callers).collect();
+        let header = self.key_header();
+        tokio::spawn(async move {
+            let mut answers = Vec::new();
+            for number in 0_usize.. {
+                if stop.load(Ordering::Relaxed) {
+                    break;
+                }
+                let id = BACKGROUND_IDS + number as u64;
+                let body = running_body(id, run_ms[number % run_ms.len()]).to_string();
+                let (addresses, header) = (addresses.clone(), header.clone());
+                answers.push(tokio::spawn(async move {
+                    let (job, mut at) = (format!("{id:016x}"), number);
+                    let path = format!("/plans/{job}");
+                    loop {
+                        let vm = addresses[at % addresses.len()];
+                        let answer = call_with(vm, "POST", &path, &header, &body).await;
+                        if answer.is_some_and(|(status, _)| status == 200) {
+                            return job;
+                        }
+                        at += 1;
+                        sleep(POLL_INTERVAL).await;
+                    }
+                }));
+                sleep(interval).await;
+            }
+            let mut jobs = Vec::new();
+            for answer in answers {
+                jobs.push(answer.await.unwrap());
+            }
+            jobs
+        })
+    }
+
     /// Waits until some VM reports a job as failed.
     pub async fn wait_failed(&mut self, job: &str) {
         self.wait_until(&format!("job {job} has failed"), async |cluster| {
@@ -776,6 +815,13 @@
         false
     }
 
+    /// Returns the number of runs so far, and that of runs whose end `done` was acknowledged.
+    pub fn run_counts(&self) -> (usize, usize) {
+        let runs: Vec<_> = self.recorded_runs().into_values().flatten().collect();
+        let done = runs.iter().filter(|run| run.cause == "done" && run.acknowledged).count();
+        (runs.len(), done)
+    }
+
     /// Returns the runs that workers have recorded, by task.
     fn recorded_runs(&self) -> HashMap<String, Vec<RecordedRun>> {
         let mut runs: HashMap<String, Vec<RecordedRun>> = HashMap::new();
@@ -842,6 +888,17 @@
     }
 }
 
+/// Returns the body of the submission of a job of two tasks that run for `run_ms` each.
+fn running_body(id: u64, run_ms: u64) -> Value {
+    json!({
+        "task-spec": format!("{RUN_PREFIX}{run_ms}"),
+        "steps": [{
+            "count": 2, "cpu": 500, "mem-mb": 64, "est-runtime-ms": run_ms,
+            "gang": id.is_multiple_of(3),
+        }],
+    })
+}
+
 fn key_header(key: &str) -> String {
     format!("authorization: Bearer {key}\r\n")
 }
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod cuts;
 mod entries;
 mod lost_responses;
+mod planned_stops;
 mod replicas;
 mod soak;
 mod teams;
