Test of ends that a leader acknowledges without a record of them

A leader that cannot decode a job's record does not admit the job, but acknowledges the ends of its runs. Planned stops also play with workers that start again or are cut off.

--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -822,6 +822,11 @@
         (runs.len(), done)
     }
 
+    /// Returns the number of runs that have ended.
+    pub fn ended_runs(&self) -> usize {
+        self.recorded_runs().values().flatten().filter(|run| run.ended.is_some()).count()
+    }
+
     /// Returns the runs that workers have recorded, by task.
     fn recorded_runs(&self) -> HashMap<String, Vec<RecordedRun>> {
         let mut runs: HashMap<String, Vec<RecordedRun>> = HashMap::new();
--- a/crates/coriandertackd/tests/platform/planned_stops.rs
+++ b/crates/coriandertackd/tests/platform/planned_stops.rs
@@ -2,7 +2,8 @@
 //! carries out appends late or answers reads late.
 //!
 //! `STOP_SEEDS=50 cargo test -p coriandertackd --test platform series_of_planned_stops` plays that many seeds;
-//! `STOP_FIRST` is the first one, and `STOP_COUNT` the number of planned stops for each.
+//! `STOP_FIRST` is the first one, and `STOP_COUNT` the number of planned stops for each. With `STOP_WORKERS=1`, workers
+//! also start again under their ids, or are cut off for a short time.
 
 use std::{
     env,
@@ -14,14 +15,15 @@
 };
 
 use {
-    coriandertack_standins::platform::store::Faults,
+    coriandertack_standins::platform::{link::Link, store::Faults, worker},
     nix::sys::signal::Signal,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
+    serde_json::json,
     tokio::time::{Instant, sleep},
 };
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, unix_ms};
 
 /// Interval between two submissions. The tasks then need two thirds of the workers' capacity.
 const SUBMIT_INTERVAL: Duration = Duration::from_millis(90);
@@ -32,6 +34,10 @@
 /// Number of planned stops for each seed, unless `STOP_COUNT` says otherwise.
 const STOP_COUNT: u64 = 3;
 
+/// Faults of the connections of workers.
+const LINKS: [Link; 6] =
+    [Link::Open, Link::Reset, Link::Close, Link::Silent, Link::LostAnswers, Link::HalfSilent];
+
 /// Time after which the next stop follows although no other VM has become leader.
 const SUCCESSION_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -39,10 +45,10 @@
     env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-/// Returns what the store meets around a planned stop.
+/// Returns the faults of the store around a planned stop.
 fn store_faults(rng: &mut ChaCha8Rng) -> Faults {
     let mut faults = Faults::default();
-    match rng.random_range(0..6) {
+    match rng.random_range(0..8) {
         0 => {}
         1 => faults.delay_ms = rng.random_range(20..240),
         2 => faults.lost_every = rng.random_range(2..5),
@@ -51,6 +57,8 @@
             faults.late_ms = rng.random_range(50..3_000);
         }
         4 => faults.read_ms = rng.random_range(50..600),
+        5 => faults.lost_every = 1,
+        6 => (faults.late_every, faults.late_ms) = (1, rng.random_range(50..3_000)),
         _ => {
             faults.delay_ms = rng.random_range(0..100);
             faults.lost_every = rng.random_range(3..6);
@@ -74,6 +82,7 @@
 
 async fn run_seed(seed: u64, stops: u64) {
     println!("planned stops, seed {seed}");
+    let with_workers = env_number("STOP_WORKERS", 0) > 0;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut cluster = Cluster::start(3, 4).await;
     let stop = Arc::new(AtomicBool::new(false));
@@ -82,25 +91,52 @@
     sleep(Duration::from_millis(600)).await;
     for _ in 0..stops {
         let faults = store_faults(&mut rng);
-        cluster.store.fail(faults);
-        sleep(Duration::from_millis(rng.random_range(0..400))).await;
+        // A short disruption of all appends begins at the signal, or shortly before it.
+        let is_short = faults.lost_every == 1 || faults.late_every == 1 || rng.random_bool(0.3);
+        let before = Duration::from_millis(rng.random_range(0..400));
+        let duration = Duration::from_millis(rng.random_range(20..1_500));
+        if !is_short {
+            cluster.store.fail(faults);
+        }
+        sleep(before).await;
         let leader = cluster.leader().await;
         // The other VMs may read these submissions after the leader has started their tasks.
         jobs.extend((0..rng.random_range(0..3)).map(|_| cluster.put_in_intake()));
         sleep(Duration::from_millis(rng.random_range(0..300))).await;
+        cluster.store.fail(faults);
+        if with_workers {
+            let worker = rng.random_range(0..cluster.workers.len());
+            cluster.workers[worker].set_link(LINKS[rng.random_range(0..LINKS.len())]);
+        }
+        sleep(Duration::from_millis(rng.random_range(0..40))).await;
         cluster.signal(leader, Signal::SIGTERM);
         let signalled = Instant::now();
         let mut successor = leader;
         while successor == leader && signalled.elapsed() < SUCCESSION_TIMEOUT {
+            if is_short && signalled.elapsed() >= duration {
+                cluster.store.fail(Faults::default());
+            }
             cluster.start_stopped();
             sleep(Duration::from_millis(20)).await;
             successor = cluster.leader().await;
         }
         println!(
-            "  VM {leader} stops, VM {successor} leads after {} ms, {faults:?}",
-            signalled.elapsed().as_millis()
+            "  VM {leader} stops, VM {successor} leads after {} ms; lost {} late {} ({} ms) slow {} ms, reads {} ms, short {is_short}",
+            signalled.elapsed().as_millis(),
+            faults.lost_every,
+            faults.late_every,
+            faults.late_ms,
+            faults.delay_ms,
+            faults.read_ms
         );
+        cluster.store.fail(if is_short { Faults::default() } else { faults });
         sleep(Duration::from_millis(rng.random_range(0..1_200))).await;
+        cluster.workers.iter().for_each(|worker| worker.set_link(Link::Open));
+        if with_workers && rng.random_bool(0.5) {
+            let worker = rng.random_range(0..cluster.workers.len());
+            cluster.workers[worker].restart(unix_ms());
+            cluster.publish_entry(worker);
+        }
         if rng.random_bool(0.3) {
             cluster.store.forget_history();
         }
@@ -114,3 +150,54 @@
     let (runs, done) = cluster.run_counts();
     println!("  {} jobs, {runs} runs, {done} ends acknowledged as done", jobs.len());
 }
+
+/// Guards against a task that is started again after its end was acknowledged by a leader that could not decode the
+/// job's record: no record says that the task is done, and a later leader that can decode the record takes the run for
+/// one that never ended.
+#[tokio::test]
+async fn ends_of_a_job_with_an_unreadable_record_are_kept_for_a_later_leader() {
+    let mut cluster = Cluster::start(3, 4).await;
+    // VM 0 is preferred as leader. It starts again once the job runs, and lists the record that it cannot decode.
+    cluster.kill(0);
+    wait_for_leader(&mut cluster, |vm| vm != 0).await;
+    let former = cluster.leader().await;
+    let job = cluster.submit_running(former, 2_500, 3_000).await.expect("the job is not accepted");
+    cluster.wait_until("the job runs", async |cluster| cluster.has_started(&job)).await;
+    sleep(Duration::from_millis(600)).await;
+    let key = format!("s/{job}");
+    cluster.store.replace_item(&key, json!({ "key": key, "value": "?", "offset": 1 }));
+    cluster.start_stopped();
+    cluster
+        .wait_until("VM 0 serves", async |cluster| {
+            cluster.queue_status(0, "/plans/").await == Some(200)
+        })
+        .await;
+    // No leader lists the runs until they have ended.
+    set_silent(&cluster, true);
+    cluster.signal(former, Signal::SIGTERM);
+    wait_for_leader(&mut cluster, |vm| vm == 0).await;
+    cluster.wait_until("the runs end", async |cluster| cluster.ended_runs() == 2).await;
+    set_silent(&cluster, false);
+    cluster
+        .wait_until("VM 0 lists the ends", async |cluster| {
+            cluster.log_lines(|line| line.contains("event=run_ended")).len() == 2
+        })
+        .await;
+    sleep(Duration::from_millis(1_000)).await;
+    cluster.signal(0, Signal::SIGTERM);
+    wait_for_leader(&mut cluster, |vm| vm != 0 && vm != former).await;
+    cluster.wait_completed(&[job]).await;
+    cluster.check_runs();
+}
+
+async fn wait_for_leader(cluster: &mut Cluster, is_expected: impl Fn(usize) -> bool) {
+    cluster
+        .wait_until("the expected VM leads", async |cluster| is_expected(cluster.leader().await))
+        .await;
+}
+
+fn set_silent(cluster: &Cluster, silent: bool) {
+    for worker in &cluster.workers {
+        worker.fail(worker::Faults { silent, ..Default::default() });
+    }
+}
