--- a/crates/coriandertackd/tests/platform/planned_stops.rs
+++ b/crates/coriandertackd/tests/platform/planned_stops.rs
@@ -201,3 +201,54 @@
         worker.fail(worker::Faults { silent, ..Default::default() });
     }
 }
+
+/// Lets a worker die after it has listed ends that are not acknowledged yet, and come back under its id before the next
+/// task is started on it. The acknowledgement reaches the next incarnation, whose own ends have the same numbers. With
+/// `planned_stop`, the leader stops before it has the answer.
+async fn acknowledge_to_next_incarnation(planned_stop: bool) {
+    let mut cluster = Cluster::start(3, 1).await;
+    let leader = cluster.leader().await;
+    let other = (leader + 1) % 3;
+    let mut jobs = Vec::new();
+    for _ in 0..2 {
+        jobs.push(cluster.submit_running(other, 300, 3_000).await.expect("not accepted"));
+    }
+    cluster
+        .wait_until("the leader has the ends of both jobs", async |cluster| {
+            cluster.log_lines(|line| line.contains("event=run_ended")).len() == 4
+        })
+        .await;
+    // Connections break when a process ends, and the list is not under way at this time.
+    cluster.workers[0].set_link(Link::Reset);
+    sleep(Duration::from_millis(5)).await;
+    cluster.workers[0].restart(unix_ms());
+    let acknowledged = cluster.run_counts().1;
+    cluster.workers[0].set_link(Link::Open);
+    jobs.push(cluster.submit_running(other, 20, 3_000).await.expect("not accepted"));
+    if planned_stop {
+        cluster
+            .wait_until("both ends of the last job are acknowledged", async |cluster| {
+                cluster.run_counts().1 == acknowledged + 2
+            })
+            .await;
+        cluster.signal(leader, Signal::SIGTERM);
+    }
+    // A worker writes its entry about once a second.
+    sleep(Duration::from_millis(600)).await;
+    cluster.publish_entry(0);
+    cluster.wait_completed(&jobs).await;
+    cluster.check_runs();
+}
+
+/// Guards against an acknowledgement for a worker that has died, which the next incarnation takes for its own ends: the
+/// leader finds its runs in no list and starts the tasks again.
+#[tokio::test]
+async fn acknowledgement_does_not_reach_the_next_incarnation() {
+    acknowledge_to_next_incarnation(false).await;
+}
+
+/// Guards against the same when the next leader is the one that starts the tasks again.
+#[tokio::test]
+async fn acknowledgement_before_a_planned_stop_does_not_reach_the_next_incarnation() {
+    acknowledge_to_next_incarnation(true).await;
+}
