--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod entries;
 mod former_calls;
 mod lost_responses;
+mod planned_stops;
 mod replicas;
 mod soak;
 mod teams;
