Log output: count each lost line once, and write its count in its place

Readers of the log saw empty lines and wrong counts when the buffer was full. The dispatch passed each line in two parts, text and line break; either could be dropped alone, and each was counted. At 600 lines a second and a reader that paused for 14 s, 1,524 lines were missing, and the log and the metric counted 3,047. A count was only written with a later line, so that a loss before a stop was not told.

At a stop, the guard wrote the rest of the buffer itself. A batch that the writer thread had taken and not yet written could then be lost without a count (found by reading; not seen in a run).

Lines are now passed whole. Once one finds no room, all are dropped until the writer thread takes the buffer, which adds the count in the place of the gap. The guard has the thread write the rest and waits for it.

In the same trial 1,524 lines are missing and counted. With pauses of 5 s and 10 s none of 3,600 and 6,600 lines is lost, before and after. A line without a successor was readable 201 ms after the start of the process.

--- a/crates/coriandertackd/src/fleet/output.rs
+++ b/crates/coriandertackd/src/fleet/output.rs
@@ -1,23 +1,23 @@
 //! Writes log lines to standard output through a bounded buffer that a dedicated thread drains.
 //!
-//! If the reader of standard output does not keep up, lines are dropped instead of blocking the process. The number of
-//! dropped lines is logged as soon as the buffer has room again.
+//! If the reader of standard output does not keep up, lines are dropped instead of blocking the process. Their number is
+//! written where they are missing. A process that is killed loses what it has logged in the last [`FLUSH_INTERVAL_MS`].
 
 use std::{
     io::{self, Write},
     sync::{
-        Arc, Condvar, Mutex, PoisonError,
+        Arc, Condvar, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    thread,
+    thread::{self, JoinHandle},
     time::Duration,
 };
 
-use log::LevelFilter;
+use {fern::Output, log::LevelFilter};
 
 use crate::logging;
 
-/// Capacity of the buffer, in bytes: about five seconds of a leader's lines at the peak rate of starts.
+/// Capacity of the buffer, in bytes: about ten seconds of a leader's lines at the peak rate of starts.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
 /// Pause between two writes, in milliseconds, so that lines are written in batches.
@@ -29,49 +29,28 @@
 /// Lines dropped since the process started. It is a static because the logger is global to the process, too.
 static LOST_LINES: AtomicU64 = AtomicU64::new(0);
 
-/// Returns the number of lines dropped since the process started because the buffer was full.
+/// Returns the number of lines dropped since the process started, because the buffer was full.
 pub fn lost_lines() -> u64 {
     LOST_LINES.load(Ordering::Relaxed)
 }
 
+/// Lines that wait for the writer thread.
 #[derive(Default)]
 struct Buffer {
     bytes: Vec<u8>,
+    /// Number of lines dropped after those in `bytes`.
     lost: u64,
+    /// Whether the process ends, so that the writer thread writes the rest and ends, too.
+    closing: bool,
 }
 
-/// The buffer, with a condition variable that is notified when it becomes non-empty.
+/// The buffer, with condition variables that are notified when it becomes non-empty and when it is closed. There are two,
+/// so that a line that arrives between two writes does not wake the writer thread.
 #[derive(Default)]
 struct Queue {
     buffer: Mutex<Buffer>,
     filled: Condvar,
-}
-
-struct LogWriter(Arc<Queue>);
-
-impl Write for LogWriter {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let mut buffer = self.0.buffer.lock().unwrap_or_else(PoisonError::into_inner);
-        if buffer.bytes.len() + bytes.len() > MAX_BUFFERED_BYTES {
-            buffer.lost += 1;
-            LOST_LINES.fetch_add(1, Ordering::Relaxed);
-            return Ok(bytes.len());
-        }
-        if buffer.lost > 0 {
-            let lost = std::mem::take(&mut buffer.lost);
-            writeln!(buffer.bytes, "event=log_lines_lost count={lost}")?;
-        }
-        let was_empty = buffer.bytes.is_empty();
-        buffer.bytes.extend_from_slice(bytes);
-        if was_empty {
-            self.0.filled.notify_one();
-        }
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
+    closed: Condvar,
 }
 
 /// Installs the logger. Dropping the returned guard writes the lines that are still buffered.
@@ -81,21 +60,31 @@
 /// Fails if a logger is already installed or the writer thread cannot be started.
 pub fn init(level: LevelFilter) -> anyhow::Result<Flush> {
     let queue = Arc::new(Queue::default());
-    let log_writer: Box<dyn Write + Send> = Box::new(LogWriter(queue.clone()));
-    logging::log_dispatch().chain(log_writer).apply()?;
+    let lines = queue.clone();
+    // A writer chained to the dispatch would receive each line in several parts.
+    let output = Output::call(move |record| lines.push(&format!("{}\n", record.args())));
+    logging::log_dispatch().chain(output).apply()?;
     logging::set_level(level);
     let pending = queue.clone();
-    thread::Builder::new().name("log".to_owned()).spawn(move || {
-        loop {
-            let bytes = pending.take();
-            // An error means that standard output is closed, so it cannot be logged.
-            if write_lines(&bytes).is_err() {
-                return;
-            }
-            thread::sleep(Duration::from_millis(FLUSH_INTERVAL_MS));
+    let writer =
+        thread::Builder::new().name("log".to_owned()).spawn(move || write_all(&pending))?;
+    Ok(Flush { queue, writer: Some(writer) })
+}
+
+/// Writes what is buffered, in batches, until the queue is closed.
+fn write_all(queue: &Queue) {
+    while let Some(bytes) = queue.take() {
+        // An error means that standard output is closed, so it cannot be logged.
+        if write_lines(&bytes).is_err() {
+            return;
         }
-    })?;
-    Ok(Flush(queue))
+        queue.pause();
+    }
+}
+
+/// Returns a line that tells how many lines are missing in its place.
+fn lost_notice(count: u64) -> String {
+    format!("event=log_lines_lost count={count}\n")
 }
 
 /// Writes whole lines in chunks that a pipe accepts atomically, so that no reader sees a partial line.
@@ -115,25 +104,59 @@
 }
 
 impl Queue {
-    /// Blocks until the buffer is non-empty and takes its contents.
-    fn take(&self) -> Vec<u8> {
-        let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
-        while buffer.bytes.is_empty() {
-            buffer = self.filled.wait(buffer).unwrap_or_else(PoisonError::into_inner);
+    fn lock(&self) -> MutexGuard<'_, Buffer> {
+        self.buffer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a line. Once one has found no room, all further ones are dropped until the buffer is taken, so that there is
+    /// one gap, and its place is known.
+    fn push(&self, line: &str) {
+        let mut buffer = self.lock();
+        if buffer.lost > 0 || buffer.bytes.len() + line.len() > MAX_BUFFERED_BYTES {
+            buffer.lost += 1;
+            LOST_LINES.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        if buffer.bytes.is_empty() {
+            self.filled.notify_one();
         }
-        std::mem::take(&mut buffer.bytes)
+        buffer.bytes.extend_from_slice(line.as_bytes());
+    }
+
+    /// Blocks until the buffer is non-empty and takes its contents. Returns `None` if it is empty and closed.
+    fn take(&self) -> Option<Vec<u8>> {
+        let is_idle = |buffer: &mut Buffer| buffer.bytes.is_empty() && !buffer.closing;
+        let waited = self.filled.wait_while(self.lock(), is_idle);
+        let mut buffer = waited.unwrap_or_else(PoisonError::into_inner);
+        let mut bytes = std::mem::take(&mut buffer.bytes);
+        let lost = std::mem::take(&mut buffer.lost);
+        drop(buffer);
+        if lost > 0 {
+            bytes.extend_from_slice(lost_notice(lost).as_bytes());
+        }
+        (!bytes.is_empty()).then_some(bytes)
+    }
+
+    /// Waits until the next batch is due, or the queue is closed.
+    fn pause(&self) {
+        let limit = Duration::from_millis(FLUSH_INTERVAL_MS);
+        drop(self.closed.wait_timeout_while(self.lock(), limit, |buffer| !buffer.closing));
     }
 }
 
-/// Guard that writes the lines that are still buffered when it is dropped at the end of the process.
-pub struct Flush(Arc<Queue>);
+/// Guard that writes the lines that are still buffered when it is dropped at the end of the process. If the reader of
+/// standard output pauses, the process ends once it reads on.
+pub struct Flush {
+    queue: Arc<Queue>,
+    writer: Option<JoinHandle<()>>,
+}
 
 impl Drop for Flush {
     fn drop(&mut self) {
-        let mut buffer = self.0.buffer.lock().unwrap_or_else(PoisonError::into_inner);
-        let bytes = std::mem::take(&mut buffer.bytes);
-        drop(buffer);
-        // An error means that standard output is closed, so it cannot be logged.
-        let _closed = write_lines(&bytes);
+        self.queue.lock().closing = true;
+        self.queue.filled.notify_one();
+        self.queue.closed.notify_one();
+        // The thread also writes what it took before. If it panicked, the message is on standard error.
+        let _panicked = self.writer.take().map(JoinHandle::join);
     }
 }
