Log output: go on after an error of standard output

After one error of a write the log ended for good, and the process counted no line as lost: the writer thread returned. A pipe that another of its users has set not to block returns such an error whenever it is full. With a reader that paused for 2 s, the log ended after 385 of 2,400 lines and 0 were counted. A disk that is full for a moment has the same effect.

The thread now waits while a pipe is full, and otherwise counts the lines that were refused and tells their number before the next line that is accepted. It writes to a duplicate of the descriptor, since the buffer of `io::stdout` hides how much of a line was written.

All 2,400 lines arrive in the same test. After the reader has closed the pipe, the metric counts the lines that are refused; before, it counted 0.

--- a/crates/coriandertackd/src/fleet/metrics.rs
+++ b/crates/coriandertackd/src/fleet/metrics.rs
@@ -243,9 +243,12 @@
             Limit::ALL.into_iter().map(|limit| (read(&shared, limit), label(limit))).collect()
         });
     }
-    counter(meter, "log_lines_lost", "log lines that found no room", || {
-        vec![(output::lost_lines(), Vec::new())]
-    });
+    counter(
+        meter,
+        "log_lines_lost",
+        "log lines that found no room, or that standard output refused",
+        || vec![(output::lost_lines(), Vec::new())],
+    );
     type Gauge = fn(&Shared) -> u64;
     let gauges: [(&'static str, &'static str, Gauge); 6] = [
         ("leading", "1 if this VM leads", |s| u64::from(*s.is_leader.borrow())),
--- a/crates/coriandertackd/src/fleet/output.rs
+++ b/crates/coriandertackd/src/fleet/output.rs
@@ -4,7 +4,9 @@
 //! written where they are missing. A process that is killed loses what it has logged in the last [`FLUSH_INTERVAL_MS`].
 
 use std::{
-    io::{self, Write},
+    fs::File,
+    io::{self, ErrorKind, Write},
+    os::fd::AsFd,
     sync::{
         Arc, Condvar, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -29,7 +31,8 @@
 /// Lines dropped since the process started. It is a static because the logger is global to the process, too.
 static LOST_LINES: AtomicU64 = AtomicU64::new(0);
 
-/// Returns the number of lines dropped since the process started, because the buffer was full.
+/// Returns the number of lines dropped since the process started, because the buffer was full or standard output refused
+/// them.
 pub fn lost_lines() -> u64 {
     LOST_LINES.load(Ordering::Relaxed)
 }
@@ -57,8 +60,10 @@
 ///
 /// # Errors
 ///
-/// Fails if a logger is already installed or the writer thread cannot be started.
+/// Fails if a logger is already installed, standard output cannot be duplicated or the writer thread cannot be started.
 pub fn init(level: LevelFilter) -> anyhow::Result<Flush> {
+    // `io::stdout` has a buffer of its own, from which an error of a write removes lines without a trace.
+    let out = File::from(io::stdout().as_fd().try_clone_to_owned()?);
     let queue = Arc::new(Queue::default());
     let lines = queue.clone();
     // A writer chained to the dispatch would receive each line in several parts.
@@ -67,17 +72,16 @@
     logging::set_level(level);
     let pending = queue.clone();
     let writer =
-        thread::Builder::new().name("log".to_owned()).spawn(move || write_all(&pending))?;
+        thread::Builder::new().name("log".to_owned()).spawn(move || write_all(&pending, out))?;
     Ok(Flush { queue, writer: Some(writer) })
 }
 
 /// Writes what is buffered, in batches, until the queue is closed.
-fn write_all(queue: &Queue) {
+fn write_all(queue: &Queue, out: File) {
+    let mut writer = LineWriter { out, refused: 0, torn: false };
     while let Some(bytes) = queue.take() {
-        // An error means that standard output is closed, so it cannot be logged.
-        if write_lines(&bytes).is_err() {
-            return;
-        }
+        let lost = writer.write(&bytes);
+        LOST_LINES.fetch_add(lost, Ordering::Relaxed);
         queue.pause();
     }
 }
@@ -87,20 +91,58 @@
     format!("event=log_lines_lost count={count}\n")
 }
 
-/// Writes whole lines in chunks that a pipe accepts atomically, so that no reader sees a partial line.
-fn write_lines(bytes: &[u8]) -> io::Result<()> {
-    let mut out = io::stdout().lock();
-    let mut rest = bytes;
-    while !rest.is_empty() {
-        let chunk = &rest[..rest.len().min(MAX_WRITE_BYTES)];
-        let end = match chunk.iter().rposition(|&byte| byte == b'\n') {
-            Some(newline) => newline + 1,
-            None => chunk.len(),
-        };
-        out.write_all(&rest[..end])?;
-        rest = &rest[end..];
+/// Standard output, and what it has refused, as a full disk or a closed pipe does.
+struct LineWriter {
+    out: File,
+    /// Number of lines that were refused since the last one that was written.
+    refused: u64,
+    /// Whether an error has cut the last line short.
+    torn: bool,
+}
+
+impl LineWriter {
+    /// Writes whole lines, and before them how many were refused earlier. Returns the number of lines that are refused
+    /// now, which cannot be logged yet.
+    fn write(&mut self, bytes: &[u8]) -> u64 {
+        if self.refused > 0 {
+            let line_break = if self.torn { "\n" } else { "" };
+            let notice = format!("{line_break}{}", lost_notice(self.refused));
+            if self.write_chunks(notice.as_bytes()).is_empty() {
+                self.refused = 0;
+            }
+        }
+        let rest = if self.refused > 0 { bytes } else { self.write_chunks(bytes) };
+        let lost = rest.iter().filter(|&&byte| byte == b'\n').count() as u64;
+        self.refused += lost;
+        lost
+    }
+
+    /// Writes chunks of whole lines that a pipe accepts atomically, so that no reader sees a partial line. Returns what is
+    /// refused.
+    fn write_chunks<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let chunk = &rest[..rest.len().min(MAX_WRITE_BYTES)];
+            let end = match chunk.iter().rposition(|&byte| byte == b'\n') {
+                Some(newline) => newline + 1,
+                None => chunk.len(),
+            };
+            match self.out.write(&rest[..end]) {
+                Ok(0) => break,
+                Ok(written) => {
+                    self.torn = rest[written - 1] != b'\n';
+                    rest = &rest[written..];
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                // The pipe is full, and another of its users has set it not to block.
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    thread::sleep(Duration::from_millis(FLUSH_INTERVAL_MS));
+                }
+                Err(_) => break,
+            }
+        }
+        rest
     }
-    out.flush()
 }
 
 impl Queue {
--- a/crates/coriandertackd/tests/output.rs
+++ b/crates/coriandertackd/tests/output.rs
@@ -4,13 +4,14 @@
 use std::{
     collections::BTreeSet,
     env,
+    fs::File,
     io::{BufRead, BufReader, pipe},
     process::{Child, Command, Stdio, exit},
     thread::sleep,
     time::{Duration, Instant},
 };
 
-use {coriandertackd::fleet::output, log::LevelFilter};
+use {coriandertackd::fleet::output, log::LevelFilter, tokio::net::unix::pipe as async_pipe};
 
 /// Variable with the number of lines that the child process logs, and the pause after each 60 of them, in milliseconds.
 const CHILD_VARIABLE: &str = "CORIANDERTACK_TEST_LINES";
@@ -112,6 +113,35 @@
     assert_eq!(counted_lines(child), received.lost);
 }
 
+/// Guards against a log that ends for good when a pipe that does not block is full for a moment.
+#[tokio::test]
+async fn full_pipe_that_does_not_block_loses_no_lines() {
+    const LINES: usize = 2_400;
+    let (sender, receiver) = async_pipe::pipe().unwrap();
+    let writer = sender.into_nonblocking_fd().unwrap();
+    let child = start_child(LINES, 10, writer);
+    sleep(Duration::from_secs(2));
+    let reader = File::from(receiver.into_blocking_fd().unwrap());
+    let received = receive(BufReader::new(reader));
+    assert_eq!(received.damaged, Vec::<String>::new());
+    assert_eq!(received.numbers.len(), LINES);
+    assert_eq!((received.lost, counted_lines(child)), (0, 0));
+}
+
+/// Guards against lines that nothing counts after the reader has closed the pipe.
+#[test]
+fn lines_that_the_output_refuses_are_counted() {
+    const LINES: usize = 1_200;
+    let (reader, writer) = pipe().unwrap();
+    let child = start_child(LINES, 100, writer);
+    let mut lines = BufReader::new(reader).lines();
+    assert!(lines.any(|line| line.unwrap().contains("number=0 ")));
+    drop(lines);
+    let lost = counted_lines(child);
+    // The pipe has taken the first lines, and what is logged until the reader has closed it.
+    assert!(lost >= LINES as u64 / 2, "{lost} of {LINES} lines are counted");
+}
+
 /// Guards against lines that wait in the buffer until another line follows, and measures how long a line waits. A process
 /// that is killed loses what its last lines have waited for.
 #[test]
