Maintenance: repeat a report until the store has confirmed it

Operators could wait for the end of a wave without end: the leader counted the wave as reported, and the store kept an older report.

The store answers a repeated append number with its first response. After a report without a response, the leader sent the newest report under the same number, and took the answer to the former for that to the newer one.

The number now stands for its report until the store has confirmed it, and the newer report follows with the next number. The stand-in of the store can lose the responses of one topic.

--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -39,6 +39,8 @@
     pub silent: bool,
     /// Every n-th append takes effect without a response; 0 disables this.
     pub lost_every: u64,
+    /// Appends to this topic take effect without a response.
+    pub lost_topic: Option<&'static str>,
     /// Additional delay of every request, in milliseconds.
     pub delay_ms: u64,
     /// Additional delay of a page of newest records, in milliseconds.
@@ -293,8 +295,9 @@
         return json_reply(503, &json!({}));
     }
     state.appends += 1;
-    let drop_reply =
-        state.faults.lost_every > 0 && state.appends.is_multiple_of(state.faults.lost_every);
+    let Faults { lost_every, lost_topic, .. } = state.faults;
+    let drop_reply = lost_topic == Some(topic_name)
+        || lost_every > 0 && state.appends.is_multiple_of(lost_every);
     let topic = state.topics.entry(topic_name.to_owned()).or_default();
     let end = topic.end();
     let producer_fields = call
@@ -309,6 +312,9 @@
         if epoch == producer.epoch {
             let repeated = producer.recent_appends.iter().find(|(known, ..)| *known == seq);
             if let Some((_, first, end)) = repeated {
+                if lost_topic == Some(topic_name) {
+                    return None;
+                }
                 return json_reply(200, &json!({ "offset": first, "end-offset": end }));
             }
             if let Some(last) = producer.last_seq.filter(|last| last + 1 != seq) {
--- a/crates/coriandertackd/src/fleet/maintenance.rs
+++ b/crates/coriandertackd/src/fleet/maintenance.rs
@@ -4,7 +4,9 @@
 use std::{sync::Arc, time::Duration};
 
 use {
-    coriandertack_jobs::maintenance::{MaintenanceOutcome, MaintenancePlanner, Occupancy},
+    coriandertack_jobs::maintenance::{
+        MaintenanceOutcome, MaintenancePlanner, Occupancy, WaveReport,
+    },
     coriandertack_platform::{
         machines::Machines,
         operator,
@@ -32,11 +34,14 @@
     let Some(address) = shared.settings.platform.machines else { return };
     // A command for a machine must not follow one of a former leader within the lease that the former one holds.
     sleep(Duration::from_millis(shared.settings.bounds.lease_ms)).await;
-    let mut store = Store::new(shared.settings.platform.store);
+    let mut report_log = ReportLog {
+        store: Store::new(shared.settings.platform.store),
+        number: 0,
+        unconfirmed: None,
+    };
     let mut machines = Machines::new(address, shared.settings.vm.name.clone());
     let mut planner = MaintenancePlanner::default();
     let mut waves = shared.waves.subscribe();
-    let mut number = 0;
     let mut resumed = false;
     let mut unavailable = false;
     loop {
@@ -50,7 +55,7 @@
             continue;
         }
         if !resumed {
-            resumed = resume(shared, &mut store, &mut planner).await;
+            resumed = resume(shared, &mut report_log.store, &mut planner).await;
             if !resumed {
                 sleep(Duration::from_millis(RETRY_MS)).await;
             }
@@ -60,7 +65,7 @@
         if !order_maintenance(&leadership, &mut machines, &mut planner).await {
             return;
         }
-        store_reports(&leadership, &mut store, &mut planner, &mut number).await;
+        store_reports(&leadership, &mut report_log, &mut planner).await;
         sleep(Duration::from_millis(POLL_MS)).await;
     }
 }
@@ -156,14 +161,28 @@
     true
 }
 
+/// The report topic, as the leader appends to it.
+struct ReportLog {
+    store: Store,
+    /// Number of the next append.
+    number: u64,
+    /// Report that was sent under this number and may have been appended, or may be appended later. The store answers a
+    /// repeated number without an append, so the number stands for this report until the store has confirmed it.
+    unconfirmed: Option<WaveReport>,
+}
+
 /// Appends the reports that have changed to the report topic.
 async fn store_reports(
     leadership: &Leadership,
-    store: &mut Store,
+    report_log: &mut ReportLog,
     planner: &mut MaintenancePlanner,
-    number: &mut u64,
 ) {
-    for report in planner.changed_reports() {
+    let mut reports = planner.changed_reports();
+    if let Some(unconfirmed) = report_log.unconfirmed.take() {
+        reports.retain(|report| *report != unconfirmed);
+        reports.insert(0, unconfirmed);
+    }
+    for report in reports {
         let record = match operator::encode_report(&report) {
             Ok(record) => record,
             Err(error) => {
@@ -172,16 +191,16 @@
             }
         };
         Counters::count(&leadership.shared.counters.appends);
-        let fence = Some(Fence { epoch: leadership.epoch, number: *number });
-        match store.append(Topic::Reports, &[record], fence, None).await {
+        let fence = Some(Fence { epoch: leadership.epoch, number: report_log.number });
+        match report_log.store.append(Topic::Reports, &[record], fence, None).await {
             Ok(_) => {
-                *number += 1;
+                report_log.number += 1;
                 planner.mark_reported(report);
             }
-            // The next round repeats the number, and the store answers it with its first response.
             Err(error) => {
                 Counters::count(&leadership.shared.counters.store_errors);
                 log::info!("event=report_waits wave={} error=\"{error}\"", report.wave);
+                report_log.unconfirmed = Some(report);
                 return;
             }
         }
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -317,6 +317,31 @@
     run_wave(&mut cluster, 3, 2).await;
 }
 
+/// Guards against a wave that is never reported as completed: its report would repeat the number of an earlier one whose
+/// response was lost, and the store answers a repeated number without storing anything.
+#[tokio::test]
+async fn a_report_follows_one_whose_response_was_lost() {
+    let mut cluster = Cluster::start(1, 2).await;
+    cluster.store.fail(store::Faults { lost_topic: Some("keyed.status"), ..Default::default() });
+    let wave = br#"{"wave":3,"machines":["m-0","m-1"],"duration-s":30,"cap":1}"#;
+    cluster.store.put("keyed.op", "wave/3", wave);
+    cluster
+        .wait_until("both machines have had their maintenance", async |cluster| {
+            cluster.perform_maintenance().await;
+            cluster.machines.maintenance_counts(3).0 == 2 && cluster.machines.down().is_empty()
+        })
+        .await;
+    // Listings show the last machine as up, so the next report is that of the completed wave.
+    sleep(Duration::from_secs(4)).await;
+    cluster.store.fail(store::Faults::default());
+    cluster
+        .wait_until("the wave is reported as completed", async |cluster| {
+            let report = cluster.store.value("keyed.status", "wave/3").unwrap_or_default();
+            String::from_utf8_lossy(&report).contains("completed")
+        })
+        .await;
+}
+
 /// Guards against more machines down than the cap when listings show machines as they were a second ago.
 #[tokio::test]
 async fn a_maintenance_wave_respects_its_cap_with_old_listings() {
