Gangs: ask no other owner after an answer was lost

A member of a gang could run twice. A home that lost an owner's answer to a request to hold capacity took it for a refusal, and asked the next owner under the same lease. The first owner still held the capacity. When the hold expired, it reported the end of the lease, which the home took for the end of the run at the second owner: it queued the gang again while that run went on.

A lost answer now counts as unknown, as for single tasks: what is held is released, and the gang is placed again under new leases, which the end of the old hold does not name.

`lease_that_an_owner_may_hold_is_started_by_no_other` failed before, with both members committed at the second owner and held by the first, and passes now. The end that the home mistakes follows from `expire_holds` and `handle_notice`; no run has shown it.

--- a/crates/coriandertackd/src/dispatch.rs
+++ b/crates/coriandertackd/src/dispatch.rs
@@ -245,7 +245,7 @@
 }
 
 /// Asks another VM to place tasks. Without an answer their outcomes are unknown, unless the request was never sent.
-async fn request_placement(
+pub async fn request_placement(
     node: &Node,
     vm: VmKey,
     requests: Vec<PlacementRequest>,
--- a/crates/coriandertackd/src/gang.rs
+++ b/crates/coriandertackd/src/gang.rs
@@ -39,15 +39,15 @@
     let until = (Instant::now() + HOLD_DURATION).min(node.valid_until());
     let mut remaining = dispatch::hold_requests(&pick.specs, pick.epoch, until);
     let mut held = Vec::new();
+    let mut answered = true;
     for vm in owners_to_ask(&node, own_key, &pick) {
-        if remaining.is_empty() {
+        if remaining.is_empty() || !answered {
             break;
         }
-        let refused = hold_at_owner(&node, own_key, vm, remaining, &mut held).await;
-        remaining = refused;
+        (remaining, answered) = hold_at_owner(&node, own_key, vm, remaining, &mut held).await;
     }
     let leases: Vec<LeaseId> = pick.specs.iter().map(|spec| spec.lease).collect();
-    if !remaining.is_empty() {
+    if !remaining.is_empty() || !answered {
         release_and_requeue(&node, held, &leases).await;
         return;
     }
@@ -71,20 +71,24 @@
     })
 }
 
-/// Reserves as much capacity as one owner has, and returns the requests that it refused.
+/// Reserves as much capacity as one owner has. Returns the requests that it refused, and whether it answered.
+///
+/// Without an answer, no other owner may be asked under the same leases: this one may hold the capacity, and it reports
+/// the end of the hold to the home, which would take it for the end of a run elsewhere.
 async fn hold_at_owner(
     node: &Node,
     own_key: VmKey,
     vm: VmKey,
     requests: Vec<PlacementRequest>,
     held: &mut Vec<HeldCapacity>,
-) -> Vec<PlacementRequest> {
+) -> (Vec<PlacementRequest>, bool) {
     let outcomes = request_hold(node, own_key, vm, &requests).await;
+    let answered = !outcomes.contains(&PlacementOutcome::Unknown);
     let mut leases = Vec::new();
     let mut refused = Vec::new();
     for (request, outcome) in requests.into_iter().zip(outcomes) {
         match outcome {
-            // If the answer was lost, the owner may hold the capacity. It then expires at its deadline.
+            // Capacity that an owner may hold is released, or expires at its deadline.
             PlacementOutcome::Granted | PlacementOutcome::Unknown => {
                 leases.push(request.spec.lease)
             }
@@ -94,7 +98,7 @@
     if !leases.is_empty() {
         held.push(HeldCapacity { vm, leases });
     }
-    refused
+    (refused, answered)
 }
 
 async fn request_hold(
@@ -103,14 +107,10 @@
     vm: VmKey,
     requests: &[PlacementRequest],
 ) -> Vec<PlacementOutcome> {
-    let now = Instant::now();
     if vm == own_key {
-        return node.with(|shared| owner::hold_all(shared, own_key, requests, now));
-    }
-    match node.request(vm, PeerRequest::Place(requests.to_vec()), requests[0].until).await {
-        Ok(PeerReply::Placed(outcomes)) if outcomes.len() == requests.len() => outcomes,
-        _ => vec![PlacementOutcome::Full; requests.len()],
+        return node.with(|shared| owner::hold_all(shared, own_key, requests, Instant::now()));
     }
+    dispatch::request_placement(node, vm, requests.to_vec()).await
 }
 
 /// Releases the held capacity, and queues the gang again after a random pause.
