Workers: notice a restart between two polls for events

A task could count as running for good after its worker had restarted. If the restart fell between the answer to one poll and the next one, as when the owner is slow to read updates or its VM is suspended, the client opened its connection again without a word. The next life of the worker got a cursor of the former: its events were skipped up to that number, and no list was read, so the ends of the lost leases were never reported.

Polls now use a connection that is opened before the list is read and never opened again. When it ends, the task connects anew and reads the list.

--- a/crates/coriandertack-workers/src/control.rs
+++ b/crates/coriandertack-workers/src/control.rs
@@ -28,7 +28,7 @@
 };
 
 use crate::{
-    client::{Client, RequestError},
+    client::{Client, EventConnection, RequestError},
     clock::Clock,
     update::{ExitReason, LeaseEnd, WorkerUpdate},
     wire::{self, Command, CommandResult, TaskList},
@@ -153,6 +153,13 @@
     }
 }
 
+/// What the task knows of the life of the worker that it is connected to.
+struct Connected {
+    clock: Clock,
+    /// Ends with this life.
+    events: EventConnection,
+}
+
 /// State of the control task.
 struct WorkerTask {
     node: Arc<Node>,
@@ -180,11 +187,11 @@
 impl WorkerTask {
     async fn run_until_exit(&mut self) -> ExitReason {
         loop {
-            let (client, clock) = match self.connect().await {
+            let (client, connected) = match self.connect().await {
                 Ok(connected) => connected,
                 Err(reason) => return reason,
             };
-            match self.serve(&client, clock).await {
+            match self.serve(&client, connected).await {
                 ServeError::Exit(reason) => return reason,
                 ServeError::ConnectionLost(error) => {
                     log::warn!("event=worker_lost worker={} error=\"{error:#}\"", self.name);
@@ -215,7 +222,7 @@
     }
 
     /// Connects to the worker and reports its list, and retries without limit until both succeed.
-    async fn connect(&mut self) -> Result<(Client, Clock), ExitReason> {
+    async fn connect(&mut self) -> Result<(Client, Connected), ExitReason> {
         let mut delay = MIN_RETRY_DELAY;
         let mut is_reported = false;
         let mut client = Client::new(self.send_permission()?.address);
@@ -229,7 +236,7 @@
                 client = Client::new(permission.address);
             }
             match self.reconcile(&client).await {
-                Ok(Some(clock)) => return Ok((client, clock)),
+                Ok(Some(connected)) => return Ok((client, connected)),
                 Ok(None) => {
                     let latest_end = self.unanswered.values().max().copied();
                     self.wait_until(latest_end.unwrap_or_else(Instant::now) + START_MARGIN).await?;
@@ -255,7 +262,9 @@
     ///
     /// Returns `None` and reports nothing while an unanswered start may still take effect after the
     /// list was read.
-    async fn reconcile(&mut self, client: &Client) -> Result<Option<Clock>, ServeError> {
+    async fn reconcile(&mut self, client: &Client) -> Result<Option<Connected>, ServeError> {
+        // Opened before the list is read, so that a restart after the list fails the next poll.
+        let events = client.open_events().await?;
         // A request without commands only raises the epoch. After that, a former owner can no
         // longer change what the list shows.
         client.send_commands(self.epoch.0, Vec::new()).await?;
@@ -279,7 +288,7 @@
         self.is_listed = true;
         self.last_seq = 0;
         self.renew_at = sent_at;
-        Ok(Some(clock))
+        Ok(Some(Connected { clock, events }))
     }
 
     /// Reports the list, and the ends of the `lost` leases and of the unanswered starts that are
@@ -312,8 +321,9 @@
     }
 
     /// Sends commands, renews leases and forwards events until the task must connect again or end.
-    async fn serve(&mut self, client: &Client, mut clock: Clock) -> ServeError {
-        let mut poll = pin!(client.poll_events(self.last_seq));
+    async fn serve(&mut self, client: &Client, connected: Connected) -> ServeError {
+        let Connected { mut clock, events } = connected;
+        let mut poll = pin!(events.poll(self.last_seq));
         loop {
             let wake_at = match self.send_pending(client, &mut clock).await {
                 Ok(wake_at) => wake_at,
@@ -324,7 +334,7 @@
             tokio::select! {
                 biased;
                 response = &mut poll => match self.forward_events(response).await {
-                    Ok(()) => poll.set(client.poll_events(self.last_seq)),
+                    Ok(()) => poll.set(events.poll(self.last_seq)),
                     Err(error) => return error,
                 },
                 count = self.commands.recv_many(&mut self.pending, MAX_COMMANDS) => {
--- a/crates/coriandertack-workers/tests/control/main.rs
+++ b/crates/coriandertack-workers/tests/control/main.rs
@@ -418,3 +418,24 @@
     assert_eq!(usage.core_ms, fixture.worker.used("1.0.0").core_ms);
     assert_eq!(usage.core_ms, 2_050 * 333 / 1_000);
 }
+
+/// Guards against a restart of the worker between two polls for events. Without a new list, the tasks of its former life
+/// would count as running, and its events would be skipped up to the number that the former life had reached.
+#[tokio::test(start_paused = true)]
+async fn restart_between_two_polls_is_noticed() {
+    let fixture = Fixture::start().await;
+    let mut task = fixture.start_control_with_capacity(1);
+    task.next_list().await;
+    task.send(fixture.start_command(lease(1, 0), ""));
+    assert!(task.is_started(lease(1, 0)).await);
+    // The owner is busy: the task waits to report two of these events, and polls for no more.
+    for job in 2..6 {
+        task.send(fixture.start_command(lease(job, 0), "run_ms=10"));
+    }
+    sleep(Duration::from_secs(1)).await;
+    fixture.worker.crash().await;
+    fixture.worker.restart().await.unwrap();
+    assert_eq!(task.end_of(lease(1, 0)).await.0, EndCause::LeaseExpired);
+    task.send(fixture.start_command(lease(9, 0), "run_ms=10"));
+    assert_eq!(task.end_of(lease(9, 0)).await.0, EndCause::Succeeded);
+}
--- a/crates/coriandertack-workers/tests/control/setup.rs
+++ b/crates/coriandertack-workers/tests/control/setup.rs
@@ -153,8 +153,13 @@
 
     /// Starts a control task for the worker.
     pub fn start_control(&self) -> ControlTask {
+        self.start_control_with_capacity(1_024)
+    }
+
+    /// Starts a control task that waits once `capacity` updates have not been received.
+    pub fn start_control_with_capacity(&self, capacity: usize) -> ControlTask {
         let (commands, queue) = mpsc::unbounded_channel();
-        let (sender, events) = mpsc::channel(1_024);
+        let (sender, events) = mpsc::channel(capacity);
         let run = control::run(Arc::clone(&self.node), self.key, queue, sender);
         ControlTask { commands, events, task: tokio::spawn(run) }
     }
