Keep the ends of jobs whose records cannot be read

Cause: a leader that could not decode the progress of a job did not admit it, but processed and acknowledged the ends of its runs, which no record holds. A later leader that could decode the progress found the runs in no list and started the tasks again.

Change: the scheduler knows such jobs as closed, and acknowledges no end of a worker from the first one of a closed job on. If the job is admitted after all, the held ends are processed again.

--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -223,6 +223,8 @@
     advice_vms: Vec<AdviceVm>,
     /// Jobs in a final state, some of whose runs may still be on a worker.
     ended_jobs: HashMap<JobId, Arc<JobSpec>>,
+    /// Jobs whose records this leader cannot read. The ends of their runs are kept for one that can.
+    closed_jobs: HashSet<JobId>,
     /// Jobs that were cancelled before they were admitted.
     early_cancels: HashMap<JobId, Cancellers>,
     /// Workers reserved for waiting steps in the last scheduling pass.
@@ -297,6 +299,7 @@
     /// Removes a job in a final state whose runs cannot exist any more.
     pub fn forget_job(&mut self, id: JobId) {
         self.ended_jobs.remove(&id);
+        self.closed_jobs.remove(&id);
         self.early_cancels.remove(&id);
     }
 
@@ -374,15 +377,21 @@
 
     /// Adds a job from the replica, with the progress that a previous leader recorded.
     ///
-    /// The submission may be read after the progress; until then the call has no effect. Neither
-    /// has it one if the progress cannot be decoded: tasks of the job would run twice.
+    /// The submission may be read after the progress; until then the job is closed. So is it if the
+    /// progress cannot be decoded: tasks of the job would run twice.
     pub fn admit_from_replica(&mut self, id: JobId, view: &JobView, now: BootTime, wall: WallTime) {
-        if view.unreadable {
-            return;
-        }
-        if let Some(spec) = view.spec.clone() {
-            let progress = view.progress.as_deref();
-            self.admit(id, spec, progress, view.is_cancelled(), now, wall);
+        match &view.spec {
+            Some(spec) if !view.unreadable => {
+                if self.closed_jobs.remove(&id) {
+                    self.process_held_ends();
+                }
+                let progress = view.progress.as_deref();
+                self.admit(id, spec.clone(), progress, view.is_cancelled(), now, wall);
+            }
+            _ if view.unreadable || view.progress.as_ref().is_some_and(|p| !p.phase.is_final()) => {
+                self.closed_jobs.insert(id);
+            }
+            _ => {}
         }
     }
 
--- a/crates/coriandertack-jobs/src/sched/run_ends.rs
+++ b/crates/coriandertack-jobs/src/sched/run_ends.rs
@@ -19,8 +19,12 @@
     /// Processes the end of a run that a worker listed.
     pub(super) fn process_end(&mut self, key: WorkerKey, end: &RunEnd, now: BootTime) {
         let (task, attempt) = (end.task, end.attempt);
+        let closed = self.closed_jobs.contains(&task.job);
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.processed_end = worker.processed_end.max(end.number);
+        if closed {
+            worker.held_end = Some(worker.held_end.map_or(end.number, |held| held.min(end.number)));
+        }
         let run = worker.take_run(&mut self.ledger, (task, attempt));
         let run_ms = run.map_or(0, |run| now.ms_since(run.bound_at));
         let (name, born) = (Arc::clone(&worker.name), worker.born.unwrap_or_default());
@@ -65,11 +69,21 @@
             Some(known) if known.placement == Placement::Done => "done",
             Some(known) if known.attempt == attempt => "latest",
             Some(_) => "other_attempt",
+            None if self.closed_jobs.contains(&task.job) => "job_closed",
             None if self.ended_jobs.contains_key(&task.job) => "job_ended",
             None => "job_unknown",
         }
     }
 
+    /// Processes the ends again that were held, with the next list of their worker.
+    pub(super) fn process_held_ends(&mut self) {
+        for worker in self.workers.values_mut() {
+            if let Some(held) = worker.held_end.take() {
+                worker.processed_end = held - 1;
+            }
+        }
+    }
+
     /// Changes the phase of a queued job to running.
     pub(super) fn mark_running(&mut self, task: TaskId) {
         let Some(&key) = self.job_index.get(&task.job) else { return };
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -51,9 +51,9 @@
             }
         }
         if let Some(worker) = self.workers.get(key)
-            && worker.processed_end > worker.recorded_end
+            && worker.has_unrecorded_ends()
         {
-            let processed = worker.processed_end;
+            let processed = worker.end_to_record();
             self.acks.insert(key, processed);
         }
         for running in &run_list.running {
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -199,6 +199,8 @@
     pub(super) late_until: BootTime,
     /// Number of the last end that was processed.
     pub(super) processed_end: u64,
+    /// Number of the first end of a run of a closed job, before which acknowledgements end; `None` if there is none.
+    pub(super) held_end: Option<u64>,
     /// Number of the last end that was acknowledged in a request for a list that the worker
     /// answered.
     pub acknowledged_end: u64,
@@ -250,6 +252,7 @@
             listed_token: None,
             late_until: BootTime(0),
             processed_end: 0,
+            held_end: None,
             acknowledged_end: 0,
             recorded_end: 0,
             runs: RunTable::default(),
@@ -392,8 +395,8 @@
     /// Returns true if ends were processed that the worker keeps listing because they are not
     /// acknowledged yet.
     #[must_use]
-    pub const fn has_ends_to_acknowledge(&self) -> bool {
-        self.processed_end > self.acknowledged_end
+    pub fn has_ends_to_acknowledge(&self) -> bool {
+        self.end_to_record() > self.acknowledged_end
     }
 
     /// Returns the number of the last end to acknowledge with the next request for a list; 0 if there
@@ -402,10 +405,15 @@
         if self.recorded_end > self.acknowledged_end { self.recorded_end } else { 0 }
     }
 
+    /// Returns the number of the last end that may be acknowledged once what was processed is recorded.
+    pub(super) fn end_to_record(&self) -> u64 {
+        self.held_end.map_or(self.processed_end, |held| self.processed_end.min(held - 1))
+    }
+
     /// Returns true if ends were processed whose records are not durable yet.
     #[must_use]
-    pub const fn has_unrecorded_ends(&self) -> bool {
-        self.processed_end > self.recorded_end
+    pub fn has_unrecorded_ends(&self) -> bool {
+        self.end_to_record() > self.recorded_end
     }
 
     /// Returns true if the worker accepts new tasks.
--- a/crates/coriandertack-jobs/tests/sched/takeover.rs
+++ b/crates/coriandertack-jobs/tests/sched/takeover.rs
@@ -264,3 +264,37 @@
     let progress = &batch.records[0].1;
     assert!(progress.tasks.iter().all(|task| task.worker.is_none() && task.crashes == 1));
 }
+
+/// Guards against an end that is acknowledged by a leader that cannot read the records of its job, and so by no record,
+/// and against one that such a leader forgets once it can.
+#[test]
+fn ends_of_a_closed_job_are_kept() {
+    let spec = job(vec![step(1, 1)]);
+    let mut former = TestCluster::new(&[4]);
+    former.admit(1, spec.clone());
+    former.run_pass();
+    let progress = Some(Arc::new(former.records[&JobId(1)].clone()));
+
+    let mut cluster = TestCluster::new(&[4]);
+    let key = cluster.keys[0];
+    let closed = JobView { unreadable: true, ..JobView::default() };
+    cluster.sched.admit_from_replica(JobId(1), &closed, cluster.now, WallTime(0));
+    let worker = cluster.workers.get_mut(&key).unwrap();
+    worker.running.insert((task(1, 0, 0), 1), (Arc::default(), 0));
+    worker.end(task(1, 0, 0), 1, EndCause::Done);
+    worker.end(task(2, 0, 0), 1, EndCause::Done);
+    for _ in 0..2 {
+        cluster.apply_run_lists();
+        cluster.run_pass();
+        let call = cluster.sched.worker_mut(key).unwrap().next_list(true, true, cluster.now);
+        assert_eq!(call.map_or(0, |call| call.acknowledged), 0);
+    }
+    let readable = JobView { spec: Some(Arc::new(spec)), progress, ..JobView::default() };
+    cluster.sched.admit_from_replica(JobId(1), &readable, cluster.now, WallTime(0));
+    cluster.apply_run_lists();
+    cluster.run_pass();
+    assert_eq!(cluster.starts.len(), 0);
+    assert_eq!(cluster.phase(1), Some(JobPhase::Completed));
+    let call = cluster.sched.worker_mut(key).unwrap().next_list(true, true, cluster.now).unwrap();
+    assert_eq!(call.acknowledged, 2);
+}
--- a/crates/coriandertackd/src/fleet/leadership.rs
+++ b/crates/coriandertackd/src/fleet/leadership.rs
@@ -20,7 +20,7 @@
         boot_time::{BootTime, WallTime},
         ids::JobId,
         progress::JobPhase,
-        replica::{Leader, ReplicaRecord},
+        replica::{JobView, Leader, ReplicaRecord},
         sched::{AdviceCall, Batch, LEADERSHIP_TERM_MS, MAX_RENEWAL_MS, Scheduler},
     },
     coriandertack_log::jobs,
@@ -316,7 +316,8 @@
     let mut scheduler = leadership.scheduler();
     scheduler.set_read_offset(progress);
     // A submission that no stream has may be of a job whose records are gone.
-    for (&id, view) in replica.jobs.iter().filter(|(_, view)| !view.sources.is_empty()) {
+    let is_recorded = |view: &JobView| view.unreadable || !view.sources.is_empty();
+    for (&id, view) in replica.jobs.iter().filter(|(_, view)| is_recorded(view)) {
         scheduler.admit_from_replica(id, view, now, wall);
     }
     let closed = replica.jobs.values().filter(|view| view.unreadable).count();
