--- a/crates/coriandertack-jobs/src/sched/calls.rs
+++ b/crates/coriandertack-jobs/src/sched/calls.rs
@@ -7,7 +7,7 @@
 
 use super::{Scheduler, Worker, WorkerKey, worker::Run};
 
-use crate::{boot_time::BootTime, report::RunList};
+use crate::boot_time::BootTime;
 
 /// How long after it was sent a call without an answer may still be carried out, in milliseconds. The protocol speaks of
 /// seconds (section "Running tasks").
@@ -187,10 +187,3 @@
         self.workers.get(key).is_none_or(|worker| token < worker.token)
     }
 }
-
-impl RunList {
-    /// Returns the number of runs and ends that the list names.
-    pub(super) fn size(&self) -> usize {
-        self.running.len() + self.ended.len()
-    }
-}
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -175,7 +175,7 @@
                 now.ms_since(call.sent_at),
                 run_list.born.unwrap_or_default(),
                 now.ms_since(confirmed_at.unwrap_or(now)),
-                run_list.size(),
+                run_list.running.len() + run_list.ended.len(),
                 worker.processed_end,
                 worker.acknowledged_end,
                 self.read_offset
--- a/crates/coriandertackd/src/fleet/output.rs
+++ b/crates/coriandertackd/src/fleet/output.rs
@@ -1,7 +1,7 @@
 //! Writes log lines to standard output through a bounded buffer that a dedicated thread drains.
 //!
 //! If the reader of standard output does not keep up, lines are dropped instead of blocking the process. Their number is
-//! written where they are missing. A process that is killed loses what it has logged in the last [`FLUSH_INTERVAL_MS`].
+//! written where they are missing. A process that is killed loses what it has logged in the last `FLUSH_INTERVAL_MS`.
 
 use std::{
     fs::File,
