--- a/crates/coriandertack-jobs/src/sched/calls.rs
+++ b/crates/coriandertack-jobs/src/sched/calls.rs
@@ -3,7 +3,8 @@
 //! A call names the worker, but not its incarnation. One that gets no answer may be carried out seconds later, by this
 //! incarnation or the next. Each such call raises the fencing token of the worker's later commands, and the answer to a
 //! list with the raised token proves that the incarnation carries out none of the earlier calls any more. Until then, no
-//! run counts as absent and no end is acknowledged. See docs/design.md, "When a run has ended".
+//! run counts as absent and no end is acknowledged. Commands that follow an acknowledgement have a higher token than it, so
+//! that it drops no end of theirs. See docs/design.md, "When a run has ended".
 
 use super::{Scheduler, Worker, WorkerKey, worker::Run};
 
@@ -11,7 +12,7 @@
 
 /// How long after it was sent a call without an answer may still be carried out, in milliseconds. The protocol speaks of
 /// seconds (section "Running tasks").
-const MAX_LATE_CALL_MS: u64 = 12_000;
+pub(super) const MAX_LATE_CALL_MS: u64 = 12_000;
 
 /// Fencing token of a command to a worker, which does nothing for a lower one than it has seen.
 ///
@@ -72,11 +73,11 @@
         self.token
     }
 
-    /// Returns true if the incarnation has answered a list with the present token, so that it carries out no earlier
-    /// call any more.
+    /// Returns true if the incarnation has answered a list after the last call that got no answer, so that it carries
+    /// out none of them any more.
     #[must_use]
     pub fn is_current(&self) -> bool {
-        self.listed_token == Some(self.token)
+        self.listed_token.is_some_and(|listed| listed >= self.barrier)
     }
 
     /// Returns true if a call may still reach the next incarnation, which has seen no token. It is then listed all the
@@ -85,13 +86,12 @@
         now < self.late_until
     }
 
-    /// Returns true if nothing is expected from the worker, so that its list need not be requested.
+    /// Returns true if nothing is expected from the worker, so that its list need not be requested. A worker that is
+    /// missing from the list of workers may have left, and then never answers.
     #[must_use]
     pub fn is_idle(&self, now: BootTime) -> bool {
-        self.run_count() == 0
-            && self.is_current()
-            && !self.has_ends_to_acknowledge()
-            && !self.is_watched(now)
+        let settled = self.is_current() && !self.has_ends_to_acknowledge();
+        self.run_count() == 0 && (settled || self.absent) && !self.is_watched(now)
     }
 
     /// Returns true if a start was sent of which the worker has not told the outcome, and the next list tells it.
@@ -106,7 +106,7 @@
     ///
     /// A lease is renewed only while answers arrive. A worker whose answers are lost ends its runs when the lease
     /// expires, so that they can run elsewhere.
-    pub fn next_list(&mut self, open: bool, renew: bool, now: BootTime) -> Option<ListCall> {
+    fn list_call(&mut self, open: bool, renew: bool, now: BootTime) -> Option<ListCall> {
         if self.is_idle(now) {
             return None;
         }
@@ -114,13 +114,10 @@
         let lease_end = (open && renew).then(|| self.grant_lease(now)).flatten();
         // Without runs, the list is needed only to acknowledge ends.
         let waits = open && (self.run_count() > 0 || self.is_watched(now));
-        Some(ListCall {
-            sent_at: now,
-            token: self.token,
-            acknowledged: if open { self.end_to_acknowledge() } else { 0 },
-            lease_end,
-            wait_ms: if waits { self.list_wait_ms() } else { 0 },
-        })
+        let acknowledged = if open { self.end_to_acknowledge() } else { 0 };
+        self.changing = acknowledged > 0 || lease_end.is_some();
+        let wait_ms = if waits { self.list_wait_ms() } else { 0 };
+        Some(ListCall { sent_at: now, token: self.token, acknowledged, lease_end, wait_ms })
     }
 
     /// Records that the worker answered a request for a list.
@@ -164,11 +161,38 @@
         self.token
     }
 
+    /// Returns the request for a list to send to a worker now, or `None` if there is no need for one. `open` tells
+    /// whether it is sent on the connection on which the worker answered the last one, and `renew` whether leases may be
+    /// renewed.
+    pub fn next_list(
+        &mut self,
+        key: WorkerKey,
+        open: bool,
+        renew: bool,
+        now: BootTime,
+    ) -> Option<ListCall> {
+        let call = self.workers.get_mut(key)?.list_call(open, renew, now)?;
+        if call.acknowledged > 0 {
+            let token = self.raise_token();
+            self.workers.get_mut(key)?.token = token;
+        }
+        Some(call)
+    }
+
     /// Raises the token of a worker's commands, so that the next list that it answers bars the earlier ones.
     pub(super) fn bar_calls(&mut self, key: WorkerKey) {
         let token = self.raise_token();
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.token = token;
+            (worker.token, worker.barrier) = (token, token);
+        }
+    }
+
+    /// Records that a request for a list got no answer. It may still be carried out, which matters if it changes
+    /// anything.
+    pub(super) fn record_unanswered_list(&mut self, key: WorkerKey, now: BootTime) {
+        match self.workers.get(key).is_some_and(|worker| worker.changing) {
+            true => self.record_unanswered(key, now),
+            false => self.bar_calls(key),
         }
     }
 
--- a/crates/coriandertack-jobs/src/sched/leases.rs
+++ b/crates/coriandertack-jobs/src/sched/leases.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 
 use super::{
-    MAX_CLOCK_DRIFT_PERMILLE, MAX_RENEWAL_MS, Scheduler, Worker, calls::late_until,
+    LEADERSHIP_TERM_MS, MAX_CLOCK_DRIFT_PERMILLE, MAX_RENEWAL_MS, Scheduler, Worker,
+    calls::{MAX_LATE_CALL_MS, late_until},
     teams::TAKEOVER_LIST_WAIT_MS,
 };
 
@@ -43,7 +44,8 @@
 
     /// Records that a former leader may have led until `now`, and may not know it yet.
     pub fn succeed_leader(&mut self, now: BootTime) {
-        self.calls_end = now.plus_ms(MAX_RENEWAL_MS + MAX_CALL_DELAY_MS);
+        self.calls_end = now.plus_ms(MAX_RENEWAL_MS + MAX_LATE_CALL_MS);
+        self.starts_end = now.plus_ms(LEADERSHIP_TERM_MS + MAX_LATE_CALL_MS);
         self.usage_known = now.plus_ms(TAKEOVER_LIST_WAIT_MS);
     }
 
@@ -58,11 +60,12 @@
     /// the lease was granted.
     pub(super) fn keep_calls(&mut self, worker: &Worker, now: BootTime) {
         self.former_calls.retain(|_, calls| calls.lease_end > now || calls.late_until > now);
-        let Some(granted_at) = worker.granted_at else { return };
         let idle = worker.is_idle(now);
-        let sent = if idle { granted_at } else { now };
-        let lease_end =
-            self.longest_lease_end(sent.plus_ms(MAX_CALL_DELAY_MS)).max(worker.lease_end());
+        let longest_lease_end = |granted_at| {
+            let sent = if idle { granted_at } else { now };
+            self.longest_lease_end(sent.plus_ms(MAX_CALL_DELAY_MS)).max(worker.lease_end())
+        };
+        let lease_end = worker.granted_at.map_or(BootTime(0), longest_lease_end);
         let late_until = if idle { worker.late_until } else { late_until(now) };
         let calls = FormerCalls { lease_end, late_until };
         if lease_end > now || late_until > now {
@@ -76,7 +79,7 @@
         let former = self.former_calls.get(name).copied().unwrap_or_default();
         let token = self.raise_token();
         let mut worker = Worker::new(Arc::clone(name), now.max(former.lease_end), token);
-        worker.late_until = former.late_until;
+        worker.late_until = former.late_until.max(self.starts_end);
         worker
     }
 
@@ -87,7 +90,7 @@
     /// `clock_ms` is the age of the incarnation. An old one has no lease from the clock of its
     /// predecessor.
     pub(super) fn former_lease_end(&self, clock_ms: u64, now: BootTime) -> Option<BootTime> {
-        let oldest_ms = MAX_RENEWAL_MS + MAX_CALL_DELAY_MS + self.lease_limit_ms;
+        let oldest_ms = MAX_RENEWAL_MS + MAX_LATE_CALL_MS + self.lease_limit_ms;
         let may_be_owed = now < self.calls_end && clock_ms < oldest_ms;
         may_be_owed.then(|| self.longest_lease_end(now))
     }
--- a/crates/coriandertack-jobs/src/sched/lost.rs
+++ b/crates/coriandertack-jobs/src/sched/lost.rs
@@ -145,7 +145,7 @@
         worker.refusals = if refused { worker.refusals + 1 } else { 0 };
         match refused {
             true => self.bar_calls(key),
-            false => self.record_unanswered(key, now),
+            false => self.record_unanswered_list(key, now),
         }
         let Some(worker) = self.workers.get(key) else { return false };
         if worker.run_count() == 0 {
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -247,6 +247,8 @@
     former_calls: HashMap<Arc<str>, FormerCalls>,
     /// When no call of a former leader can be carried out any more.
     calls_end: BootTime,
+    /// When no start of a former leader can be carried out any more.
+    starts_end: BootTime,
     /// Current delay between binding a task and its record being durable, in milliseconds.
     record_ms: u64,
     /// Counters since the last call of [`Scheduler::take_stats`].
--- a/crates/coriandertack-jobs/src/sched/takeover.rs
+++ b/crates/coriandertack-jobs/src/sched/takeover.rs
@@ -113,7 +113,8 @@
             return key;
         }
         let token = self.raise_token();
-        let worker = Worker::new(name.clone(), self.inherited_lease_end(now), token);
+        let mut worker = Worker::new(name.clone(), self.inherited_lease_end(now), token);
+        worker.late_until = self.starts_end;
         let key = self.workers.insert(worker);
         self.worker_index.insert(name.clone(), key);
         key
--- a/crates/coriandertack-jobs/src/sched/worker.rs
+++ b/crates/coriandertack-jobs/src/sched/worker.rs
@@ -193,8 +193,12 @@
     pub listed: bool,
     /// Fencing token of the commands that are sent now.
     pub(super) token: FencingToken,
+    /// Lowest token of a list whose answer bars all calls that got no answer.
+    pub(super) barrier: FencingToken,
     /// Highest token of a list that the incarnation has answered; `None` if it has answered none.
     pub(super) listed_token: Option<FencingToken>,
+    /// Whether the last request for a list acknowledged ends or renewed the lease.
+    pub(super) changing: bool,
     /// Until when a call without an answer may be carried out.
     pub(super) late_until: BootTime,
     /// Number of the last end that was processed.
@@ -249,7 +253,9 @@
             absent: true,
             listed: false,
             token,
+            barrier: token,
             listed_token: None,
+            changing: false,
             late_until: BootTime(0),
             processed_end: 0,
             held_end: None,
--- a/crates/coriandertackd/src/fleet/workers.rs
+++ b/crates/coriandertackd/src/fleet/workers.rs
@@ -145,6 +145,7 @@
     /// same holds for a new address, unless the worker has answered at the former one.
     fn reconcile(&mut self) {
         let leadership = &self.leadership;
+        let now = clock::now();
         let scheduler = leadership.scheduler();
         let keys = scheduler.worker_keys();
         let mut queues = leadership.queues.lock().unwrap_or_else(PoisonError::into_inner);
@@ -158,6 +159,10 @@
             let address = worker.entry.as_ref().map(|entry| entry.address);
             let unchanged = worker.listed || self.addresses.get(&key) == address.as_ref();
             if self.tasks.contains_key(&key) && unchanged {
+                // The entry of a worker that seemed to have left may be back.
+                if let Some(wake) = queues.lists.get(&key).filter(|_| !worker.is_idle(now)) {
+                    wake.notify_one();
+                }
                 continue;
             }
             let mut tasks = JoinSet::new();
@@ -357,9 +362,11 @@
         let now = clock::now();
         let call = {
             let mut scheduler = leadership.scheduler();
-            let Some(state) = scheduler.worker_mut(key) else { return };
+            if scheduler.worker(key).is_none() {
+                return;
+            }
             let open = answered && worker.is_connected();
-            state.next_list(open, leadership.can_renew_leases(), now)
+            scheduler.next_list(key, open, leadership.can_renew_leases(), now)
         };
         let Some(call) = call else {
             wake.notified().await;
