Tests of calls that still act on another life of a worker

Five are of processes (former_calls.rs), six of the scheduler.

An acknowledgement that is still without an answer has the token of the starts that are sent meanwhile, so a next life that carries out such a start drops its end. A late start is carried out by a next life that has answered no list, beside the run elsewhere; a successor does not watch workers for it. The waits for unanswered starts, and for leases of a former leader, assume that calls are at most 3 s late, the watch assumes 12 s. A worker that has left without a refusal is listed without end.

--- a/crates/coriandertack-jobs/tests/sched/incarnations.rs
+++ b/crates/coriandertack-jobs/tests/sched/incarnations.rs
@@ -8,7 +8,7 @@
     ids::JobId,
     progress::JobPhase,
     report::{EndCause, WorkerEntry},
-    sched::{Scheduler, StartOutcome, WorkerCommand, WorkerKey},
+    sched::{LossCause, Scheduler, StartOutcome, WorkerCommand, WorkerKey},
 };
 
 use crate::support::{
@@ -289,3 +289,75 @@
     apply_list(&mut cluster.sched, other, sent, &list, sent.plus_ms(1));
     assert!(cluster.sched.worker(other).unwrap().listed);
 }
+
+/// Guards against a second run of a task that is done: an acknowledgement that is still without an
+/// answer has the token of a start that was sent after it. The next incarnation carries out the start first, and then
+/// drops the end at the acknowledgement before any list has shown it.
+#[test]
+fn start_bars_an_acknowledgement_that_is_under_way() {
+    let (mut cluster, key) = cluster_with_recorded_end();
+    let now = cluster.now;
+    let held = cluster.sched.worker_mut(key).unwrap().next_list(true, true, now).unwrap();
+    assert_eq!(held.acknowledged, 1);
+
+    cluster.admit(2, job(vec![step(1, 1)]));
+    cluster.now = cluster.now.plus_ms(20);
+    cluster.sched.place(cluster.now);
+    let batch = cluster.sched.take_batch();
+    cluster.record(&batch);
+    let [WorkerCommand::Start(start)] = &batch.commands[..] else { panic!("one start") };
+    let id = (start.task, start.attempt);
+    assert!(cluster.sched.prepare_start(key, id.0, id.1, cluster.now));
+    let seen = cluster.sched.worker(key).unwrap().token();
+
+    // The next incarnation carries out the start and ends it; then the acknowledgement arrives.
+    let mut next = FakeWorker::default();
+    next.running.insert(id, (Arc::default(), 0));
+    cluster.now = cluster.now.plus_ms(1);
+    let outcome = StartOutcome::Started;
+    cluster.sched.record_start_outcome(key, id.0, id.1, outcome, cluster.now);
+    next.end(id.0, id.1, EndCause::Done);
+    if held.token >= seen {
+        next.ended.retain(|end| end.number > held.acknowledged);
+    }
+
+    // The acknowledgement gets no answer, and the next list has a raised token.
+    cluster.now = cluster.now.plus_ms(1_400);
+    assert!(cluster.sched.record_list_failure(key, held.sent_at, false, cluster.now));
+    let sent = cluster.now.plus_ms(100);
+    cluster.now = sent.plus_ms(1);
+    let list = next.run_list(NEXT_INCARNATION);
+    apply_list(&mut cluster.sched, key, sent, &list, cluster.now);
+    list_next(&mut cluster, &next);
+    assert_eq!(commands(&mut cluster), (0, 0), "the task is done");
+}
+
+/// Guards against a next incarnation that nobody lists while a call of the former leader may still arrive: the successor
+/// knows of none, and lists an idle worker only once.
+#[test]
+fn successor_lists_a_worker_while_a_call_of_the_former_leader_may_arrive() {
+    let mut cluster = TestCluster::new(&[]);
+    cluster.sched.set_epoch(2);
+    cluster.sched.succeed_leader(cluster.now);
+    let key = cluster.add_worker(4);
+    let worker = cluster.sched.worker_mut(key).unwrap();
+    assert_eq!(worker.run_count(), 0);
+    assert!(worker.next_list(true, true, cluster.now.plus_ms(5_000)).is_some());
+}
+
+/// Guards against a next incarnation that nobody lists while a call without a lease may still arrive: the time is
+/// forgotten with a worker that was granted none.
+#[test]
+fn next_incarnation_is_listed_although_no_lease_was_granted() {
+    let mut cluster = TestCluster::new(&[4]);
+    let key = cluster.keys[0];
+    assert!(cluster.sched.record_list_failure(key, cluster.now, false, cluster.now));
+    cluster.sched.remove_lost_worker(key, LossCause::Replaced, cluster.now);
+    let next = WorkerEntry { born: NEXT_INCARNATION, ..worker_entry(4) };
+    let key = cluster.sched.upsert_worker(&"w0".into(), Arc::new(next), cluster.now);
+    let list = FakeWorker::default().run_list(NEXT_INCARNATION);
+    let sent = cluster.now.plus_ms(1);
+    assert!(apply_list(&mut cluster.sched, key, sent, &list, sent.plus_ms(1)).is_some());
+    let worker = cluster.sched.worker_mut(key).unwrap();
+    assert!(worker.next_list(true, true, cluster.now.plus_ms(5_000)).is_some());
+}
--- a/crates/coriandertack-jobs/tests/sched/leases.rs
+++ b/crates/coriandertack-jobs/tests/sched/leases.rs
@@ -238,3 +238,50 @@
         assert!(cluster.sched.worker(key).unwrap().lease_end() >= lease.expiry());
     }
 }
+
+/// Guards against a second run of a task whose start got no answer: it is carried out as late as
+/// calls are expected to be, by an incarnation that the leader cannot reach, under the longest lease.
+#[test]
+fn start_that_may_be_carried_out_late_is_waited_for() {
+    for delay_ms in [2_000, 6_000, 11_900] {
+        let mut cluster = TestCluster::new(&[4]);
+        let key = cluster.keys[0];
+        let list = empty_list(FORMER_CLOCK_MS, INCARNATION);
+        apply_list(&mut cluster.sched, key, cluster.now, &list, cluster.now);
+        cluster.admit(1, job(vec![step(1, 1)]));
+        cluster.sched.place(cluster.now);
+        let _sent = cluster.sched.take_batch();
+        let until_ms = grant(&mut cluster, key);
+        let (id, sent) = (task(1, 0, 0), cluster.now);
+        assert!(cluster.sched.prepare_start(key, id, 1, sent));
+        cluster.now = sent.plus_ms(400);
+        let outcome = StartOutcome::Unanswered;
+        cluster.sched.record_start_outcome(key, id, 1, outcome, cluster.now);
+
+        let arrival = sent.plus_ms(delay_ms);
+        let mut lease = SlowLease { born: arrival, end_ms: 0 };
+        lease.extend(until_ms, arrival);
+        let lost_at = time_of_loss(&mut cluster, key);
+        let expiry = lease.expiry();
+        assert!(
+            lost_at >= expiry,
+            "given up {} ms before its lease expires, with a delay of {delay_ms} ms",
+            expiry.ms_since(lost_at)
+        );
+    }
+}
+
+/// Guards against a second run beside one that a late call keeps: a former leader's calls may be carried out for as long
+/// as this leader's own, and extend the lease of a young incarnation to the longest.
+#[test]
+fn successor_counts_a_lease_from_a_call_that_was_held_up() {
+    let mut cluster = TestCluster::new(&[]);
+    cluster.sched.succeed_leader(cluster.now);
+    // The former leader granted the lease as it was replaced, and the call is carried out 11.5 s later.
+    cluster.now = cluster.now.plus_ms(11_600);
+    let key = cluster.sched.upsert_worker(&"w0".into(), Arc::new(worker_entry(4)), cluster.now);
+    let list = empty_list(100, INCARNATION);
+    apply_list(&mut cluster.sched, key, cluster.now, &list, cluster.now);
+    let lease_ms = cluster.sched.worker(key).unwrap().lease_end().ms_since(cluster.now);
+    assert!(lease_ms >= LEASE_LIMIT_MS, "counted {lease_ms} ms");
+}
--- a/crates/coriandertack-jobs/tests/sched/lost.rs
+++ b/crates/coriandertack-jobs/tests/sched/lost.rs
@@ -4,7 +4,7 @@
 
 use coriandertack_jobs::{
     report::EndCause,
-    sched::{LossCause, StartOutcome, WorkerCommand},
+    sched::{LossCause, StartOutcome, Worker, WorkerCommand},
 };
 
 use crate::support::{
@@ -194,3 +194,25 @@
         }
     }
 }
+
+/// Guards against a worker that is polled without end: it has left with its machine, so that nothing refuses
+/// connections, and each request that is not answered extends the time for which it is listed.
+#[test]
+fn idle_worker_that_has_left_is_not_polled_without_end() {
+    let mut cluster = TestCluster::new(&[4]);
+    let key = cluster.keys[0];
+    cluster.sched.mark_worker_absent("w0");
+    let began = cluster.now;
+    let mut polls = 0;
+    while cluster.now.ms_since(began) < 120_000 {
+        let now = cluster.now;
+        let wants_list = |worker: &mut Worker| worker.next_list(false, true, now).is_some();
+        if polls > 0 && !cluster.sched.worker_mut(key).is_some_and(wants_list) {
+            return;
+        }
+        polls += 1;
+        cluster.sched.record_list_failure(key, now, false, now.plus_ms(400));
+        cluster.now = now.plus_ms(800);
+    }
+    panic!("{polls} lists were requested in 120 s");
+}
--- a/crates/coriandertackd/tests/platform/former_calls.rs
+++ b/crates/coriandertackd/tests/platform/former_calls.rs
@@ -218,3 +218,140 @@
     })
     .await;
 }
+
+/// Delivers an acknowledgement of a successor `late_ms` milliseconds after the next incarnation has carried out a start
+/// that was sent meanwhile. Until then, the link is cut.
+async fn deliver_acknowledgement_after_a_start(late_ms: u64) {
+    let mut cluster = Cluster::start(2, 1).await;
+    cluster.workers[0].hold_calls(Hold { min_acked: 1, ..Hold::all(CallKind::List) });
+    let former = submit_task(&mut cluster, 100).await;
+    let worker = &cluster.workers[0];
+    await_event("the first task is done", || is_done(worker, &former)).await;
+    let leader = cluster.leader().await;
+    // The successor has opened no connection for starts yet.
+    cluster.kill(leader);
+    let vm = 1 - leader;
+    cluster.wait_until("the other VM leads", async |cluster| cluster.leader().await == vm).await;
+    let worker = &cluster.workers[0];
+    let held = worker.held_calls().len();
+    await_event("its acknowledgement is held", || worker.held_calls().len() > held).await;
+    let acknowledgement = worker.held_calls().len() - 1;
+    worker.set_link(Link::Renewed);
+    worker.restart(unix_ms());
+    let job = cluster.unused_job();
+    let body = json!({
+        "task-spec": "run-ms=10",
+        "steps": [{ "count": 1, "cpu": 500, "mem-mb": 64, "est-runtime-ms": 10 }],
+    });
+    assert_eq!(cluster.post(vm, &job, &body.to_string()).await, Some(200));
+    let worker = &cluster.workers[0];
+    await_event("the second task is done", || is_done(worker, &job)).await;
+    worker.set_link(Link::Silent);
+    sleep(Duration::from_millis(late_ms)).await;
+    let is_listed = first_run(worker, &job).is_some_and(|run| run.listed);
+    assert!(!is_listed, "the end was listed before the acknowledgement arrived");
+    assert!(worker.deliver(acknowledgement).is_some());
+    worker.hold_no_calls();
+    worker.set_link(Link::Open);
+    cluster.publish_entry(0);
+    cluster.wait_completed(&[job]).await;
+    check_ends(&cluster);
+}
+
+/// Guards against an acknowledgement that gets no answer and is carried out after a start that was sent meanwhile, with
+/// the same token, to the next incarnation: it drops the end of that run before any list contains it.
+#[tokio::test]
+async fn an_acknowledgement_under_way_at_a_loss_of_power_forgets_no_end() {
+    bounded(deliver_acknowledgement_after_a_start(0)).await;
+}
+
+/// Guards against the same if the acknowledgement is carried out seconds late, after a cut during which the requests with
+/// a higher token do not reach the next incarnation.
+#[tokio::test]
+async fn an_acknowledgement_that_arrives_after_a_cut_forgets_no_end() {
+    bounded(deliver_acknowledgement_after_a_start(2_500)).await;
+}
+
+/// Guards against a start that the next incarnation carries out late, before its first list, beside the run elsewhere.
+#[tokio::test]
+async fn a_start_that_precedes_the_first_list_does_not_run_beside_the_one_elsewhere() {
+    bounded(async {
+        let mut cluster = Cluster::start(1, 2).await;
+        let held_at = |cluster: &Cluster| {
+            cluster.workers.iter().position(|worker| held_call(worker, CallKind::Start).is_some())
+        };
+        cluster.workers.iter().for_each(|worker| worker.hold_calls(Hold::all(CallKind::Start)));
+        let job = submit_task(&mut cluster, 4_000).await;
+        await_event("the start is held", || held_at(&cluster).is_some()).await;
+        let first = held_at(&cluster).unwrap_or_default();
+        let elsewhere = &cluster.workers[1 - first];
+        elsewhere.hold_no_calls();
+        await_event("the task runs elsewhere", || first_run(elsewhere, &job).is_some()).await;
+        let worker = &cluster.workers[first];
+        worker.go_down().await;
+        worker.start_incarnation(unix_ms());
+        assert!(worker.deliver(0).is_some());
+        worker.hold_no_calls();
+        worker.come_back();
+        cluster.publish_entry(first);
+        cluster.wait_completed(&[job]).await;
+        check_ends(&cluster);
+    })
+    .await;
+}
+
+/// Guards against a start of a former leader that an incarnation carries out which began after the takeover: an idle worker
+/// is listed once, and not while such a start may arrive.
+#[tokio::test]
+async fn a_start_of_a_former_leader_does_not_run_beside_the_one_elsewhere() {
+    bounded(async {
+        let mut cluster = Cluster::start(2, 2).await;
+        let held_at = |cluster: &Cluster| {
+            cluster.workers.iter().position(|worker| held_call(worker, CallKind::Start).is_some())
+        };
+        cluster.workers.iter().for_each(|worker| worker.hold_calls(Hold::all(CallKind::Start)));
+        let job = submit_task(&mut cluster, 8_000).await;
+        await_event("the start is held", || held_at(&cluster).is_some()).await;
+        let first = held_at(&cluster).unwrap_or_default();
+        let leader = cluster.leader().await;
+        cluster.kill(leader);
+        // The successor sends no start to this worker, which has room for none.
+        cluster.resize_worker(first, 100);
+        cluster.workers.iter().for_each(|worker| worker.hold_no_calls());
+        let elsewhere = &cluster.workers[1 - first];
+        await_event("the task runs elsewhere", || first_run(elsewhere, &job).is_some()).await;
+        let worker = &cluster.workers[first];
+        sleep(Duration::from_millis(300)).await;
+        worker.crash_and_return(unix_ms(), 0).await;
+        sleep(Duration::from_millis(600)).await;
+        assert!(worker.deliver(0).is_some());
+        cluster.publish_entry(first);
+        cluster.wait_completed(&[job]).await;
+        check_ends(&cluster);
+    })
+    .await;
+}
+
+/// Guards against a worker that is listed without end: it has left with its machine, its entry has lapsed, and it had no
+/// runs. Each request without an answer extends the time for which it is listed.
+#[tokio::test]
+async fn a_worker_that_has_left_is_not_listed_without_end() {
+    bounded(async {
+        let mut cluster = Cluster::start(1, 2).await;
+        let acknowledgement = Hold { min_acked: 1, limit: 1, ..Hold::all(CallKind::List) };
+        cluster.workers.iter().for_each(|worker| worker.hold_calls(acknowledgement));
+        let job = submit_task(&mut cluster, 100).await;
+        let is_held = |worker: &Worker| held_call(worker, CallKind::List).is_some();
+        await_event("an acknowledgement is held", || cluster.workers.iter().any(is_held)).await;
+        let left = cluster.workers.iter().position(is_held).unwrap_or_default();
+        cluster.workers[left].hold_calls(Hold::all(CallKind::List));
+        cluster.withdraw_entry(left);
+        cluster.wait_completed(&[job]).await;
+        sleep(Duration::from_secs(16)).await;
+        let requested = cluster.workers[left].held_calls().len();
+        sleep(Duration::from_secs(5)).await;
+        let again = cluster.workers[left].held_calls().len() - requested;
+        assert_eq!(again, 0, "{again} lists were requested in 5 s, 16 s after the entry lapsed");
+    })
+    .await;
+}
