--- a/crates/coriandertack-jobs/src/sched/leases.rs
+++ b/crates/coriandertack-jobs/src/sched/leases.rs
@@ -18,8 +18,8 @@
 /// Longest lease that workers accept unless the settings tell another, in milliseconds.
 pub const DEFAULT_LEASE_LIMIT_MS: u64 = 10_000;
 
-/// How long after it was sent a call may still be carried out, in milliseconds. The protocol speaks of
-/// seconds (section "Running tasks").
+/// How late a call is assumed to extend the lease of a worker that cannot be reached, in milliseconds. Waiting for the
+/// latest possible call would leave its tasks without a run for longer than callers accept.
 pub(super) const MAX_CALL_DELAY_MS: u64 = 3_000;
 
 /// Returns the longest time that `ms` milliseconds on a worker's clock take.
@@ -83,15 +83,19 @@
         worker
     }
 
-    /// Returns when the leases have expired that calls of a former leader may have extended on a worker
-    /// that returns its first list now. The request raised the worker's fencing token, so that no later
-    /// call of a former leader is carried out.
+    /// Returns when the leases have expired that calls for a former incarnation, or of a former leader, may have extended
+    /// on a worker that returns its first list now. The request raised the worker's fencing token, so that no earlier call
+    /// is carried out any more.
     ///
-    /// `clock_ms` is the age of the incarnation. An old one has no lease from the clock of its
-    /// predecessor.
-    pub(super) fn former_lease_end(&self, clock_ms: u64, now: BootTime) -> Option<BootTime> {
+    /// `clock_ms` is the age of the incarnation. An old one has no lease from the clock of its predecessor.
+    pub(super) fn former_lease_end(
+        &self,
+        is_watched: bool,
+        clock_ms: u64,
+        now: BootTime,
+    ) -> Option<BootTime> {
         let oldest_ms = MAX_RENEWAL_MS + MAX_LATE_CALL_MS + self.lease_limit_ms;
-        let may_be_owed = now < self.calls_end && clock_ms < oldest_ms;
+        let may_be_owed = (is_watched || now < self.calls_end) && clock_ms < oldest_ms;
         may_be_owed.then(|| self.longest_lease_end(now))
     }
 }
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -31,13 +31,10 @@
         }
         worker.born = worker.born.or(run_list.born);
         self.lose_former_runs(key, run_list, now);
-        let former_lease_end = self.former_lease_end(run_list.clock_ms, now);
-        let longest_lease_end = self.longest_lease_end(now);
+        let worker = self.workers.get(key)?;
+        let former_lease_end =
+            self.former_lease_end(worker.is_watched(now), run_list.clock_ms, now);
         let worker = self.workers.get_mut(key)?;
-        // The call that the list answers is the first to bar those for the former incarnation.
-        if worker.is_watched(now) && !worker.listed {
-            worker.inherit_leases(longest_lease_end);
-        }
         if let Some(end) = former_lease_end.filter(|_| !worker.listed) {
             worker.inherit_leases(end);
         }
