Do not count lapses behind a cut as crashes

Cause: the loss of a worker whose leases expired in silence was counted against its tasks like a crash, and stayed counted when the worker was heard again.

Change: the scheduler remembers which losses it counted at the expiry of a lease, and takes each back once the incarnation that held the run returns a list. The count stays if another incarnation returns, since a crash on a young worker may be seen only as the expiry of its lease. A successor does not know the lapses that its predecessor counted.

--- a/crates/coriandertack-jobs/src/sched/crashes.rs
+++ b/crates/coriandertack-jobs/src/sched/crashes.rs
@@ -9,7 +9,7 @@
 
 use std::{collections::HashSet, sync::Arc};
 
-use super::{LossCause, Placement, Scheduler, Task, Worker, worker::Run};
+use super::{LossCause, Placement, Scheduler, Task, Worker, WorkerKey, worker::Run};
 
 use crate::{
     boot_time::BootTime,
@@ -36,6 +36,15 @@
 /// it, a long-running task would be given up after the losses of a few weeks.
 const STABLE_MS: u64 = 10_000;
 
+/// A loss that was counted against a task although its worker may run on behind a cut.
+#[derive(Clone, Debug)]
+pub(super) struct Lapse {
+    worker: Arc<str>,
+    /// Incarnation of the worker that held the run.
+    born: u64,
+    task: TaskId,
+}
+
 /// What the loss of its worker says about one run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Evidence {
@@ -175,14 +184,14 @@
         if worker.is_leaving() {
             return Vec::new();
         }
-        let evidence: Vec<(TaskId, Evidence)> = worker
+        let evidence: Vec<(TaskId, Option<u64>, Evidence)> = worker
             .runs
             .iter()
-            .map(|((task, _), run)| (*task, run.evidence(cause, failed_at)))
+            .map(|((task, _), run)| (*task, run.born, run.evidence(cause, failed_at)))
             .collect();
-        let early = evidence.iter().filter(|(_, evidence)| *evidence == Evidence::Early);
+        let early = evidence.iter().filter(|(.., evidence)| *evidence == Evidence::Early);
         // The tasks of a step are alike, and a job fails with any of them.
-        let causes: HashSet<StepId> = early.map(|(task, _)| task.step_id()).collect();
+        let causes: HashSet<StepId> = early.map(|(task, ..)| task.step_id()).collect();
         if let Some(entry) = &worker.entry
             && !causes.is_empty()
         {
@@ -195,18 +204,50 @@
             let route = routes.iter().next().filter(|_| routes.len() == 1).cloned().flatten();
             self.crash_history.record_crash(&entry.service, route.as_ref(), failed_at);
         }
+        let mut lapses = std::mem::take(&mut self.lapses);
+        lapses.retain(|lapse| self.task(lapse.task).is_some());
         let mut given_up = Vec::new();
-        for (id, evidence) in evidence {
+        for (id, born, evidence) in evidence {
             let alone = causes.len() == 1 && evidence == Evidence::Early;
             let Some(task) = self.task_mut(id) else { continue };
             task.record_crash(evidence);
+            match (evidence, born) {
+                // Lapses before a reset must not reduce the count after it.
+                (Evidence::Stable, _) => lapses.retain(|lapse| lapse.task != id),
+                (Evidence::Present, Some(born)) if cause == LossCause::LeaseExpired => {
+                    lapses.push(Lapse { worker: Arc::clone(&worker.name), born, task: id });
+                }
+                _ => {}
+            }
             if evidence != Evidence::None && task.is_given_up(alone) {
                 given_up.push(id);
             }
         }
+        self.lapses = lapses;
         given_up
     }
 
+    /// Removes the lapses of a worker from the counts of crashes if the incarnation that held the runs
+    /// has returned a list: it was cut off or suspended, and did not crash. See docs/notes/crashes.md.
+    pub(super) fn retract_lapses(&mut self, key: WorkerKey, born: u64) {
+        let Some(worker) = self.workers.get(key) else { return };
+        let is_of_worker = |lapse: &mut Lapse| lapse.worker == worker.name;
+        let settled: Vec<Lapse> = self.lapses.extract_if(.., is_of_worker).collect();
+        for lapse in settled.into_iter().filter(|lapse| lapse.born == born) {
+            let Some(task) = self.task_mut(lapse.task) else { continue };
+            task.crashes = task.crashes.saturating_sub(1);
+            log::info!(
+                "event=crash_retracted task={} worker={} crashes={}",
+                lapse.task,
+                lapse.worker,
+                task.crashes
+            );
+            if let Some(&job) = self.job_index.get(&lapse.task.job) {
+                self.mark_changed(job);
+            }
+        }
+    }
+
     /// Fails the job of a task that crashes its workers.
     pub(super) fn give_up_task(&mut self, id: TaskId, now: BootTime) {
         let Some(task) = self.task(id) else { return };
--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -70,6 +70,7 @@
 use self::{
     advice::AdviceState,
     containment::CrashHistory,
+    crashes::Lapse,
     leases::FormerCalls,
     teams::CapWaits,
     worker::{RunCost, RunProfile},
@@ -232,6 +233,8 @@
     /// Estimated share of named workers that the policy allows, by route name.
     allowed_shares: HashMap<Arc<str>, f64>,
     crash_history: CrashHistory,
+    /// Lapses of leases that count as crashes until their worker returns a list.
+    lapses: Vec<Lapse>,
     ledger: Ledger,
     cap_waits: CapWaits,
     /// When starts of teams with a cap no longer wait for workers that have not returned a list
--- a/crates/coriandertack-jobs/src/sched/run_lists.rs
+++ b/crates/coriandertack-jobs/src/sched/run_lists.rs
@@ -45,6 +45,9 @@
         worker.record_list_answer(call);
         worker.record_clock(run_list.clock_ms, now);
         worker.listed = true;
+        if let Some(born) = run_list.born {
+            self.retract_lapses(key, born);
+        }
         for end in &run_list.ended {
             if self.workers.get(key).is_some_and(|worker| end.number > worker.processed_end) {
                 self.process_end(key, end, now);
--- a/crates/coriandertack-jobs/tests/sched/crashes.rs
+++ b/crates/coriandertack-jobs/tests/sched/crashes.rs
@@ -18,7 +18,9 @@
     proptest::prelude::*,
 };
 
-use crate::support::{TestCluster, job, route, step, task, worker_entry};
+use crate::support::{
+    FakeWorker, INCARNATION, TestCluster, apply_list, job, route, step, task, worker_entry,
+};
 
 /// Number of starts after the third crash that breaks the rule.
 const EXCESS_STARTS: u32 = 3;
@@ -292,6 +294,57 @@
     assert_eq!((progress.crashes, progress.early_crashes), (3, 0));
 }
 
+/// Lets the leases of a worker expire in silence, and has it return its list as incarnation `born`.
+/// Its runs have ended by then.
+fn lapse_and_return(cluster: &mut TestCluster, key: WorkerKey, born: Option<u64>) {
+    let worker = cluster.sched.worker(key).unwrap();
+    let (name, lease_end) = (worker.name.clone(), worker.lease_end());
+    let cut_at = cluster.now;
+    cluster.now = lease_end.plus_ms(1);
+    assert!(!cluster.sched.record_list_failure(key, cut_at, true, cluster.now));
+    cluster.workers.remove(&key);
+    cluster.keys.retain(|known| *known != key);
+    let entry = WorkerEntry { born, ..worker_entry(4) };
+    let back = cluster.sched.upsert_worker(&name, Arc::new(entry), cluster.now);
+    let list = FakeWorker::default().run_list(born);
+    apply_list(&mut cluster.sched, back, cluster.now, &list, cluster.now.plus_ms(1));
+    cluster.workers.insert(back, FakeWorker::default());
+    cluster.keys.push(back);
+}
+
+/// Guards against a job that is shown as failed because its only worker was cut off again and again
+/// (review/beyond-2/cuts): each expiry of a lease counted as a crash.
+#[test]
+fn expired_leases_of_a_worker_that_runs_on_are_no_crashes() {
+    let mut cluster = TestCluster::new(&[4]);
+    let lasting = StepSpec { lasting: true, ..step(1, 1) };
+    cluster.admit(1, job(vec![lasting]));
+    for cut in 1..=10 {
+        cluster.run_pass();
+        assert_eq!(cluster.starts.len(), cut, "the task is started again");
+        let key = cluster.keys[0];
+        lapse_and_return(&mut cluster, key, INCARNATION);
+    }
+    cluster.run_pass();
+    let progress = &cluster.records[&JobId(1)].tasks[0];
+    assert_eq!((progress.crashes, progress.early_crashes), (0, 0));
+}
+
+/// Guards against crashes that are forgiven because they were first seen as the expiry of a lease.
+#[test]
+fn expired_leases_of_a_worker_that_was_born_again_are_crashes() {
+    let mut cluster = TestCluster::new(&[4]);
+    cluster.admit(1, job(vec![step(1, 1)]));
+    for crash in 1..=5 {
+        cluster.run_pass();
+        assert_eq!(cluster.starts.len(), crash, "the task is started again");
+        let key = cluster.keys[0];
+        lapse_and_return(&mut cluster, key, INCARNATION.map(|born| born + crash as u64));
+    }
+    cluster.run_pass();
+    assert_eq!(cluster.phase(1), Some(JobPhase::Failed));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 60, ..ProptestConfig::default() })]
 
