Count crashes late in a run against tasks that have an end

Cause: a run of 10 s reset the counts of crashes. That is meant for long-running tasks, which meet unrelated losses over weeks, but held for all tasks.

Change: only the runs of long-running tasks reset the counts. For a task that has an end, a crash counts whatever the age of the run.

--- a/crates/coriandertack-jobs/src/sched/crashes.rs
+++ b/crates/coriandertack-jobs/src/sched/crashes.rs
@@ -32,8 +32,9 @@
 /// twice more after three crashes (rules, BUDGET).
 const MAX_CRASHES: u32 = 5;
 
-/// Duration after which a run is not related to the loss of its worker, in milliseconds. Without
-/// it, a long-running task would be given up after the losses of a few weeks.
+/// Duration after which a long-running task is not related to the loss of its worker, in
+/// milliseconds. Without it, such a task would be given up after the losses of a few weeks. A task
+/// that has an end is on few workers, so each loss counts: it may crash them late in its run.
 const STABLE_MS: u64 = 10_000;
 
 /// A loss that was counted against a task although its worker may run on behind a cut.
@@ -50,7 +51,7 @@
 enum Evidence {
     /// The run did not cause the loss.
     None,
-    /// The run has worked for so long that its task does not crash workers.
+    /// The run is of a long-running task, and has worked for so long that it does not crash workers.
     Stable,
     /// The run may have been on the worker, but is not known to have just started.
     Present,
@@ -94,12 +95,13 @@
         self.confirmed_at.is_none_or(|at| now.ms_since(at) < PROBATION_MS)
     }
 
-    /// Returns what the loss of the worker at `failed_at` says about the run.
-    fn evidence(&self, cause: LossCause, failed_at: BootTime) -> Evidence {
+    /// Returns what the loss of the worker at `failed_at` says about the run. `lasting` is set if its
+    /// task is long-running.
+    fn evidence(&self, cause: LossCause, lasting: bool, failed_at: BootTime) -> Evidence {
         let Some(sent_at) = self.sent_at else { return Evidence::None };
         let age_ms = failed_at.ms_since(sent_at);
         match cause {
-            _ if age_ms >= STABLE_MS => Evidence::Stable,
+            _ if lasting && age_ms >= STABLE_MS => Evidence::Stable,
             // The worker may be cut off and run on.
             LossCause::LeaseExpired => Evidence::Present,
             LossCause::Reborn | LossCause::Replaced | LossCause::Refused | LossCause::Unhosted => {
@@ -187,7 +189,10 @@
         let evidence: Vec<(TaskId, Option<u64>, Evidence)> = worker
             .runs
             .iter()
-            .map(|((task, _), run)| (*task, run.born, run.evidence(cause, failed_at)))
+            .map(|((task, _), run)| {
+                let lasting = self.step(task.step_id()).is_some_and(|(_, spec, _)| spec.lasting);
+                (*task, run.born, run.evidence(cause, lasting, failed_at))
+            })
             .collect();
         let early = evidence.iter().filter(|(.., evidence)| *evidence == Evidence::Early);
         // The tasks of a step are alike, and a job fails with any of them.
--- a/crates/coriandertack-jobs/tests/sched/crashes.rs
+++ b/crates/coriandertack-jobs/tests/sched/crashes.rs
@@ -90,6 +90,7 @@
                 self.crash(*worker);
             }
         }
+        self.report_progress();
         for ((id, attempt), (_, at)) in active {
             if !self.crashing.contains_key(&id.job) && now.ms_since(at) >= RUN_MS {
                 self.end(id, attempt);
@@ -103,6 +104,17 @@
         self.cluster.apply_run_lists();
     }
 
+    /// Advances the runs of crashing jobs, which would be stopped as stalled otherwise.
+    fn report_progress(&mut self) {
+        for worker in self.cluster.workers.values_mut() {
+            for ((id, _), (_, percent)) in &mut worker.running {
+                if self.crashing.contains_key(&id.job) {
+                    *percent = (*percent + 1) % 100;
+                }
+            }
+        }
+    }
+
     /// Completes a run, unless its worker has crashed.
     fn end(&mut self, id: TaskId, attempt: u32) {
         let Some((worker, _)) = self.active.remove(&(id, attempt)) else { return };
@@ -158,6 +170,30 @@
     assert_eq!(play.crashes[&task(1, 0, 0)], 2);
 }
 
+/// Guards against a task that crashes its workers late in its run and is started for ever
+/// (review/10): a run of 10 s reset the count of crashes.
+#[test]
+fn task_that_crashes_its_workers_late_is_given_up() {
+    for crash_ms in [9_500, 10_500, 14_000] {
+        let mut play = Play::new(6);
+        play.admit(1, 1, Some(crash_ms));
+        play.run_ms(7 * (crash_ms + 1_000));
+        play.check_starts();
+        assert_eq!(play.cluster.phase(1), Some(JobPhase::Failed), "crashes after {crash_ms} ms");
+    }
+}
+
+/// Guards against a sound long-running task that is given up after the unrelated losses of weeks.
+#[test]
+fn old_long_running_task_is_not_given_up_for_the_losses_of_its_workers() {
+    let mut play = Play::new(6);
+    play.cluster.admit(1, job(vec![StepSpec { lasting: true, ..step(1, 1) }]));
+    play.crashing.insert(JobId(1), 10_500);
+    play.run_ms(110_000);
+    assert!(play.crashes[&task(1, 0, 0)] >= 8);
+    assert_ne!(play.cluster.phase(1), Some(JobPhase::Failed));
+}
+
 /// Guards against a crash that is blamed on the tasks that happened to be on the same worker.
 #[test]
 fn tasks_beside_a_crashing_task_are_not_given_up() {
