--- a/crates/coriandertack-jobs/src/sched/crashes.rs
+++ b/crates/coriandertack-jobs/src/sched/crashes.rs
@@ -9,7 +9,7 @@
 
 use std::{collections::HashSet, sync::Arc};
 
-use super::{LossCause, Placement, Scheduler, Task, Worker, worker::Run};
+use super::{LossCause, Placement, Scheduler, Task, Worker, WorkerKey, worker::Run};
 
 use crate::{
     boot_time::BootTime,
@@ -32,16 +32,26 @@
 /// twice more after three crashes (rules, BUDGET).
 const MAX_CRASHES: u32 = 5;
 
-/// Duration after which a run is not related to the loss of its worker, in milliseconds. Without
-/// it, a long-running task would be given up after the losses of a few weeks.
+/// Duration after which a long-running task is not related to the loss of its worker, in
+/// milliseconds. Without it, such a task would be given up after the losses of a few weeks. A task
+/// that has an end is on few workers, so each loss counts: it may crash them late in its run.
 const STABLE_MS: u64 = 10_000;
 
+/// A loss that was counted against a task although its worker may run on behind a cut.
+#[derive(Clone, Debug)]
+pub(super) struct Lapse {
+    worker: Arc<str>,
+    /// Incarnation of the worker that held the run.
+    born: u64,
+    task: TaskId,
+}
+
 /// What the loss of its worker says about one run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Evidence {
     /// The run did not cause the loss.
     None,
-    /// The run has worked for so long that its task does not crash workers.
+    /// The run is of a long-running task, and has worked for so long that it does not crash workers.
     Stable,
     /// The run may have been on the worker, but is not known to have just started.
     Present,
@@ -85,12 +95,13 @@
         self.confirmed_at.is_none_or(|at| now.ms_since(at) < PROBATION_MS)
     }
 
-    /// Returns what the loss of the worker at `failed_at` says about the run.
-    fn evidence(&self, cause: LossCause, failed_at: BootTime) -> Evidence {
+    /// Returns what the loss of the worker at `failed_at` says about the run. `lasting` is set if its
+    /// task is long-running.
+    fn evidence(&self, cause: LossCause, lasting: bool, failed_at: BootTime) -> Evidence {
         let Some(sent_at) = self.sent_at else { return Evidence::None };
         let age_ms = failed_at.ms_since(sent_at);
         match cause {
-            _ if age_ms >= STABLE_MS => Evidence::Stable,
+            _ if lasting && age_ms >= STABLE_MS => Evidence::Stable,
             // The worker may be cut off and run on.
             LossCause::LeaseExpired => Evidence::Present,
             LossCause::Reborn | LossCause::Replaced | LossCause::Refused | LossCause::Unhosted => {
@@ -175,14 +186,17 @@
         if worker.is_leaving() {
             return Vec::new();
         }
-        let evidence: Vec<(TaskId, Evidence)> = worker
+        let evidence: Vec<(TaskId, Option<u64>, Evidence)> = worker
             .runs
             .iter()
-            .map(|((task, _), run)| (*task, run.evidence(cause, failed_at)))
+            .map(|((task, _), run)| {
+                let lasting = self.step(task.step_id()).is_some_and(|(_, spec, _)| spec.lasting);
+                (*task, run.born, run.evidence(cause, lasting, failed_at))
+            })
             .collect();
-        let early = evidence.iter().filter(|(_, evidence)| *evidence == Evidence::Early);
+        let early = evidence.iter().filter(|(.., evidence)| *evidence == Evidence::Early);
         // The tasks of a step are alike, and a job fails with any of them.
-        let causes: HashSet<StepId> = early.map(|(task, _)| task.step_id()).collect();
+        let causes: HashSet<StepId> = early.map(|(task, ..)| task.step_id()).collect();
         if let Some(entry) = &worker.entry
             && !causes.is_empty()
         {
@@ -195,18 +209,50 @@
             let route = routes.iter().next().filter(|_| routes.len() == 1).cloned().flatten();
             self.crash_history.record_crash(&entry.service, route.as_ref(), failed_at);
         }
+        let mut lapses = std::mem::take(&mut self.lapses);
+        lapses.retain(|lapse| self.task(lapse.task).is_some());
         let mut given_up = Vec::new();
-        for (id, evidence) in evidence {
+        for (id, born, evidence) in evidence {
             let alone = causes.len() == 1 && evidence == Evidence::Early;
             let Some(task) = self.task_mut(id) else { continue };
             task.record_crash(evidence);
+            match (evidence, born) {
+                // Lapses before a reset must not reduce the count after it.
+                (Evidence::Stable, _) => lapses.retain(|lapse| lapse.task != id),
+                (Evidence::Present, Some(born)) if cause == LossCause::LeaseExpired => {
+                    lapses.push(Lapse { worker: Arc::clone(&worker.name), born, task: id });
+                }
+                _ => {}
+            }
             if evidence != Evidence::None && task.is_given_up(alone) {
                 given_up.push(id);
             }
         }
+        self.lapses = lapses;
         given_up
     }
 
+    /// Removes the lapses of a worker from the counts of crashes if the incarnation that held the runs
+    /// has returned a list: it was cut off or suspended, and did not crash. See docs/notes/crashes.md.
+    pub(super) fn retract_lapses(&mut self, key: WorkerKey, born: u64) {
+        let Some(worker) = self.workers.get(key) else { return };
+        let is_of_worker = |lapse: &mut Lapse| lapse.worker == worker.name;
+        let settled: Vec<Lapse> = self.lapses.extract_if(.., is_of_worker).collect();
+        for lapse in settled.into_iter().filter(|lapse| lapse.born == born) {
+            let Some(task) = self.task_mut(lapse.task) else { continue };
+            task.crashes = task.crashes.saturating_sub(1);
+            log::info!(
+                "event=crash_retracted task={} worker={} crashes={}",
+                lapse.task,
+                lapse.worker,
+                task.crashes
+            );
+            if let Some(&job) = self.job_index.get(&lapse.task.job) {
+                self.mark_changed(job);
+            }
+        }
+    }
+
     /// Fails the job of a task that crashes its workers.
     pub(super) fn give_up_task(&mut self, id: TaskId, now: BootTime) {
         let Some(task) = self.task(id) else { return };
--- a/crates/coriandertack-jobs/tests/sched/crashes.rs
+++ b/crates/coriandertack-jobs/tests/sched/crashes.rs
@@ -18,7 +18,9 @@
     proptest::prelude::*,
 };
 
-use crate::support::{TestCluster, job, route, step, task, worker_entry};
+use crate::support::{
+    FakeWorker, INCARNATION, TestCluster, apply_list, job, route, step, task, worker_entry,
+};
 
 /// Number of starts after the third crash that breaks the rule.
 const EXCESS_STARTS: u32 = 3;
@@ -88,6 +90,7 @@
                 self.crash(*worker);
             }
         }
+        self.report_progress();
         for ((id, attempt), (_, at)) in active {
             if !self.crashing.contains_key(&id.job) && now.ms_since(at) >= RUN_MS {
                 self.end(id, attempt);
@@ -101,6 +104,17 @@
         self.cluster.apply_run_lists();
     }
 
+    /// Advances the runs of crashing jobs, which would be stopped as stalled otherwise.
+    fn report_progress(&mut self) {
+        for worker in self.cluster.workers.values_mut() {
+            for ((id, _), (_, percent)) in &mut worker.running {
+                if self.crashing.contains_key(&id.job) {
+                    *percent = (*percent + 1) % 100;
+                }
+            }
+        }
+    }
+
     /// Completes a run, unless its worker has crashed.
     fn end(&mut self, id: TaskId, attempt: u32) {
         let Some((worker, _)) = self.active.remove(&(id, attempt)) else { return };
@@ -156,6 +170,30 @@
     assert_eq!(play.crashes[&task(1, 0, 0)], 2);
 }
 
+/// Guards against a task that crashes its workers late in its run and is started for ever
+/// (review/10): a run of 10 s reset the count of crashes.
+#[test]
+fn task_that_crashes_its_workers_late_is_given_up() {
+    for crash_ms in [9_500, 10_500, 14_000] {
+        let mut play = Play::new(6);
+        play.admit(1, 1, Some(crash_ms));
+        play.run_ms(7 * (crash_ms + 1_000));
+        play.check_starts();
+        assert_eq!(play.cluster.phase(1), Some(JobPhase::Failed), "crashes after {crash_ms} ms");
+    }
+}
+
+/// Guards against a sound long-running task that is given up after the unrelated losses of weeks.
+#[test]
+fn old_long_running_task_is_not_given_up_for_the_losses_of_its_workers() {
+    let mut play = Play::new(6);
+    play.cluster.admit(1, job(vec![StepSpec { lasting: true, ..step(1, 1) }]));
+    play.crashing.insert(JobId(1), 10_500);
+    play.run_ms(110_000);
+    assert!(play.crashes[&task(1, 0, 0)] >= 8);
+    assert_ne!(play.cluster.phase(1), Some(JobPhase::Failed));
+}
+
 /// Guards against a crash that is blamed on the tasks that happened to be on the same worker.
 #[test]
 fn tasks_beside_a_crashing_task_are_not_given_up() {
@@ -292,6 +330,57 @@
     assert_eq!((progress.crashes, progress.early_crashes), (3, 0));
 }
 
+/// Lets the leases of a worker expire in silence, and has it return its list as incarnation `born`.
+/// Its runs have ended by then.
+fn lapse_and_return(cluster: &mut TestCluster, key: WorkerKey, born: Option<u64>) {
+    let worker = cluster.sched.worker(key).unwrap();
+    let (name, lease_end) = (worker.name.clone(), worker.lease_end());
+    let cut_at = cluster.now;
+    cluster.now = lease_end.plus_ms(1);
+    assert!(!cluster.sched.record_list_failure(key, cut_at, true, cluster.now));
+    cluster.workers.remove(&key);
+    cluster.keys.retain(|known| *known != key);
+    let entry = WorkerEntry { born, ..worker_entry(4) };
+    let back = cluster.sched.upsert_worker(&name, Arc::new(entry), cluster.now);
+    let list = FakeWorker::default().run_list(born);
+    apply_list(&mut cluster.sched, back, cluster.now, &list, cluster.now.plus_ms(1));
+    cluster.workers.insert(back, FakeWorker::default());
+    cluster.keys.push(back);
+}
+
+/// Guards against a job that is shown as failed because its only worker was cut off again and again
+/// (review/beyond-2/cuts): each expiry of a lease counted as a crash.
+#[test]
+fn expired_leases_of_a_worker_that_runs_on_are_no_crashes() {
+    let mut cluster = TestCluster::new(&[4]);
+    let lasting = StepSpec { lasting: true, ..step(1, 1) };
+    cluster.admit(1, job(vec![lasting]));
+    for cut in 1..=10 {
+        cluster.run_pass();
+        assert_eq!(cluster.starts.len(), cut, "the task is started again");
+        let key = cluster.keys[0];
+        lapse_and_return(&mut cluster, key, INCARNATION);
+    }
+    cluster.run_pass();
+    let progress = &cluster.records[&JobId(1)].tasks[0];
+    assert_eq!((progress.crashes, progress.early_crashes), (0, 0));
+}
+
+/// Guards against crashes that are forgiven because they were first seen as the expiry of a lease.
+#[test]
+fn expired_leases_of_a_worker_that_was_born_again_are_crashes() {
+    let mut cluster = TestCluster::new(&[4]);
+    cluster.admit(1, job(vec![step(1, 1)]));
+    for crash in 1..=5 {
+        cluster.run_pass();
+        assert_eq!(cluster.starts.len(), crash, "the task is started again");
+        let key = cluster.keys[0];
+        lapse_and_return(&mut cluster, key, INCARNATION.map(|born| born + crash as u64));
+    }
+    cluster.run_pass();
+    assert_eq!(cluster.phase(1), Some(JobPhase::Failed));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 60, ..ProptestConfig::default() })]
 
