Refuse submissions that the store cannot keep, and split appends by its limits

Cause: the store refuses a record above max-record-bytes and an append above max-call-bytes for good. The leader repeated such an append until it succeeded, so one submission, one burst of submissions or the progress of one job ended all of its decisions.

The leader refuses forwarded records beyond the limit, and splits a batch into appends with consecutive numbers of its epoch; starts, acknowledgements and answers follow the last part. VMs split what they append themselves. A job whose progress does not fit is held until it does: its starts are withdrawn, and no end is acknowledged meanwhile (docs/design/record-sizes.md). The stand-in of the store enforces both limits.

--- a/crates/coriandertack-jobs/src/sched/mod.rs
+++ b/crates/coriandertack-jobs/src/sched/mod.rs
@@ -18,6 +18,7 @@
 mod evacuate;
 mod fit;
 mod health;
+mod hold;
 mod incarnations;
 mod leases;
 mod lost;
@@ -225,6 +226,8 @@
     ended_jobs: HashMap<JobId, Arc<JobSpec>>,
     /// Jobs whose records this leader cannot read. The ends of their runs are kept for one that can.
     closed_jobs: HashSet<JobId>,
+    /// Jobs of which no task is started because their progress cannot be recorded.
+    held_jobs: HashSet<JobId>,
     /// Jobs that were cancelled before they were admitted.
     early_cancels: HashMap<JobId, Cancellers>,
     /// Workers reserved for waiting steps in the last scheduling pass.
--- a/crates/coriandertack-jobs/src/sched/place.rs
+++ b/crates/coriandertack-jobs/src/sched/place.rs
@@ -191,6 +191,9 @@
             self.queue.retain(|(_, known)| *known != id);
             return 0;
         };
+        if self.held_jobs.contains(&id.job) {
+            return 0;
+        }
         let route = self.route_of(job);
         let (gang, charge, payload) = (spec.gang, spec.capacity_charge(), job.spec.payload.clone());
         let tasks = self.startable(id, headroom).min(limit);
--- a/crates/coriandertack-jobs/tests/sched/main.rs
+++ b/crates/coriandertack-jobs/tests/sched/main.rs
@@ -9,6 +9,7 @@
 mod ends;
 mod fair;
 mod gangs;
+mod hold;
 mod hosts;
 mod incarnations;
 mod leases;
--- a/crates/coriandertack-standins/src/platform/store.rs
+++ b/crates/coriandertack-standins/src/platform/store.rs
@@ -113,8 +113,37 @@
     }
 }
 
+/// Largest size of a record, and of all records of an append with their length prefixes, in bytes.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    record: usize,
+    call: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { record: 262_144, call: 2_097_152 }
+    }
+}
+
+impl Limits {
+    /// Returns whether an append with this body is accepted.
+    fn accept(self, mut body: &[u8]) -> bool {
+        let mut accepted = body.len() <= self.call;
+        while accepted && body.len() >= 4 {
+            let length = body.get_u32() as usize;
+            accepted = length <= self.record;
+            body.advance(length.min(body.len()));
+        }
+        accepted
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
+    limits: Limits,
+    /// Number of appends that were refused for their size.
+    refused_sizes: u64,
     topics: HashMap<String, Topic>,
     faults: Faults,
     appends: u64,
@@ -219,6 +248,17 @@
         lock(&self.state).faults = faults;
     }
 
+    /// Replaces the largest size of a record, and that of all records of an append with their length prefixes, in bytes.
+    pub fn limit(&self, record: usize, call: usize) {
+        lock(&self.state).limits = Limits { record, call };
+    }
+
+    /// Returns the number of appends that were refused for their size.
+    #[must_use]
+    pub fn refused_sizes(&self) -> u64 {
+        lock(&self.state).refused_sizes
+    }
+
     /// Replaces the item of a key in pages of newest records.
     pub fn replace_item(&self, key: &str, item: Value) {
         lock(&self.state).replaced_items.insert(key.to_owned(), item);
@@ -322,6 +362,10 @@
     if state.faults.refused_topic == Some(topic_name) {
         return json_reply(503, &json!({}));
     }
+    if !state.limits.accept(&call.body) {
+        state.refused_sizes += 1;
+        return json_reply(413, &json!({}));
+    }
     state.appends += 1;
     let Faults { lost_every, lost_topic, .. } = state.faults;
     let drop_reply = lost_topic == Some(topic_name)
--- a/crates/coriandertackd/src/fleet/caller_api.rs
+++ b/crates/coriandertackd/src/fleet/caller_api.rs
@@ -8,6 +8,7 @@
 use {
     bytes::Bytes,
     coriandertack_callers::bodies::{BODY_TIME, BodyError, Limit, ReceivedBody},
+    coriandertack_core::code::Code,
     coriandertack_jobs::{
         access::{self, Caller, Refusal},
         boot_time::BootTime,
@@ -327,6 +328,10 @@
             }
             unavailable(shared, "the store is unavailable; the job was not accepted", wait_ms)
         }
+        Outcome::TooLarge => {
+            Counters::count(&shared.counters.refused);
+            too_large(shared, "the job")
+        }
         Outcome::Unknown => {
             Counters::count(&shared.counters.unknown);
             text(StatusCode::GATEWAY_TIMEOUT, "the outcome is unknown")
@@ -378,6 +383,7 @@
         Outcome::NotRun => {
             return unavailable(shared, "the store is unavailable; nothing was cancelled", wait_ms);
         }
+        Outcome::TooLarge => return too_large(shared, "the cancellation"),
         Outcome::Unknown => return text(StatusCode::GATEWAY_TIMEOUT, "the outcome is unknown"),
     }
     shared.replica().apply(ReplicaRecord::Cancelled(id, callers), clock::now());
@@ -444,6 +450,19 @@
     reply
 }
 
+/// Refuses a request whose record the store would refuse however often it is sent.
+fn too_large(shared: &Shared, what: &str) -> Reply {
+    let max_bytes = shared.settings.platform.append_limits().record_bytes;
+    let code = Code::TooLarge;
+    let message =
+        format!("the record of {what} exceeds the {max_bytes} bytes that the store accepts");
+    let body =
+        serde_json::json!({ "code": code.number(), "text": code.text(), "message": message });
+    let mut reply = json(body.to_string());
+    *reply.status_mut() = StatusCode::PAYLOAD_TOO_LARGE;
+    reply
+}
+
 /// Refuses a request that has not run because the store is away, or soon may be.
 fn unavailable(shared: &Shared, message: &str, wait_ms: Option<u64>) -> Reply {
     let now = clock::now();
--- a/crates/coriandertackd/src/fleet/intake.rs
+++ b/crates/coriandertackd/src/fleet/intake.rs
@@ -11,7 +11,7 @@
     coriandertack_jobs::{boot_time::BootTime, replica::LinkInfo},
     coriandertack_log::jobs,
     coriandertack_peers::leader::{ForwardOutcome, ForwardedRecord},
-    coriandertack_platform::store::{AppendError, Record, Store, Topic},
+    coriandertack_platform::store::{AppendError, Record, Store, Topic, record_size},
     tokio::{
         sync::{mpsc, oneshot},
         time::{sleep, timeout},
@@ -55,6 +55,9 @@
 /// Makes a record durable: through the leader if a link to it is open, otherwise by an append of this VM. `wait_ms` is
 /// the time for which the caller waits for an answer, if it has said so.
 pub async fn persist(shared: &Shared, key: String, value: Bytes, wait_ms: Option<u64>) -> Outcome {
+    if !shared.settings.platform.append_limits().accepts(record_size(&key, &value)) {
+        return Outcome::TooLarge;
+    }
     let began = clock::now();
     let share_ms = wait_ms.map_or(UNKNOWN_MS.1, |wait_ms| wait_ms * UNKNOWN_PERCENT / 100);
     let until = began.plus_ms(share_ms.clamp(UNKNOWN_MS.0, UNKNOWN_MS.1));
@@ -124,6 +127,7 @@
 /// of this VM's link.
 pub async fn run(shared: Arc<Shared>, mut queue: mpsc::UnboundedReceiver<Submission>) {
     let mut store = Store::new(shared.settings.platform.store);
+    let limits = shared.settings.platform.append_limits();
     let vm = &shared.settings.vm;
     let link = LinkInfo { address: vm.link, millicores: (vm.cores * 1_000.0) as u32 };
     let (key, value) = jobs::announcement(&vm.name, link);
@@ -136,7 +140,9 @@
         if waiting.is_empty() && queue.recv_many(&mut waiting, MAX_BATCH_RECORDS).await == 0 {
             return;
         }
-        batch = Batch::new(mem::take(&mut waiting));
+        let sizes = waiting.iter().map(|item| record_size(&item.key, &item.value));
+        let rest = waiting.split_off(limits.first_part(sizes));
+        batch = Batch::new(mem::replace(&mut waiting, rest));
     }
 }
 
--- a/crates/coriandertackd/src/fleet/leadership.rs
+++ b/crates/coriandertackd/src/fleet/leadership.rs
@@ -15,7 +15,6 @@
 };
 
 use {
-    bytes::Bytes,
     coriandertack_jobs::{
         boot_time::{BootTime, WallTime},
         ids::JobId,
@@ -25,7 +24,9 @@
     },
     coriandertack_log::jobs,
     coriandertack_peers::leader::{AdviceReply, EndedJobs, ForwardOutcome, ForwardedRecord},
-    coriandertack_platform::store::{AppendError, Fence, ReadError, Record, Store, Topic},
+    coriandertack_platform::store::{
+        AppendError, Fence, ReadError, Record, Store, Topic, record_size,
+    },
     tokio::{
         sync::{Notify, mpsc, oneshot, watch},
         task::JoinSet,
@@ -36,6 +37,7 @@
 use super::{
     advice::{self, Links},
     arrivals::{Arrival, Arrivals},
+    batches::{self, Oversized},
     clock, election, handover, hosts, maintenance, metrics,
     readers::{self, Read},
     retention,
@@ -341,6 +343,8 @@
     let mut last_record = clock::now();
     let mut next_check = last_record.plus_ms(handover::CHECK_INTERVAL_MS);
     let mut retry_at: Option<BootTime> = None;
+    let limits = shared.settings.platform.append_limits();
+    let mut oversized = Oversized::default();
     loop {
         let now = clock::now();
         let due = retry_at
@@ -361,7 +365,7 @@
             handover::release(leadership, &mut store, number).await;
             return;
         }
-        let decision = decide(leadership, &mut arrivals);
+        let mut decision = decide(leadership, &mut arrivals);
         retry_at = decision.retry_at;
         send_advice_calls(leadership, decision.calls);
         workers::send_stops(leadership, &decision.batch);
@@ -373,10 +377,17 @@
         {
             continue;
         }
-        number += 1;
-        let batch = &decision.batch;
+        let records = batches::encode(&decision.batch, records);
+        let (parts, excess) = limits.split(records);
+        let held = oversized.jobs().len();
+        let withheld = oversized.withhold(&mut decision.batch, &excess);
+        if held > 0 || !excess.is_empty() {
+            let mut scheduler = leadership.scheduler();
+            scheduler.hold_jobs(oversized.jobs().clone());
+            withheld.iter().for_each(|start| scheduler.withdraw_start(start, now));
+        }
         let recorded =
-            append_batch(leadership, &mut store, number, batch, records, &mut arrivals).await;
+            append_batch(leadership, &mut store, &mut number, parts, &mut arrivals).await;
         let Some(began) = recorded else { return };
         last_record = began;
         finish_batch(leadership, decision.batch);
@@ -399,6 +410,14 @@
         match arrival {
             Arrival::Read(record) => apply_record(leadership, &mut scheduler, record, now, wall),
             Arrival::Forwarded(ForwardedRecord { key, value, outcome }) => {
+                let size = record_size(&key, &value);
+                if !leadership.shared.settings.platform.append_limits().accepts(size) {
+                    // A VM with the same limits does not forward it.
+                    log::warn!("event=record_too_large key={key} bytes={size}");
+                    // The receiver is gone if the VM's link has closed.
+                    let _disconnected = outcome.send(ForwardOutcome::Refused);
+                    continue;
+                }
                 let record = jobs::decode(&key, &value);
                 if is_of_other_team(leadership, &scheduler, &record) {
                     log::info!("event=submission_refused key={key} reason=other_team");
@@ -476,43 +495,51 @@
     }
 }
 
-/// Appends the records of a batch, or a leader record if there are none. Returns when the successful append began, or
-/// `None` if the leadership has ended.
+/// Appends the records of a batch in parts that the store accepts, or a leader record if there are none. Returns when the
+/// last successful append began, or `None` if the leadership has ended: what is recorded by then is as if the leader had
+/// failed before it sent the starts.
 async fn append_batch(
     leadership: &Leadership,
     store: &mut Store,
-    number: u64,
-    batch: &Batch,
-    mut records: Vec<Record>,
+    number: &mut u64,
+    mut parts: Vec<Vec<Record>>,
     arrivals: &mut Arrivals,
 ) -> Option<BootTime> {
     let started = clock::now();
-    let shared = &leadership.shared;
-    for (id, progress) in &batch.records {
-        let (key, value) = jobs::progress(*id, progress);
-        records.push(Record { key, value });
-        if progress.phase.is_final() {
-            // A starting VM reads every key. Submissions are most of the bytes and are not needed once the job has
-            // ended.
-            let [submission, cancellation] = jobs::request_keys(*id);
-            records.push(Record { key: submission, value: Bytes::new() });
-            if progress.phase == JobPhase::Cancelled {
-                records.push(Record { key: cancellation, value: Bytes::new() });
-            }
-        }
-    }
-    if records.is_empty() {
-        let vm = Arc::from(&*shared.settings.vm.name);
+    if parts.is_empty() {
+        let vm = Arc::from(&*leadership.shared.settings.vm.name);
         let (key, value) = jobs::leader(&Leader { epoch: leadership.epoch, vm });
-        records.push(Record { key, value });
+        parts.push(vec![Record { key, value }]);
+    }
+    let mut last = None;
+    for records in parts {
+        *number += 1;
+        let fence = Fence { epoch: leadership.epoch, number: *number };
+        last = Some(append_part(leadership, store, fence, &records, arrivals, started).await?);
     }
-    let fence = Some(Fence { epoch: leadership.epoch, number });
+    last
+}
+
+/// Appends records, and tries again until they are durable or the leadership has ended. `started` is when the first append
+/// of the batch began, from which the wait of forwarded records counts. Returns when the successful append began.
+async fn append_part(
+    leadership: &Leadership,
+    store: &mut Store,
+    fence: Fence,
+    records: &[Record],
+    arrivals: &mut Arrivals,
+    started: BootTime,
+) -> Option<BootTime> {
+    let first_try = clock::now();
+    let shared = &leadership.shared;
     let mut unavailable = false;
     loop {
         let began = clock::now();
         Counters::count(&shared.counters.appends);
-        let append =
-            request_advice_during(leadership, store.append(Topic::Progress, &records, fence, None));
+        let append = request_advice_during(
+            leadership,
+            store.append(Topic::Progress, records, Some(fence), None),
+        );
         match arrivals.refuse_during(append, started).await {
             Ok(_) => {
                 if unavailable {
@@ -541,7 +568,7 @@
         if *leadership.deposed.borrow() || *shared.stopping.borrow() {
             return None;
         }
-        if clock::now().ms_since(started) >= LINK_CLOSE_MS
+        if clock::now().ms_since(first_try) >= LINK_CLOSE_MS
             && !leadership.links_closed.send_replace(true)
         {
             log::warn!("event=links_closed epoch={} reason=store_refuses", leadership.epoch);
--- a/crates/coriandertackd/src/fleet/mod.rs
+++ b/crates/coriandertackd/src/fleet/mod.rs
@@ -7,7 +7,8 @@
 
 pub mod advice;
 pub mod arrivals;
-pub mod caller_api;
+pub mod batches;
+mod caller_api;
 pub mod election;
 pub mod handover;
 pub mod hosts;
--- a/crates/coriandertackd/src/fleet/settings.rs
+++ b/crates/coriandertackd/src/fleet/settings.rs
@@ -26,6 +26,7 @@
 use {
     anyhow::{Context, Result},
     coriandertack_jobs::sched::DEFAULT_LEASE_LIMIT_MS,
+    coriandertack_platform::store::AppendLimits,
     log::LevelFilter,
     serde::{Deserialize, Deserializer, de::Error},
 };
@@ -90,6 +91,31 @@
     /// Address of the machine interface; an empty text disables maintenance waves.
     #[serde(default, deserialize_with = "optional")]
     pub machines: Option<SocketAddr>,
+    /// Maximum size of a record in the store, in bytes.
+    #[serde(default = "max_record_bytes", deserialize_with = "positive")]
+    pub max_record_bytes: f64,
+    /// Maximum size of the records of one append to the store, in bytes.
+    #[serde(default = "max_call_bytes", deserialize_with = "positive")]
+    pub max_call_bytes: f64,
+}
+
+impl Platform {
+    /// Returns the sizes that the store accepts.
+    #[must_use]
+    pub const fn append_limits(&self) -> AppendLimits {
+        AppendLimits {
+            record_bytes: self.max_record_bytes as usize,
+            call_bytes: self.max_call_bytes as usize,
+        }
+    }
+}
+
+fn max_record_bytes() -> f64 {
+    AppendLimits::default().record_bytes as f64
+}
+
+fn max_call_bytes() -> f64 {
+    AppendLimits::default().call_bytes as f64
 }
 
 /// Time bounds stated by the platform.
--- a/crates/coriandertackd/src/fleet/shared.rs
+++ b/crates/coriandertackd/src/fleet/shared.rs
@@ -60,6 +60,8 @@
     Done,
     /// The record was not stored and will not be.
     NotRun,
+    /// The record is larger than the store accepts. It was not stored, and cannot be.
+    TooLarge,
     /// The record may have been stored, or may be stored later.
     Unknown,
 }
--- a/crates/coriandertackd/tests/limits.rs
+++ b/crates/coriandertackd/tests/limits.rs
@@ -77,3 +77,17 @@
         assert!(format!("{:#}", parsed.unwrap_err()).contains("must be above 0"), "{limits}");
     }
 }
+
+/// Guards against a bound at the door that differs from the store's, and against a VM that starts with none.
+#[test]
+fn append_limits_follow_from_the_settings() {
+    let limits = |text: &str| {
+        let limits = parse(&format!("{REQUIRED}{text}")).unwrap().platform.append_limits();
+        (limits.record_bytes, limits.call_bytes)
+    };
+    assert_eq!(limits(""), (262_144, 2_097_152));
+    assert_eq!(limits("max_record_bytes = 1000\nmax_call_bytes = 9000.0"), (1_000, 9_000));
+    for text in ["max_record_bytes = 0", "max_call_bytes = -1", "max_call_bytes = nan"] {
+        assert!(parse(&format!("{REQUIRED}{text}")).is_err(), "{text}");
+    }
+}
--- a/crates/coriandertackd/tests/platform/cluster.rs
+++ b/crates/coriandertackd/tests/platform/cluster.rs
@@ -77,6 +77,13 @@
     stopping: bool,
 }
 
+/// Largest size of a record and of the records of an append, in bytes.
+#[derive(Clone, Copy)]
+pub struct PlatformLimits {
+    pub record: usize,
+    pub call: usize,
+}
+
 /// A cluster of entry VM processes, workers and platform services. Dropping it kills the processes that still run.
 pub struct Cluster {
     pub store: Store,
@@ -87,6 +94,9 @@
     pub gateways: Vec<Gateway>,
     /// Key that all requests carry.
     pub key: Option<String>,
+    /// Maximum size of a request body in the configuration.
+    pub body_bytes: usize,
+    limits: Option<PlatformLimits>,
     /// Teams of the configuration; null for none.
     tenants: Value,
     /// Number of routes of the configuration that no test uses.
@@ -154,7 +164,24 @@
 
     /// Starts a cluster whose VMs have further settings in their section `bounds`.
     pub async fn start_with(vms: usize, workers: usize, bounds: &'static str) -> Self {
+        Self::start_cluster(vms, workers, bounds, None).await
+    }
+
+    /// Starts a cluster whose store has other limits on sizes, which the VMs know from their settings.
+    pub async fn start_limited(vms: usize, workers: usize, limits: PlatformLimits) -> Self {
+        Self::start_cluster(vms, workers, "", Some(limits)).await
+    }
+
+    async fn start_cluster(
+        vms: usize,
+        workers: usize,
+        bounds: &'static str,
+        limits: Option<PlatformLimits>,
+    ) -> Self {
         let store = Store::start().await.unwrap();
+        if let Some(limits) = limits {
+            store.limit(limits.record, limits.call);
+        }
         let advice = Advice::start().await.unwrap();
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
         // Tests that start at the same moment must not share a directory: each removes its own.
@@ -172,6 +199,8 @@
             machines: Machines::start().await.unwrap(),
             gateways: Vec::new(),
             key: None,
+            body_bytes: 262_144,
+            limits,
             tenants: Value::Null,
             unused_routes: 0,
             bounds,
@@ -199,11 +228,14 @@
         let ip = unique_address();
         let callers = SocketAddr::from((ip, CALLERS_PORT));
         let store = self.gateways.get(index).map_or(self.store.address(), Gateway::address);
+        let limits = self.limits.map_or_else(String::new, |limits| {
+            format!("max_record_bytes = {}\nmax_call_bytes = {}\n", limits.record, limits.call)
+        });
         let text = format!(
             "[vm]\nname = \"vm-{index}\"\nzone = \"split\"\ncallers = \"{callers}\"\n\
              ready = \"{ip}:{READY_PORT}\"\nlink = \"{ip}:{LINK_PORT}\"\ncores = {cores:.2}\nconnections = {MAX_CONNECTIONS}\n\
              metrics = \"{ip}:{METRICS_PORT}\"\n\n\
-             [platform]\nstore = \"{store}\"\nadvice = \"{}\"\nmachines = \"{}\"\n\n\
+             [platform]\nstore = \"{store}\"\nadvice = \"{}\"\nmachines = \"{}\"\n{limits}\n\
              [bounds]\nlease_ms = 300\n{}\n",
             self.advice.address(),
             self.machines.address(),
@@ -415,7 +447,7 @@
             "routes": routes,
             "services": [{ "name": "vans", "enforces-capacity": false, "standby": false }],
             "limits": {
-                "max-header-bytes": 16384, "max-body-bytes": 262144,
+                "max-header-bytes": 16384, "max-body-bytes": self.body_bytes,
                 "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
             },
         });
@@ -484,6 +516,12 @@
         call(address, "GET", "/metrics", "").await.map(|(_, text)| text)
     }
 
+    /// Submits a job once. Returns the status and the body of the answer.
+    pub async fn answer(&self, vm: usize, job: &str, body: &str) -> Option<(u16, String)> {
+        self.call(vm, "POST", &format!("/plans/{job}"), body).await
+    }
+
+    /// Submits a job once. Returns the status.
     pub async fn post(&self, vm: usize, job: &str, body: &str) -> Option<u16> {
         let answer = self.call(vm, "POST", &format!("/plans/{job}"), body).await;
         answer.map(|(status, _)| status)
@@ -828,7 +866,7 @@
     }
 
     /// Returns the runs that workers have recorded, by task.
-    fn recorded_runs(&self) -> HashMap<String, Vec<RecordedRun>> {
+    pub fn recorded_runs(&self) -> HashMap<String, Vec<RecordedRun>> {
         let mut runs: HashMap<String, Vec<RecordedRun>> = HashMap::new();
         for run in self.workers.iter().flat_map(Worker::recorded_runs).chain(self.retired.clone()) {
             runs.entry(run.task.clone()).or_default().push(run);
--- a/crates/coriandertackd/tests/platform/main.rs
+++ b/crates/coriandertackd/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod former_calls;
 mod lost_responses;
 mod planned_stops;
+mod record_sizes;
 mod replicas;
 mod soak;
 mod teams;
