--- a/crates/coriandertack-jobs/src/sched/calls.rs
+++ b/crates/coriandertack-jobs/src/sched/calls.rs
@@ -101,8 +101,7 @@
         })
     }
 
-    /// Returns the request for a list to send now, or `None` if there is no need for one. `open` tells whether it is
-    /// sent on the connection on which the worker answered the last one, and `renew` whether leases may be renewed.
+    /// Returns the request for a list to send now; see [`Scheduler::next_list`].
     ///
     /// A lease is renewed only while answers arrive. A worker whose answers are lost ends its runs when the lease
     /// expires, so that they can run elsewhere.
@@ -123,10 +122,11 @@
     /// Records that the worker answered a request for a list.
     pub(super) fn record_list_answer(&mut self, call: &ListCall) {
         self.acknowledged_end = self.acknowledged_end.max(call.acknowledged);
-        if self.listed_token.is_some_and(|listed| listed < call.token) {
+        let was_current = self.listed_token.is_none() || self.is_current();
+        self.listed_token = self.listed_token.max(Some(call.token));
+        if !was_current && self.is_current() {
             log::info!("event=calls_barred worker={} token={}", self.name, call.token);
         }
-        self.listed_token = self.listed_token.max(Some(call.token));
     }
 }
 
--- a/crates/coriandertackd/src/fleet/mod.rs
+++ b/crates/coriandertackd/src/fleet/mod.rs
@@ -8,7 +8,7 @@
 pub mod advice;
 pub mod arrivals;
 pub mod batches;
-mod caller_api;
+pub mod caller_api;
 pub mod election;
 pub mod handover;
 pub mod hosts;
