--- a/review/lib-3/src/main.rs
+++ b/review/lib-3/src/main.rs
@@ -4,6 +4,7 @@
 mod backlog;
 mod cluster;
 mod hold;
+mod ids;
 mod record;
 
 use std::{env, path::PathBuf, process::ExitCode, time::Duration};
@@ -39,6 +40,7 @@
         match case.as_str() {
             "hold" => hold::run(&program, trouble, &mut record).await,
             "backlog" => backlog::run(&program, trouble, &mut record).await,
+            "ids" => ids::run(&program, trouble, &mut record).await,
             _ => Err("unknown case".to_owned()),
         }
     };
