--- a/review/lib-3/src/cluster.rs
+++ b/review/lib-3/src/cluster.rs
@@ -2,6 +2,7 @@
 //! platform's store, workers, machines and advice in this process. Every address is a free port of 127.0.0.1.
 
 use std::{
+    collections::{HashMap, HashSet},
     env, fs,
     fs::File,
     net::{SocketAddr, TcpListener},
@@ -22,6 +23,8 @@
     },
 };
 
+use crate::proxy;
+
 /// How long a client waits for an answer. Each request says so.
 pub const WAIT: Duration = Duration::from_millis(4_000);
 
@@ -63,6 +66,10 @@
     machines: Machines,
     advice: Advice,
     directory: PathBuf,
+    /// Address of the proxy before a worker, by the worker's id.
+    proxies: HashMap<String, SocketAddr>,
+    /// Workers that have crashed, and whose machines are shown as down or with another worker since.
+    vacated: HashSet<String>,
 }
 
 impl Drop for Cluster {
@@ -78,6 +85,20 @@
 impl Cluster {
     /// Starts the stand-ins and the VMs, and waits until each VM serves.
     pub async fn start(program: &Path, vms: usize, kinds: &[Kind]) -> Result<Self, String> {
+        Self::start_with(program, vms, kinds, false).await
+    }
+
+    /// Like [`Self::start`], with workers that return at most 500 ends at a time.
+    pub async fn start_limited(program: &Path, vms: usize, kinds: &[Kind]) -> Result<Self, String> {
+        Self::start_with(program, vms, kinds, true).await
+    }
+
+    async fn start_with(
+        program: &Path,
+        vms: usize,
+        kinds: &[Kind],
+        limited: bool,
+    ) -> Result<Self, String> {
         let failed = |what: &str, error: &dyn std::fmt::Display| format!("{what}: {error}");
         let directory = env::temp_dir().join(format!("review-3-{}-{}", std::process::id(), unix_ms()));
         fs::create_dir_all(&directory).map_err(|error| failed("temporary folder", &error))?;
@@ -88,6 +109,8 @@
             machines: Machines::start().await.map_err(|error| failed("machines", &error))?,
             advice: Advice::start().await.map_err(|error| failed("advice", &error))?,
             directory,
+            proxies: HashMap::new(),
+            vacated: HashSet::new(),
         };
         cluster.publish_config();
         for (index, kind) in kinds.iter().enumerate() {
@@ -95,6 +118,11 @@
             let worker = worker.map_err(|error| failed("worker", &error))?;
             worker.set_capacity(WORKER_MILLICORES, &[]);
             cluster.machines.host_worker(&format!("m-{index}"), &worker.id());
+            if limited {
+                let proxy = proxy::start(worker.address()).await;
+                let proxy = proxy.map_err(|error| failed("proxy", &error))?;
+                cluster.proxies.insert(worker.id(), proxy);
+            }
             cluster.workers.push((worker, *kind));
             cluster.publish_entry(index);
         }
@@ -163,6 +191,9 @@
         let (worker, kind) = &self.workers[index];
         let entry = worker.entry("vans", 16);
         let Ok(mut entry) = serde_json::from_str::<Value>(&entry) else { return };
+        if let Some(proxy) = self.proxies.get(&worker.id()) {
+            entry["address"] = json!(proxy.to_string());
+        }
         entry["labels"] = json!([kind.label, "r1-1"]);
         self.store.put("keyed.servers", &worker.id(), entry.to_string().as_bytes());
     }
@@ -172,6 +203,29 @@
         self.store.put("keyed.servers", &self.workers[index].0.id(), b"");
     }
 
+    /// Shows the machine of a worker as down, without it. Returns false if that was done before.
+    pub fn vacate(&mut self, index: usize) -> bool {
+        let first = self.vacated.insert(self.workers[index].0.id());
+        if first {
+            self.machines.vacate(&format!("m-{index}"));
+        }
+        first
+    }
+
+    /// Starts a new worker on the machine of one that has crashed, and returns the former one.
+    pub async fn replace_worker(&mut self, index: usize) -> Result<(Worker, Kind), String> {
+        let kind = self.workers[index].1;
+        let id = format!("i-{:016x}", 0x1000 + self.vacated.len());
+        let worker = Worker::start(&id, kind.run_ms, unix_ms()).await;
+        let worker = worker.map_err(|error| format!("worker: {error}"))?;
+        worker.set_capacity(WORKER_MILLICORES, &[]);
+        self.withdraw_entry(index);
+        self.machines.host_worker(&format!("m-{index}"), &id);
+        let former = std::mem::replace(&mut self.workers[index], (worker, kind));
+        self.publish_entry(index);
+        Ok(former)
+    }
+
     /// Sends a request to a VM. Returns the status and the body, or `None` without an answer within [`WAIT`].
     pub async fn call(&self, vm: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
         let work = async {
--- a/review/lib-3/src/main.rs
+++ b/review/lib-3/src/main.rs
@@ -2,10 +2,14 @@
 //! the case could not run. With `TROUBLE=0`, a case leaves its disruption out.
 
 mod backlog;
+mod budget;
 mod cluster;
 mod hold;
 mod ids;
+mod others;
+mod proxy;
 mod record;
+mod twice;
 
 use std::{env, path::PathBuf, process::ExitCode, time::Duration};
 
@@ -40,6 +44,9 @@
         match case.as_str() {
             "hold" => hold::run(&program, trouble, &mut record).await,
             "backlog" => backlog::run(&program, trouble, &mut record).await,
+            "twice" => twice::run(&program, trouble, &mut record).await,
+            "budget" => budget::run(&program, trouble, &mut record).await,
+            "others" => others::run(&program, trouble, &mut record).await,
             "ids" => ids::run(&program, trouble, &mut record).await,
             _ => Err("unknown case".to_owned()),
         }
