--- a/review/lib-3/src/backlog.rs
+++ b/review/lib-3/src/backlog.rs
@@ -103,7 +103,8 @@
     // Jobs without a run, while no worker has anything running.
     let missing = || {
         let (begun, running) = begun_jobs(&cluster);
-        let missing: HashSet<_> = accepted.iter().filter(|job| !begun.contains(*job)).cloned().collect();
+        let missing: HashSet<_> =
+            accepted.iter().filter(|job| !begun.contains(*job)).cloned().collect();
         (missing, running)
     };
     let until = Instant::now() + IDLE;
--- a/review/lib-3/src/budget.rs
+++ b/review/lib-3/src/budget.rs
@@ -57,7 +57,10 @@
             let Some(crashed_at) = cluster.workers[index].0.crashed_at() else { continue };
             if cluster.vacate(index) {
                 crashes += 1;
-                record.line(format!("{} has crashed, the {crashes}. crash", cluster.workers[index].0.id()));
+                record.line(format!(
+                    "{} has crashed, the {crashes}. crash",
+                    cluster.workers[index].0.id()
+                ));
             }
             if crashed_at.elapsed() >= DOWN {
                 let (gone, _) = cluster.replace_worker(index).await?;
@@ -74,16 +77,21 @@
         let mut ends: Vec<_> =
             runs.iter().filter(|run| run.cause == "crashed").filter_map(|run| run.ended).collect();
         ends.sort();
-        let excess = ends.get(CRASHES - 1).map_or(0, |third| {
-            runs.iter().filter(|run| run.began > *third).count()
-        });
+        let excess = ends
+            .get(CRASHES - 1)
+            .map_or(0, |third| runs.iter().filter(|run| run.began > *third).count());
         if excess >= EXCESS {
-            record.line(format!("{excess} starts after {CRASHES} workers have crashed under the task"));
+            record.line(format!(
+                "{excess} starts after {CRASHES} workers have crashed under the task"
+            ));
             record.line(format!("GET /plans/{JOB}: {}", cluster.state(1, JOB).await));
             return Ok(false);
         }
         sleep(POLL).await;
     }
-    record.line(format!("GET /plans/{JOB}: {}; {known} starts, {crashes} crashes", cluster.state(1, JOB).await));
+    record.line(format!(
+        "GET /plans/{JOB}: {}; {known} starts, {crashes} crashes",
+        cluster.state(1, JOB).await
+    ));
     Ok(true)
 }
--- a/review/lib-3/src/cluster.rs
+++ b/review/lib-3/src/cluster.rs
@@ -2,7 +2,7 @@
 //! platform's store, workers, machines and advice in this process. Every address is a free port of 127.0.0.1.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashSet,
     env, fs,
     fs::File,
     net::{SocketAddr, TcpListener},
@@ -23,8 +23,6 @@
     },
 };
 
-use crate::proxy;
-
 /// How long a client waits for an answer. Each request says so.
 pub const WAIT: Duration = Duration::from_millis(4_000);
 
@@ -66,8 +64,6 @@
     machines: Machines,
     advice: Advice,
     directory: PathBuf,
-    /// Address of the proxy before a worker, by the worker's id.
-    proxies: HashMap<String, SocketAddr>,
     /// Workers that have crashed, and whose machines are shown as down or with another worker since.
     vacated: HashSet<String>,
 }
@@ -85,22 +81,9 @@
 impl Cluster {
     /// Starts the stand-ins and the VMs, and waits until each VM serves.
     pub async fn start(program: &Path, vms: usize, kinds: &[Kind]) -> Result<Self, String> {
-        Self::start_with(program, vms, kinds, false).await
-    }
-
-    /// Like [`Self::start`], with workers that return at most 500 ends at a time.
-    pub async fn start_limited(program: &Path, vms: usize, kinds: &[Kind]) -> Result<Self, String> {
-        Self::start_with(program, vms, kinds, true).await
-    }
-
-    async fn start_with(
-        program: &Path,
-        vms: usize,
-        kinds: &[Kind],
-        limited: bool,
-    ) -> Result<Self, String> {
         let failed = |what: &str, error: &dyn std::fmt::Display| format!("{what}: {error}");
-        let directory = env::temp_dir().join(format!("review-3-{}-{}", std::process::id(), unix_ms()));
+        let directory =
+            env::temp_dir().join(format!("review-3-{}-{}", std::process::id(), unix_ms()));
         fs::create_dir_all(&directory).map_err(|error| failed("temporary folder", &error))?;
         let mut cluster = Self {
             vms: Vec::new(),
@@ -109,7 +92,6 @@
             machines: Machines::start().await.map_err(|error| failed("machines", &error))?,
             advice: Advice::start().await.map_err(|error| failed("advice", &error))?,
             directory,
-            proxies: HashMap::new(),
             vacated: HashSet::new(),
         };
         cluster.publish_config();
@@ -118,11 +100,6 @@
             let worker = worker.map_err(|error| failed("worker", &error))?;
             worker.set_capacity(WORKER_MILLICORES, &[]);
             cluster.machines.host_worker(&format!("m-{index}"), &worker.id());
-            if limited {
-                let proxy = proxy::start(worker.address()).await;
-                let proxy = proxy.map_err(|error| failed("proxy", &error))?;
-                cluster.proxies.insert(worker.id(), proxy);
-            }
             cluster.workers.push((worker, *kind));
             cluster.publish_entry(index);
         }
@@ -132,7 +109,9 @@
         }
         for vm in 0..vms {
             let mut attempts = 0;
-            while cluster.call(vm, "GET", "/plans/", "").await.map(|(status, _)| status) != Some(200) {
+            while cluster.call(vm, "GET", "/plans/", "").await.map(|(status, _)| status)
+                != Some(200)
+            {
                 attempts += 1;
                 if attempts > 150 {
                     return Err(format!("VM {vm} does not serve"));
@@ -191,9 +170,6 @@
         let (worker, kind) = &self.workers[index];
         let entry = worker.entry("vans", 16);
         let Ok(mut entry) = serde_json::from_str::<Value>(&entry) else { return };
-        if let Some(proxy) = self.proxies.get(&worker.id()) {
-            entry["address"] = json!(proxy.to_string());
-        }
         entry["labels"] = json!([kind.label, "r1-1"]);
         self.store.put("keyed.servers", &worker.id(), entry.to_string().as_bytes());
     }
@@ -227,7 +203,13 @@
     }
 
     /// Sends a request to a VM. Returns the status and the body, or `None` without an answer within [`WAIT`].
-    pub async fn call(&self, vm: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    pub async fn call(
+        &self,
+        vm: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
         let work = async {
             let mut stream = TcpStream::connect(self.vms[vm].callers).await.ok()?;
             let head = format!(
--- a/review/lib-3/src/hold.rs
+++ b/review/lib-3/src/hold.rs
@@ -123,7 +123,9 @@
             && Instant::now() >= idle.max(finish) + IDLE
         {
             let idle_s = idle.elapsed().as_secs_f64();
-            record.line(format!("the job is {state} with nothing running for {idle_s:.1} s; {runs:?}"));
+            record.line(format!(
+                "the job is {state} with nothing running for {idle_s:.1} s; {runs:?}"
+            ));
             return Ok(false);
         }
         sleep(POLL).await;
--- a/review/lib-3/src/ids.rs
+++ b/review/lib-3/src/ids.rs
@@ -53,7 +53,13 @@
     for (worker, _) in &cluster.workers {
         for run in worker.recorded_runs() {
             let job = run.task.split('.').next().unwrap_or_default().to_owned();
-            record.line(format!("{} ran {} attempt {}: {}", worker.id(), run.task, run.attempt, run.cause));
+            record.line(format!(
+                "{} ran {} attempt {}: {}",
+                worker.id(),
+                run.task,
+                run.attempt,
+                run.cause
+            ));
             *runs.entry(job).or_default() += 1;
         }
     }
--- a/review/lib-3/src/main.rs
+++ b/review/lib-3/src/main.rs
@@ -6,8 +6,6 @@
 mod cluster;
 mod hold;
 mod ids;
-mod others;
-mod proxy;
 mod record;
 mod twice;
 
@@ -39,14 +37,14 @@
             return ExitCode::from(2);
         }
     };
-    record.line(format!("case {case}, {} disruption", if trouble { "with the" } else { "without" }));
+    record
+        .line(format!("case {case}, {} disruption", if trouble { "with the" } else { "without" }));
     let work = async {
         match case.as_str() {
             "hold" => hold::run(&program, trouble, &mut record).await,
             "backlog" => backlog::run(&program, trouble, &mut record).await,
             "twice" => twice::run(&program, trouble, &mut record).await,
             "budget" => budget::run(&program, trouble, &mut record).await,
-            "others" => others::run(&program, trouble, &mut record).await,
             "ids" => ids::run(&program, trouble, &mut record).await,
             _ => Err("unknown case".to_owned()),
         }
--- a/review/lib-3/src/twice.rs
+++ b/review/lib-3/src/twice.rs
@@ -55,7 +55,8 @@
 }
 
 pub async fn run(program: &Path, trouble: bool, record: &mut Record) -> Verdict {
-    let cluster = Cluster::start(program, 3, &[Kind { label: "a", run_ms: RUN_MS }; WORKERS]).await?;
+    let cluster =
+        Cluster::start(program, 3, &[Kind { label: "a", run_ms: RUN_MS }; WORKERS]).await?;
     let held = || {
         let held = |(worker, _): &(_, Kind)| {
             let worker: &coriandertack_standins::platform::worker::Worker = worker;
@@ -96,7 +97,10 @@
         worker.come_back();
         cluster.publish_entry(first);
         let late = sent.elapsed();
-        record.line(format!("{} is back under its id; it answers the start, {late:?} late, with {status:?}", worker.id()));
+        record.line(format!(
+            "{} is back under its id; it answers the start, {late:?} late, with {status:?}",
+            worker.id()
+        ));
         if status.is_none() || late < LATE.0 || late > LATE.1 {
             return Err("the start was not carried out in the time that the pages name".to_owned());
         }
