Review: case 13 stays within the site's share of late orders

Cause of the fault, as before: a start names the worker, not its life, and a life that has answered no list knows no token.

--- a/review/lib-3/src/twice.rs
+++ b/review/lib-3/src/twice.rs
@@ -27,6 +27,9 @@
 
 const RUN_MS: u64 = 12_000;
 
+/// Jobs of one task before the one whose start is held up, so that it is one start of more than 24 (0.042).
+const ORDINARY: u64 = 24;
+
 /// When the worker crashes, from when the task runs elsewhere, and for how long it is down.
 const CRASH_AFTER: Duration = Duration::from_millis(500);
 const DOWN: Duration = Duration::from_millis(3_000);
@@ -57,6 +60,22 @@
 pub async fn run(program: &Path, trouble: bool, record: &mut Record) -> Verdict {
     let cluster =
         Cluster::start(program, 3, &[Kind { label: "a", run_ms: RUN_MS }; WORKERS]).await?;
+    // Of all starts of the case, only one is held up.
+    for number in 0..ORDINARY {
+        let body = json!({
+            "task-spec": "run-ms=20",
+            "steps": [{ "count": 1, "cpu": 500, "mem-mb": 16, "est-runtime-ms": 20 }],
+        });
+        let path = format!("/plans/{:016x}", 0x1000 + number);
+        let answer = cluster.call(number as usize % 3, "POST", &path, &body.to_string()).await;
+        record.line(format!("POST {path}: {:?}", answer.map(|(status, _)| status)));
+    }
+    let started = || -> usize {
+        let runs = cluster.workers.iter().flat_map(|(worker, _)| worker.recorded_runs());
+        runs.filter(|run| run.ended.is_some()).count()
+    };
+    wait_until(|| started() == ORDINARY as usize).await?;
+    record.line(format!("{ORDINARY} starts were answered, and their runs are done"));
     let held = || {
         let held = |(worker, _): &(_, Kind)| {
             let worker: &coriandertack_standins::platform::worker::Worker = worker;
